--- /dev/null
+++ b/common/hash.cc
@@ -0,0 +1,33 @@
+#include "common/hash.h"
+
+#include <openssl/sha.h>
+#include <xxhash.h>
+
+#include <array>
+
+namespace anvilloom {
+
+std::uint64_t Hash64(std::string_view bytes, std::uint64_t seed) {
+  return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
+}
+
+std::uint64_t CombineHash(std::uint64_t left, std::uint64_t right) {
+  const std::array<std::uint64_t, 2> pair = {left, right};
+  return XXH3_64bits(pair.data(), sizeof(pair));
+}
+
+std::string Sha256Hex(std::string_view bytes) {
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest;
+  SHA256(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+         digest.data());
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string hex;
+  hex.reserve(digest.size() * 2);
+  for (const unsigned char byte : digest) {
+    hex.push_back(kDigits[byte >> 4U]);
+    hex.push_back(kDigits[byte & 0xFU]);
+  }
+  return hex;
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/common/hash.h
@@ -0,0 +1,24 @@
+// Defines the hash functions: Hash64 for placement and lookup tables, and
+// Sha256Hex for digests that identify content across processes.
+#ifndef COMMON_HASH_H_
+#define COMMON_HASH_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace anvilloom {
+
+// XXH3 of `bytes` with `seed`. Stable across processes and versions, so every
+// entry instance computes the same placement.
+std::uint64_t Hash64(std::string_view bytes, std::uint64_t seed = 0);
+
+// Mixes two hashes into one; used for rendezvous scores.
+std::uint64_t CombineHash(std::uint64_t left, std::uint64_t right);
+
+// SHA-256 of `bytes` as 64 lower-case hexadecimal digits.
+std::string Sha256Hex(std::string_view bytes);
+
+}  // namespace anvilloom
+
+#endif  // COMMON_HASH_H_
--- /dev/null
+++ b/common/log.cc
@@ -0,0 +1,74 @@
+#include "common/log.h"
+
+#include <easylogging++.h>
+
+#include <sstream>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace anvilloom {
+
+void InitializeLog() {
+  el::Configurations configuration;
+  configuration.setToDefault();
+  configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  configuration.setGlobally(el::ConfigurationType::Format,
+                            "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
+  el::Loggers::reconfigureAllLoggers(configuration);
+}
+
+void Log(log_level level,
+         log_event event,
+         std::initializer_list<log_field> fields) {
+  std::ostringstream line;
+  line << 'E' << static_cast<unsigned>(event) << ' ' << Name(event);
+  for (const log_field& field : fields) {
+    line << ' ' << field.name << '=' << field.value;
+  }
+  switch (level) {
+    case log_level::kInfo:
+      LOG(INFO) << line.str();
+      break;
+    case log_level::kWarning:
+      LOG(WARNING) << line.str();
+      break;
+    case log_level::kError:
+      LOG(ERROR) << line.str();
+      break;
+  }
+}
+
+std::string_view Name(log_event event) {
+  switch (event) {
+    case log_event::kStarted:
+      return "started";
+    case log_event::kReady:
+      return "ready";
+    case log_event::kDraining:
+      return "draining";
+    case log_event::kStopped:
+      return "stopped";
+    case log_event::kStartFailed:
+      return "start_failed";
+    case log_event::kConfigurationInForce:
+      return "configuration_in_force";
+    case log_event::kConfigurationRefused:
+      return "configuration_refused";
+    case log_event::kObjectApiUnavailable:
+      return "object_api_unavailable";
+    case log_event::kConfigurationRelisted:
+      return "configuration_relisted";
+    case log_event::kUpstreamFailed:
+      return "upstream_failed";
+    case log_event::kStreamResumed:
+      return "stream_resumed";
+    case log_event::kStreamFailed:
+      return "stream_failed";
+    case log_event::kAnswerRejected:
+      return "answer_rejected";
+  }
+  return "unknown";
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/common/log.h
@@ -0,0 +1,51 @@
+// Defines the numbered log events and Log(), which writes one of them. The
+// catalogue with causes and actions is docs/logs.md.
+#ifndef COMMON_LOG_H_
+#define COMMON_LOG_H_
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace anvilloom {
+
+// Numbers are stable: they are never reused for another event.
+enum class log_event : std::uint16_t {
+  kStarted = 100,
+  kReady = 101,
+  kDraining = 102,
+  kStopped = 103,
+  kStartFailed = 104,
+  kConfigurationInForce = 200,
+  kConfigurationRefused = 201,
+  kObjectApiUnavailable = 202,
+  kConfigurationRelisted = 203,
+  kUpstreamFailed = 300,
+  kStreamResumed = 301,
+  kStreamFailed = 302,
+  kAnswerRejected = 303,
+};
+
+enum class log_level { kInfo, kWarning, kError };
+
+// A named value of a log line.
+struct log_field {
+  std::string_view name;
+  std::string value;
+};
+
+// Sets the log format; call once at start. Logs go to standard error.
+void InitializeLog();
+
+// Writes "E<number> <event name> field=value ...". Thread-safe.
+void Log(log_level level,
+         log_event event,
+         std::initializer_list<log_field> fields = {});
+
+// Stable name of an event, for example "configuration_in_force".
+std::string_view Name(log_event event);
+
+}  // namespace anvilloom
+
+#endif  // COMMON_LOG_H_
--- /dev/null
+++ b/contracts/configuration.h
@@ -0,0 +1,54 @@
+// Defines configuration, everything that operators declare, as typed values.
+// Its encoding is in wire/; its checks are in contracts/configuration_check.
+#ifndef CONTRACTS_CONFIGURATION_H_
+#define CONTRACTS_CONFIGURATION_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "contracts/service.h"
+#include "contracts/workspace.h"
+#include "domains/failure_domain.h"
+
+namespace anvilloom {
+
+// An upstream as the operator declares it.
+struct upstream_declaration {
+  std::string name;
+  // IP address and port, for example "127.0.0.1:9101".
+  std::string address;
+  std::string domain;
+  std::string machine_class;
+  // Millionths of a currency unit per hour.
+  std::int64_t price_per_hour = 0;
+  bool reclaimable = false;
+  // Whether the upstream refuses orders with an old fencing number.
+  bool checks_fencing = false;
+  // Requests that the upstream runs at once without queueing.
+  std::uint32_t slots = 16;
+  // Names of the services that it answers.
+  std::vector<std::string> services;
+};
+
+// System-wide limits and rates.
+struct system_limits {
+  // Retries and hedges as a share of requests, in thousandths.
+  std::uint32_t retry_permille = 100;
+  // Requests that a workspace may hold open at one entry instance.
+  std::uint32_t open_requests_per_workspace = 512;
+};
+
+// One revision of the configuration. Revisions only grow.
+struct configuration {
+  std::uint64_t revision = 0;
+  std::vector<failure_domain> domains;
+  std::vector<workspace> workspaces;
+  std::vector<service> services;
+  std::vector<upstream_declaration> upstreams;
+  system_limits limits;
+};
+
+}  // namespace anvilloom
+
+#endif  // CONTRACTS_CONFIGURATION_H_
--- /dev/null
+++ b/domains/failure_domain.h
@@ -0,0 +1,33 @@
+// Defines failure_domain, a zone whose instances can all be lost or reclaimed
+// at once, and the region that groups zones.
+#ifndef DOMAINS_FAILURE_DOMAIN_H_
+#define DOMAINS_FAILURE_DOMAIN_H_
+
+#include <string>
+#include <string_view>
+
+#include "common/time.h"
+
+namespace anvilloom {
+
+// A failure domain as the operator declares it.
+class failure_domain {
+ public:
+  failure_domain(std::string_view name, std::string_view region);
+
+  std::string_view name() const { return name_; }
+  std::string_view region() const { return region_; }
+
+ private:
+  std::string name_;
+  std::string region_;
+};
+
+// How close two failure domains are; a smaller value is closer.
+enum class proximity { kSameDomain, kSameRegion, kOtherRegion };
+
+proximity Proximity(const failure_domain& left, const failure_domain& right);
+
+}  // namespace anvilloom
+
+#endif  // DOMAINS_FAILURE_DOMAIN_H_
--- /dev/null
+++ b/entry/admin_handler.cc
@@ -0,0 +1,151 @@
+#include "entry/admin_handler.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <string_view>
+#include <utility>
+
+#include "common/hash.h"
+
+namespace anvilloom {
+
+namespace {
+
+namespace net = boost::asio;
+namespace json = boost::json;
+
+constexpr std::string_view kBearer = "Bearer ";
+
+std::string_view ConditionName(link_condition condition) {
+  switch (condition) {
+    case link_condition::kHealthy:
+      return "healthy";
+    case link_condition::kProbation:
+      return "probation";
+    case link_condition::kQuarantined:
+      return "quarantined";
+    case link_condition::kLeaving:
+      return "leaving";
+  }
+  return "unknown";
+}
+
+json::value DumpLink(const upstream& target, const link& path) {
+  return {{"upstream", target.name},
+          {"address", target.address},
+          {"failure_domain", std::string(target.host.domain())},
+          {"condition", std::string(ConditionName(path.condition()))},
+          {"outstanding_requests", path.outstanding_requests()},
+          {"running", path.last_report().running},
+          {"waiting", path.last_report().waiting},
+          {"first_token_us", path.first_token_average().count()},
+          {"token_interval_us", path.token_interval_average().count()},
+          {"failures_in_a_row", path.failures_in_a_row()}};
+}
+
+json::array DumpStreams(const worker& holder) {
+  json::array streams;
+  holder.ForEachStream([&](const stream_session& session) {
+    streams.push_back({{"stream", session.order().stream_id},
+                       {"service", session.order().target.name},
+                       {"workspace", session.order().workspace},
+                       {"tokens", session.tokens()}});
+  });
+  return streams;
+}
+
+// Runs `read` on the thread of `holder` and returns its value.
+template <typename Read>
+auto OnThreadOf(worker& holder, Read read)
+    -> awaitable<decltype(read(holder))> {
+  return net::co_spawn(
+      holder.context(),
+      [&holder, read]() -> awaitable<decltype(read(holder))> {
+        co_return read(holder);
+      },
+      net::use_awaitable);
+}
+
+}  // namespace
+
+awaitable<void> admin_handler::Handle(http_exchange& exchange,
+                                      std::size_t /*thread*/) {
+  const std::string_view path = exchange.path();
+  if (path == "/healthz") {
+    co_await exchange.Respond(http_status::ok, "text/plain", "alive\n");
+    co_return;
+  }
+  if (path == "/readyz") {
+    const bool ready = process_.ready();
+    co_await exchange.Respond(
+        ready ? http_status::ok : http_status::service_unavailable,
+        "text/plain", ready ? "ready\n" : "not ready\n");
+    co_return;
+  }
+  if (!Authorized(exchange)) {
+    co_await exchange.Respond(http_status::unauthorized, "text/plain",
+                              "The admin token is missing or wrong.\n");
+    co_return;
+  }
+  if (path == "/metrics") {
+    const std::string body = co_await Metrics();
+    co_await exchange.Respond(http_status::ok, "text/plain; version=0.0.4",
+                              body);
+  } else if (path == "/dump") {
+    const std::string body = co_await Dump();
+    co_await exchange.Respond(http_status::ok, "application/json", body);
+  }
+}
+
+bool admin_handler::Authorized(const http_exchange& exchange) const {
+  const std::string& expected = process_.settings.admin_token_sha256;
+  if (expected.empty()) {
+    return true;
+  }
+  const std::string_view authorization = exchange.Header("Authorization");
+  return authorization.starts_with(kBearer) &&
+         Sha256Hex(authorization.substr(kBearer.size())) == expected;
+}
+
+awaitable<std::string> admin_handler::Metrics() {
+  std::string out;
+  for (const std::unique_ptr<worker>& holder : workers_) {
+    out += co_await OnThreadOf(*holder, [](worker& owner) {
+      std::string part;
+      AppendMetrics(part, owner.metrics(), owner.thread());
+      return part;
+    });
+  }
+  co_return out;
+}
+
+awaitable<std::string> admin_handler::Dump() {
+  json::object dump;
+  dump["name"] = process_.settings.name;
+  dump["failure_domain"] = process_.settings.failure_domain;
+  dump["epoch"] = process_.epoch;
+  dump["ready"] = process_.ready();
+  dump["draining"] = process_.draining.load(std::memory_order_relaxed);
+  dump["revision"] = process_.revision_in_force.load(std::memory_order_relaxed);
+  json::array streams;
+  for (const std::unique_ptr<worker>& holder : workers_) {
+    json::array part = co_await OnThreadOf(
+        *holder, [](worker& owner) { return DumpStreams(owner); });
+    streams.insert(streams.end(), part.begin(), part.end());
+  }
+  dump["streams"] = std::move(streams);
+  json::array links;
+  {
+    const rcu_read_guard guard;
+    const topology& world = process_.world.Read(guard);
+    for (std::size_t i = 0; i < world.upstreams().size(); ++i) {
+      links.push_back(DumpLink(world.upstreams()[i], *world.links()[i]));
+    }
+  }
+  dump["links"] = std::move(links);
+  co_return json::serialize(dump);
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/entry/admin_handler.h
@@ -0,0 +1,36 @@
+// Defines admin_handler, which serves health, metrics and the state dump to
+// operators and the balancer.
+#ifndef ENTRY_ADMIN_HANDLER_H_
+#define ENTRY_ADMIN_HANDLER_H_
+
+#include <memory>
+#include <span>
+#include <string>
+
+#include "entry/process_state.h"
+#include "entry/worker.h"
+#include "wire/http_exchange.h"
+
+namespace anvilloom {
+
+// A handler for http_server on the admin port.
+class admin_handler {
+ public:
+  admin_handler(process_state& process,
+                std::span<const std::unique_ptr<worker>> workers)
+      : process_(process), workers_(workers) {}
+
+  awaitable<void> Handle(http_exchange& exchange, std::size_t thread);
+
+ private:
+  bool Authorized(const http_exchange& exchange) const;
+  awaitable<std::string> Metrics();
+  awaitable<std::string> Dump();
+
+  process_state& process_;
+  std::span<const std::unique_ptr<worker>> workers_;
+};
+
+}  // namespace anvilloom
+
+#endif  // ENTRY_ADMIN_HANDLER_H_
--- /dev/null
+++ b/entry/chat_handler.cc
@@ -0,0 +1,241 @@
+#include "entry/chat_handler.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <charconv>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "entry/refusal_reply.h"
+#include "entry/stream_runner.h"
+#include "wire/chat_codec.h"
+
+namespace anvilloom {
+
+namespace {
+
+namespace net = boost::asio;
+namespace leaf = boost::leaf;
+
+// A decoded body, or what is wrong with it.
+struct decoded_body {
+  std::optional<chat_request> request;
+  chat_fault fault = chat_fault::kNotJson;
+};
+
+decoded_body DecodeBody(std::string_view body) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<decoded_body> {
+        BOOST_LEAF_AUTO(request, DecodeChatRequest(body));
+        return decoded_body{std::move(request)};
+      },
+      [](chat_fault fault) {
+        return decoded_body{std::nullopt, fault};
+      },
+      [] { return decoded_body{}; });
+}
+
+std::optional<service> FindModelService(const process_state& process,
+                                        std::string_view name) {
+  const rcu_read_guard guard;
+  const topology& world = process.world.Read(guard);
+  const auto found = world.FindService(name);
+  if (!found || world.at(*found).kind != service_kind::kModel) {
+    return std::nullopt;
+  }
+  return world.at(*found);
+}
+
+answer_identity IdentityOf(const stream_session& session) {
+  return {session.order().request_id, session.order().request.service,
+          session.model_version()};
+}
+
+// Appends the events from token `next` on; moves `next` to the end.
+void AppendTokens(std::string& out,
+                  const stream_session& session,
+                  std::uint32_t& next) {
+  const answer_identity identity = IdentityOf(session);
+  while (next < session.tokens()) {
+    AppendTokenEvent(out, session.order().stream_id, identity, next,
+                     session.token(next));
+    ++next;
+  }
+}
+
+void AppendEnd(std::string& out, const stream_session& session) {
+  const stream_order& order = session.order();
+  if (session.phase() == stream_phase::kComplete) {
+    AppendFinishEvents(out, order.stream_id, IdentityOf(session),
+                       EstimatePromptTokens(order.request), session.tokens());
+    return;
+  }
+  out += "event: error\ndata: ";
+  out += EncodeRefusal(*session.failure(), order.request_id);
+  out += "\n\n";
+}
+
+// Writes server-sent events from token `next` on until the stream has ended or
+// the caller is gone.
+awaitable<void> WriteEvents(http_exchange& exchange,
+                            std::shared_ptr<stream_session> session,
+                            std::uint32_t next) {
+  const std::array<http_header, 2> headers = {
+      {{"Cache-Control", "no-store"},
+       {"X-Stream-Id", session->order().stream_id}}};
+  bool open = co_await exchange.BeginStream(http_status::ok,
+                                            "text/event-stream", headers);
+  std::string out;
+  while (open) {
+    out.clear();
+    AppendTokens(out, *session, next);
+    const bool ended = session->phase() != stream_phase::kRunning;
+    if (ended) {
+      AppendEnd(out, *session);
+    }
+    if (!out.empty()) {
+      open = co_await exchange.WriteChunk(out);
+    }
+    if (ended) {
+      break;
+    }
+    if (open && next == session->tokens() &&
+        session->phase() == stream_phase::kRunning) {
+      co_await session->Changed();
+    }
+  }
+  if (open) {
+    co_await exchange.EndStream();
+  }
+}
+
+// Waits for the first token or the end, so that a request that fails before
+// its first token gets a status of its own.
+awaitable<void> AwaitFirstToken(std::shared_ptr<stream_session> session) {
+  while (session->tokens() == 0 && session->phase() == stream_phase::kRunning) {
+    co_await session->Changed();
+  }
+}
+
+awaitable<void> AwaitEnd(std::shared_ptr<stream_session> session) {
+  while (session->phase() == stream_phase::kRunning) {
+    co_await session->Changed();
+  }
+}
+
+awaitable<void> WriteWhole(http_exchange& exchange,
+                           const stream_session& session) {
+  const std::string body = EncodeWholeAnswer(
+      IdentityOf(session), session.text(),
+      EstimatePromptTokens(session.order().request), session.tokens());
+  co_await exchange.Respond(http_status::ok, "application/json", body);
+}
+
+// The token after the one that Last-Event-ID ("<stream>:<n>") names.
+std::uint32_t NextIndex(std::string_view last_event_id) {
+  const std::size_t colon = last_event_id.rfind(':');
+  if (colon == std::string_view::npos) {
+    return 0;
+  }
+  const std::string_view digits = last_event_id.substr(colon + 1);
+  std::uint32_t last = 0;
+  const auto [end, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), last);
+  return error == std::errc() && last < UINT32_MAX ? last + 1 : 0;
+}
+
+}  // namespace
+
+awaitable<void> chat_handler::Complete(http_exchange& exchange,
+                                       worker& self,
+                                       const caller& from) {
+  process_state& process = self.process();
+  const time_point now = process.clock.Now();
+  decoded_body body = DecodeBody(exchange.request().body());
+  if (!body.request) {
+    ++self.metrics().refused;
+    co_await RespondRefusal(exchange, {refusal_code::kMalformedRequest},
+                            from.request_id, now, Sentence(body.fault));
+    co_return;
+  }
+  const auto target = FindModelService(process, body.request->service);
+  if (!target) {
+    ++self.metrics().refused;
+    co_await RespondRefusal(exchange, {refusal_code::kUnknownService},
+                            from.request_id, now);
+    co_return;
+  }
+  const auto answer_by = AnswerDeadline(exchange, target->terms, now);
+  if (!answer_by) {
+    ++self.metrics().refused;
+    co_await RespondRefusal(
+        exchange, {refusal_code::kMalformedRequest}, from.request_id, now,
+        "The header X-Deadline-Ms must be a positive number of milliseconds.");
+    co_return;
+  }
+  stream_order order;
+  order.stream_id = self.NextStreamId();
+  order.request_id =
+      from.request_id.empty() ? order.stream_id : from.request_id;
+  order.workspace = from.customer.name;
+  order.request = std::move(*body.request);
+  order.target = *target;
+  order.accepted_at = now;
+  order.first_token_by = deadline::After(now, target->terms.first_token_target);
+  order.answer_by = *answer_by;
+  const bool wants_stream = order.request.stream;
+  auto session = std::make_shared<stream_session>(self.context().get_executor(),
+                                                  std::move(order));
+  self.AddStream(session);
+  ++self.metrics().accepted;
+  net::co_spawn(self.context(), RunStream(self, session), net::detached);
+  if (wants_stream) {
+    co_await AwaitFirstToken(session);
+  } else {
+    co_await AwaitEnd(session);
+  }
+  const bool failed_whole = session->phase() == stream_phase::kFailed &&
+                            (!wants_stream || session->tokens() == 0);
+  if (failed_whole) {
+    co_await RespondRefusal(exchange, *session->failure(),
+                            session->order().request_id, process.clock.Now());
+  } else if (wants_stream) {
+    co_await WriteEvents(exchange, session, 0);
+  } else {
+    co_await WriteWhole(exchange, *session);
+  }
+}
+
+awaitable<void> chat_handler::Resume(http_exchange& exchange,
+                                     worker& self,
+                                     const caller& from,
+                                     std::string_view stream_id) {
+  const std::uint32_t next = NextIndex(exchange.Header("Last-Event-ID"));
+  for (const std::unique_ptr<worker>& holder : workers_) {
+    // The session belongs to its worker's thread, so the events are written
+    // from there while this coroutine waits.
+    const bool served = co_await net::co_spawn(
+        holder->context(),
+        [&]() -> awaitable<bool> {
+          auto session = holder->FindStream(stream_id);
+          if (!session || session->order().workspace != from.customer.name) {
+            co_return false;
+          }
+          co_await WriteEvents(exchange, session, next);
+          co_return true;
+        },
+        net::use_awaitable);
+    if (served) {
+      co_return;
+    }
+  }
+  co_await RespondRefusal(exchange,
+                          {refusal_code::kUnknownStream, outcome::kUnknown},
+                          from.request_id, self.process().clock.Now());
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/entry/chat_handler.h
@@ -0,0 +1,38 @@
+// Defines chat_handler, which serves chat completions and resumed streams.
+#ifndef ENTRY_CHAT_HANDLER_H_
+#define ENTRY_CHAT_HANDLER_H_
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string_view>
+
+#include "entry/caller.h"
+#include "entry/worker.h"
+#include "wire/http_exchange.h"
+
+namespace anvilloom {
+
+// One for the process; keeps no state of its own.
+class chat_handler {
+ public:
+  explicit chat_handler(std::span<const std::unique_ptr<worker>> workers)
+      : workers_(workers) {}
+
+  // POST /v1/chat/completions.
+  awaitable<void> Complete(http_exchange& exchange,
+                           worker& self,
+                           const caller& from);
+  // GET /v1/streams/<stream>, from the position in Last-Event-ID.
+  awaitable<void> Resume(http_exchange& exchange,
+                         worker& self,
+                         const caller& from,
+                         std::string_view stream_id);
+
+ private:
+  std::span<const std::unique_ptr<worker>> workers_;
+};
+
+}  // namespace anvilloom
+
+#endif  // ENTRY_CHAT_HANDLER_H_
--- /dev/null
+++ b/entry/plain_handler.h
@@ -0,0 +1,26 @@
+// Defines plain_handler, which forwards calls to plain services.
+#ifndef ENTRY_PLAIN_HANDLER_H_
+#define ENTRY_PLAIN_HANDLER_H_
+
+#include <string_view>
+
+#include "entry/caller.h"
+#include "entry/worker.h"
+#include "wire/http_exchange.h"
+
+namespace anvilloom {
+
+// One for the process; keeps no state of its own.
+class plain_handler {
+ public:
+  // Any method on /s/<service>/<path>. `path` begins with a slash.
+  awaitable<void> Forward(http_exchange& exchange,
+                          worker& self,
+                          const caller& from,
+                          std::string_view service_name,
+                          std::string_view path);
+};
+
+}  // namespace anvilloom
+
+#endif  // ENTRY_PLAIN_HANDLER_H_
--- /dev/null
+++ b/entry/request_handler.cc
@@ -0,0 +1,61 @@
+#include "entry/request_handler.h"
+
+#include <string>
+#include <string_view>
+
+#include "entry/refusal_reply.h"
+
+namespace anvilloom {
+
+namespace {
+
+using http_verb = boost::beast::http::verb;
+
+constexpr std::string_view kChatPath = "/v1/chat/completions";
+constexpr std::string_view kStreamsPath = "/v1/streams/";
+constexpr std::string_view kServicesPath = "/s/";
+constexpr std::string_view kReadyPath = "/readyz";
+
+}  // namespace
+
+awaitable<void> request_handler::Handle(http_exchange& exchange,
+                                        std::size_t thread) {
+  worker& self = *workers_[thread];
+  const process_state& process = self.process();
+  const std::string_view path = exchange.path();
+  if (path == kReadyPath) {
+    co_await exchange.Respond(
+        process.ready() ? http_status::ok : http_status::service_unavailable,
+        "text/plain", process.ready() ? "ready\n" : "not ready\n");
+    co_return;
+  }
+  const auto from = IdentifyCaller(process, exchange);
+  if (!from) {
+    ++self.metrics().refused;
+    co_await RespondRefusal(exchange, {refusal_code::kUnauthenticated},
+                            exchange.Header("X-Request-Id"),
+                            process.clock.Now());
+    co_return;
+  }
+  const http_verb method = exchange.request().method();
+  if (path == kChatPath && method == http_verb::post) {
+    co_await chat_.Complete(exchange, self, *from);
+  } else if (path.starts_with(kStreamsPath) && method == http_verb::get) {
+    co_await chat_.Resume(exchange, self, *from,
+                          path.substr(kStreamsPath.size()));
+  } else if (path.starts_with(kServicesPath)) {
+    const std::string_view rest =
+        exchange.target().substr(kServicesPath.size());
+    const std::size_t slash = rest.find('/');
+    const std::string_view inner =
+        slash == std::string_view::npos ? "/" : rest.substr(slash);
+    co_await plain_.Forward(exchange, self, *from, rest.substr(0, slash),
+                            inner);
+  } else {
+    co_await RespondRefusal(exchange, {refusal_code::kUnknownService},
+                            from->request_id, process.clock.Now(),
+                            "Nothing is served at this path.");
+  }
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/entry/settings.cc
@@ -0,0 +1,170 @@
+#include "entry/settings.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/leaf/error.hpp>
+#include <fstream>
+#include <iterator>
+
+#include "wire/endpoint.h"
+#include "wire/json_text.h"
+
+namespace anvilloom {
+
+namespace {
+
+namespace json = boost::json;
+namespace leaf = boost::leaf;
+
+constexpr std::array<std::string_view, 7> kKeys = {
+    "name",         "failure_domain",     "listen",
+    "admin_listen", "admin_token_sha256", "object_api",
+    "threads"};
+constexpr std::size_t kMaxThreads = 64;
+
+// Collects the first fault while members are read.
+class member_reader {
+ public:
+  member_reader(const json::value& settings, std::string_view file)
+      : settings_(settings), file_(file) {}
+
+  void Text(std::string_view key, bool required, std::string& into) {
+    const json::value* member = FindMember(settings_, key);
+    if (member == nullptr) {
+      if (required) {
+        Fail(settings_fault_kind::kMissingKey, key);
+      }
+      return;
+    }
+    const auto text = StringMember(settings_, key);
+    if (!text) {
+      Fail(settings_fault_kind::kWrongType, key);
+      return;
+    }
+    into = *text;
+  }
+
+  void Address(std::string_view key, bool required, std::string& into) {
+    Text(key, required, into);
+    if (!into.empty() && !ParseEndpoint(into)) {
+      Fail(settings_fault_kind::kBadAddress, key);
+    }
+  }
+
+  void Count(std::string_view key, std::size_t most, std::size_t& into) {
+    if (FindMember(settings_, key) == nullptr) {
+      return;
+    }
+    const auto number = UnsignedMember(settings_, key);
+    if (!number || *number == 0 || *number > most) {
+      Fail(settings_fault_kind::kWrongType, key);
+      return;
+    }
+    into = *number;
+  }
+
+  void Fail(settings_fault_kind kind, std::string_view key) {
+    if (!failed_) {
+      fault_ = {kind, std::string(file_), std::string(key)};
+      failed_ = true;
+    }
+  }
+
+  bool failed() const { return failed_; }
+  const settings_fault& fault() const { return fault_; }
+
+ private:
+  const json::value& settings_;
+  std::string_view file_;
+  bool failed_ = false;
+  settings_fault fault_{settings_fault_kind::kNotJson, "", ""};
+};
+
+bool IsName(std::string_view text) {
+  const auto allowed = [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+  };
+  return !text.empty() && std::ranges::all_of(text, allowed);
+}
+
+bool IsLoopback(std::string_view address) {
+  const auto endpoint = ParseEndpoint(address);
+  return endpoint && endpoint->address().is_loopback();
+}
+
+}  // namespace
+
+std::string Sentence(const settings_fault& fault) {
+  const std::string place = "The settings file " + fault.file;
+  const std::string key = "the key \"" + fault.key + "\"";
+  switch (fault.kind) {
+    case settings_fault_kind::kUnreadable:
+      return place + " cannot be read.";
+    case settings_fault_kind::kNotJson:
+      return place + " is not a JSON object with comments.";
+    case settings_fault_kind::kUnknownKey:
+      return place + " has " + key + ", which is not known.";
+    case settings_fault_kind::kMissingKey:
+      return place + " lacks " + key + ".";
+    case settings_fault_kind::kWrongType:
+      return place + " has a value of the wrong type or range for " + key + ".";
+    case settings_fault_kind::kBadAddress:
+      return place + " must give an IP address and a port for " + key + ".";
+    case settings_fault_kind::kBadName:
+      return place +
+             " must use only lower-case letters, digits and hyphens "
+             "for " +
+             key + ".";
+    case settings_fault_kind::kOpenAdminWithoutToken:
+      return place + " must set \"admin_token_sha256\", because " + key +
+             " is not a loopback address.";
+  }
+  return place + " is not valid.";
+}
+
+leaf::result<entry_settings> ParseSettings(std::string_view text,
+                                           std::string_view file) {
+  const auto parsed = ParseJsonWithComments(text);
+  if (!parsed || !parsed->is_object()) {
+    return leaf::new_error(
+        settings_fault{settings_fault_kind::kNotJson, std::string(file), ""});
+  }
+  member_reader reader(*parsed, file);
+  for (const auto& member : parsed->get_object()) {
+    const std::string_view key(member.key().data(), member.key().size());
+    if (std::ranges::find(kKeys, key) == kKeys.end()) {
+      reader.Fail(settings_fault_kind::kUnknownKey, key);
+    }
+  }
+  entry_settings settings;
+  reader.Text("name", true, settings.name);
+  reader.Text("failure_domain", true, settings.failure_domain);
+  reader.Address("listen", false, settings.listen);
+  reader.Address("admin_listen", false, settings.admin_listen);
+  reader.Text("admin_token_sha256", false, settings.admin_token_sha256);
+  reader.Address("object_api", true, settings.object_api);
+  reader.Count("threads", kMaxThreads, settings.threads);
+  if (!IsName(settings.name)) {
+    reader.Fail(settings_fault_kind::kBadName, "name");
+  }
+  if (!IsLoopback(settings.admin_listen) &&
+      settings.admin_token_sha256.empty()) {
+    reader.Fail(settings_fault_kind::kOpenAdminWithoutToken, "admin_listen");
+  }
+  if (reader.failed()) {
+    return leaf::new_error(reader.fault());
+  }
+  return settings;
+}
+
+leaf::result<entry_settings> LoadSettings(std::string_view path) {
+  std::ifstream file{std::string(path)};
+  if (!file) {
+    return leaf::new_error(settings_fault{settings_fault_kind::kUnreadable,
+                                          std::string(path), ""});
+  }
+  const std::string text(std::istreambuf_iterator<char>(file), {});
+  return ParseSettings(text, path);
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/entry/settings.h
@@ -0,0 +1,57 @@
+// Defines entry_settings, what an entry instance is told at its start, and
+// LoadSettings, which reads them from a JSON file with comments.
+#ifndef ENTRY_SETTINGS_H_
+#define ENTRY_SETTINGS_H_
+
+#include <boost/leaf/result.hpp>
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace anvilloom {
+
+// Addresses are an IP address and a port. The reference is docs/settings.md.
+struct entry_settings {
+  // Unique name of the instance: lower-case letters, digits and hyphens.
+  std::string name;
+  std::string failure_domain;
+  // Where callers connect.
+  std::string listen = "127.0.0.1:8080";
+  // Health, metrics, state dump. Loopback only, unless a token is set.
+  std::string admin_listen = "127.0.0.1:8081";
+  std::string admin_token_sha256;
+  std::string object_api;
+  std::size_t threads = 2;
+};
+
+// What is wrong with a settings file.
+enum class settings_fault_kind {
+  kUnreadable,
+  kNotJson,
+  kUnknownKey,
+  kMissingKey,
+  kWrongType,
+  kBadAddress,
+  kBadName,
+  kOpenAdminWithoutToken,
+};
+
+// A fault with its place.
+struct settings_fault {
+  settings_fault_kind kind;
+  std::string file;
+  std::string key;
+};
+
+// A full sentence that names the file, the key and what was expected.
+std::string Sentence(const settings_fault& fault);
+
+// Fails with a settings_fault.
+boost::leaf::result<entry_settings> LoadSettings(std::string_view path);
+// As LoadSettings, for text that was read already. `file` is for messages.
+boost::leaf::result<entry_settings> ParseSettings(std::string_view text,
+                                                  std::string_view file);
+
+}  // namespace anvilloom
+
+#endif  // ENTRY_SETTINGS_H_
--- /dev/null
+++ b/entry/stream_session.cc
@@ -0,0 +1,50 @@
+#include "entry/stream_session.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace anvilloom {
+
+stream_session::stream_session(const boost::asio::any_io_executor& executor,
+                               stream_order order)
+    : order_(std::move(order)), changed_(executor) {
+  changed_.expires_at(std::chrono::steady_clock::time_point::max());
+}
+
+std::string_view stream_session::token(std::uint32_t index) const {
+  const std::uint32_t begin = index == 0 ? 0 : ends_[index - 1];
+  return std::string_view(text_).substr(begin, ends_[index] - begin);
+}
+
+void stream_session::Append(std::string_view token) {
+  text_ += token;
+  ends_.push_back(static_cast<std::uint32_t>(text_.size()));
+  Notify();
+}
+
+void stream_session::SetModelVersion(std::string_view version) {
+  model_version_ = version;
+}
+
+void stream_session::Complete() {
+  phase_ = stream_phase::kComplete;
+  Notify();
+}
+
+void stream_session::Fail(const refusal& why) {
+  phase_ = stream_phase::kFailed;
+  failure_ = why;
+  Notify();
+}
+
+awaitable<void> stream_session::Changed() {
+  co_await changed_.async_wait(
+      boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
+void stream_session::Notify() {
+  changed_.cancel();
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/entry/stream_session.h
@@ -0,0 +1,78 @@
+// Defines stream_session, one accepted model request: what was asked, what has
+// been generated so far, and how it ended.
+#ifndef ENTRY_STREAM_SESSION_H_
+#define ENTRY_STREAM_SESSION_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/time.h"
+#include "contracts/outcome.h"
+#include "contracts/service.h"
+#include "wire/chat_codec.h"
+#include "wire/transfer.h"
+
+namespace anvilloom {
+
+enum class stream_phase { kRunning, kComplete, kFailed };
+
+// What a stream was accepted with.
+struct stream_order {
+  std::string stream_id;
+  std::string request_id;
+  std::string workspace;
+  chat_request request;
+  service target;
+  time_point accepted_at;
+  deadline first_token_by = deadline::Never();
+  deadline answer_by = deadline::Never();
+};
+
+// Belongs to one thread. The producer appends tokens; readers, of which there
+// may be several after a reconnect, wait for changes.
+class stream_session {
+ public:
+  stream_session(const boost::asio::any_io_executor& executor,
+                 stream_order order);
+
+  const stream_order& order() const { return order_; }
+  stream_phase phase() const { return phase_; }
+  std::uint32_t tokens() const {
+    return static_cast<std::uint32_t>(ends_.size());
+  }
+  std::string_view text() const { return text_; }
+  std::string_view token(std::uint32_t index) const;
+  std::string_view model_version() const { return model_version_; }
+  // Set when the phase is kFailed.
+  const std::optional<refusal>& failure() const { return failure_; }
+
+  void Append(std::string_view token);
+  void SetModelVersion(std::string_view version);
+  void Complete();
+  void Fail(const refusal& why);
+
+  // Returns when a token was appended or the phase changed since the call.
+  awaitable<void> Changed();
+
+ private:
+  void Notify();
+
+  stream_order order_;
+  stream_phase phase_ = stream_phase::kRunning;
+  std::string text_;
+  // End of each token in text_.
+  std::vector<std::uint32_t> ends_;
+  std::string model_version_;
+  std::optional<refusal> failure_;
+  // Never expires; cancelled to wake the readers.
+  boost::asio::steady_timer changed_;
+};
+
+}  // namespace anvilloom
+
+#endif  // ENTRY_STREAM_SESSION_H_
--- /dev/null
+++ b/links/link.h
@@ -0,0 +1,95 @@
+// Defines link, the path from this entry instance to one upstream: the work
+// outstanding on it, the latest load report and the upstream's condition.
+#ifndef LINKS_LINK_H_
+#define LINKS_LINK_H_
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "common/time.h"
+
+namespace anvilloom {
+
+// Whether a link may carry new work.
+enum class link_condition : std::uint8_t {
+  kHealthy,
+  kProbation,    // Takes a few requests, to be readmitted.
+  kQuarantined,  // Takes none: answers changed or were wrong.
+  kLeaving,      // Takes none: the upstream is going away.
+};
+
+// What an upstream reports about its load. Source: GET /load, with a lag.
+struct load_report {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  // Share of the KV cache in use, in thousandths.
+  std::uint32_t cache_permille = 0;
+};
+
+// Shared by every thread that serves requests. All members are atomics, and a
+// link outlives the topologies that refer to it, so that counters survive a
+// configuration change.
+class link {
+ public:
+  explicit link(std::string_view upstream_name);
+
+  std::string_view upstream_name() const { return upstream_name_; }
+
+  // Counts a request of `tokens` estimated tokens as outstanding.
+  void Begin(std::uint32_t tokens);
+  // Ends what Begin() counted, with the same estimate.
+  void End(std::uint32_t tokens);
+
+  // Stores a report and forgets what was sent before it.
+  void Report(const load_report& report, time_point now);
+
+  // Records the time to the first token of one answer.
+  void ObserveFirstToken(duration latency);
+  // Records the time between two tokens of one answer.
+  void ObserveTokenInterval(duration interval);
+
+  // Records a failed call; returns the number of failures in a row.
+  std::uint32_t Failed();
+  void Succeeded();
+
+  void SetCondition(link_condition condition);
+  // Sets the time after which the upstream is gone. Source: a notice.
+  void SetReclaim(deadline reclaim_at);
+
+  std::uint32_t outstanding_requests() const;
+  std::uint32_t outstanding_tokens() const;
+  // Requests begun since the latest load report.
+  std::uint32_t sent_since_report() const;
+  load_report last_report() const;
+  time_point reported_at() const;
+  // Moving averages in microseconds; zero until first observed.
+  duration first_token_average() const;
+  duration token_interval_average() const;
+  std::uint32_t failures_in_a_row() const;
+  link_condition condition() const;
+  deadline reclaim_at() const;
+  bool takes_new_work() const;
+
+ private:
+  static constexpr std::memory_order kRelaxed = std::memory_order_relaxed;
+
+  std::string upstream_name_;
+  std::atomic<std::uint32_t> outstanding_requests_{0};
+  std::atomic<std::uint32_t> outstanding_tokens_{0};
+  std::atomic<std::uint32_t> sent_since_report_{0};
+  std::atomic<std::uint32_t> running_{0};
+  std::atomic<std::uint32_t> waiting_{0};
+  std::atomic<std::uint32_t> cache_permille_{0};
+  std::atomic<monotonic::rep> reported_at_{0};
+  std::atomic<monotonic::rep> first_token_us_{0};
+  std::atomic<monotonic::rep> token_interval_us_{0};
+  std::atomic<std::uint32_t> failures_in_a_row_{0};
+  std::atomic<link_condition> condition_{link_condition::kHealthy};
+  std::atomic<monotonic::rep> reclaim_at_;
+};
+
+}  // namespace anvilloom
+
+#endif  // LINKS_LINK_H_
--- /dev/null
+++ b/links/topology.cc
@@ -0,0 +1,148 @@
+#include "links/topology.h"
+
+#include <cstddef>
+#include <utility>
+
+namespace anvilloom {
+
+namespace {
+
+template <typename Index>
+std::size_t Position(Index index) {
+  return static_cast<std::size_t>(index);
+}
+
+template <typename Map>
+auto Find(const Map& map, std::string_view key)
+    -> std::optional<typename Map::mapped_type> {
+  const auto found = map.find(key);
+  if (found == map.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::shared_ptr<link> KeptOrNewLink(const topology* previous,
+                                    std::string_view name) {
+  if (previous != nullptr) {
+    if (const auto index = previous->FindUpstream(name)) {
+      return previous->shared_link_at(*index);
+    }
+  }
+  return std::make_shared<link>(name);
+}
+
+upstream MakeUpstream(const upstream_declaration& declared) {
+  upstream made;
+  made.name = declared.name;
+  made.address = declared.address;
+  made.host = instance_builder(declared.name)
+                  .Domain(declared.domain)
+                  .MachineClass(declared.machine_class)
+                  .PricePerHour(declared.price_per_hour)
+                  .Reclaimable(declared.reclaimable)
+                  .Build();
+  made.slots = declared.slots;
+  made.checks_fencing = declared.checks_fencing;
+  return made;
+}
+
+}  // namespace
+
+std::optional<service_index> topology::FindService(
+    std::string_view name) const {
+  return Find(service_by_name_, name);
+}
+
+std::optional<workspace_index> topology::FindWorkspace(
+    std::string_view credential_digest) const {
+  return Find(workspace_by_credential_, credential_digest);
+}
+
+std::optional<upstream_index> topology::FindUpstream(
+    std::string_view name) const {
+  return Find(upstream_by_name_, name);
+}
+
+std::span<const upstream_index> topology::UpstreamsOf(
+    service_index service) const {
+  return upstreams_of_service_[Position(service)];
+}
+
+const service& topology::at(service_index index) const {
+  return services_[Position(index)];
+}
+
+const workspace& topology::at(workspace_index index) const {
+  return workspaces_[Position(index)];
+}
+
+const upstream& topology::at(upstream_index index) const {
+  return upstreams_[Position(index)];
+}
+
+link& topology::link_at(upstream_index index) const {
+  return *links_[Position(index)];
+}
+
+const std::shared_ptr<link>& topology::shared_link_at(
+    upstream_index index) const {
+  return links_[Position(index)];
+}
+
+topology_builder& topology_builder::Configuration(
+    const configuration& declared) {
+  declared_ = &declared;
+  return *this;
+}
+
+topology_builder& topology_builder::KeepLinks(const topology& previous) {
+  previous_ = &previous;
+  return *this;
+}
+
+std::unique_ptr<const topology> topology_builder::Build() {
+  built_ = std::make_unique<topology>();
+  if (declared_ != nullptr) {
+    built_->revision_ = declared_->revision;
+    built_->limits_ = declared_->limits;
+    built_->services_ = declared_->services;
+    built_->workspaces_ = declared_->workspaces;
+    built_->upstreams_of_service_.resize(declared_->services.size());
+    IndexNames();
+    AddUpstreams();
+  }
+  return std::move(built_);
+}
+
+void topology_builder::IndexNames() {
+  for (std::size_t i = 0; i < built_->services_.size(); ++i) {
+    built_->service_by_name_.emplace(built_->services_[i].name,
+                                     service_index(i));
+  }
+  for (std::size_t i = 0; i < built_->workspaces_.size(); ++i) {
+    built_->workspace_by_credential_.emplace(
+        built_->workspaces_[i].credential_digest, workspace_index(i));
+  }
+}
+
+void topology_builder::AddUpstreams() {
+  // Reserved up front: upstream_by_name_ keeps views of the names, and short
+  // strings move when the vector grows.
+  built_->upstreams_.reserve(declared_->upstreams.size());
+  for (const upstream_declaration& declared : declared_->upstreams) {
+    const upstream_index index{
+        static_cast<std::uint32_t>(built_->upstreams_.size())};
+    upstream& added = built_->upstreams_.emplace_back(MakeUpstream(declared));
+    for (const std::string& name : declared.services) {
+      if (const auto found = built_->FindService(name)) {
+        added.services.push_back(*found);
+        built_->upstreams_of_service_[Position(*found)].push_back(index);
+      }
+    }
+    built_->links_.push_back(KeptOrNewLink(previous_, declared.name));
+    built_->upstream_by_name_.emplace(added.name, index);
+  }
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,35 @@
+#!/usr/bin/env bash
+# Runs clang-tidy over the sources that BUILD_FOLDER compiles. A file is skipped
+# when it and everything it includes are as in its last clean run.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+cache=${XDG_CACHE_HOME:-$HOME/.cache}/anvilloom-lint
+mkdir -p "$cache"
+
+# The compile commands without the precompiled header, which clang cannot read.
+lint_commands=$(mktemp -d)
+trap 'rm -r "$lint_commands"' EXIT
+sed -E 's/ -Winvalid-pch//; s/ -include [^ ]*cmake_pch\.hxx//; s/ -fpch-preprocess//; s/ -Wno-tsan//' \
+  "$build/compile_commands.json" >"$lint_commands/compile_commands.json"
+
+export build cache lint_commands
+lint_one() {
+  local source=$1 key
+  key=$({ cat .clang-tidy "$source"
+    # The project headers that the file includes, directly or not.
+    g++ -std=c++20 -I. -MM "$source" 2>/dev/null | tr ' \\' '\n\n' |
+      grep '\.h$' | grep -v '^/' | sort -u | xargs cat; } | sha256sum |
+    cut -d' ' -f1)
+  if [ -e "$cache/$key" ]; then return 0; fi
+  if clang-tidy --quiet -p "$lint_commands" "$source" 2>/dev/null; then
+    touch "$cache/$key"
+  else
+    echo "clang-tidy found faults in $source" >&2
+    return 1
+  fi
+}
+export -f lint_one
+
+git ls-files --cached --others --exclude-standard '*.cc' | grep -v '\.pb\.' |
+  xargs -P "$(nproc)" -I{} bash -c 'lint_one {}'
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# Installs what the tests need, checks format and lint, and runs every test:
+# once plain, once with address and undefined-behaviour sanitizers, once with
+# the thread sanitizer.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+scripts/install_dependencies.sh
+scripts/check_format.sh
+
+cmake -G Ninja -B build -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+cmake --build build
+scripts/lint.sh build
+
+ctest --test-dir build --output-on-failure --no-tests=error -j 4
+
+run_sanitized() {
+  local folder=$1 set=$2
+  cmake -G Ninja -B "$folder" -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+    -DANVILLOOM_SANITIZER="$set" >/dev/null
+  cmake --build "$folder"
+  ctest --test-dir "$folder" --output-on-failure --no-tests=error -j 4 \
+    -LE performance
+}
+run_sanitized build-asan address,undefined
+run_sanitized build-tsan thread
--- /dev/null
+++ b/standins/object_api.h
@@ -0,0 +1,71 @@
+// Defines object_api, a stand-in for the platform's object API: objects with
+// versions, conditional updates and watches, held in memory.
+#ifndef STANDINS_OBJECT_API_H_
+#define STANDINS_OBJECT_API_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "wire/http_exchange.h"
+
+namespace anvilloom {
+
+// A handler for http_server. Thread-safe.
+class object_api {
+ public:
+  awaitable<void> Handle(http_exchange& exchange, std::size_t thread);
+
+ private:
+  struct held_object {
+    std::uint64_t version;
+    std::string value;
+  };
+  struct change {
+    std::uint64_t version;
+    std::string kind;
+    // The watch line that announces the change.
+    std::string line;
+  };
+  // What a call answers.
+  struct reply {
+    http_status status;
+    std::string body;
+  };
+  // The changes of one kind after a version.
+  struct change_batch {
+    bool gone = false;
+    std::uint64_t version = 0;
+    std::string lines;
+  };
+
+  reply List(std::string_view kind);
+  reply Get(std::string_view kind, std::string_view name);
+  reply Create(std::string_view kind, std::string_view body);
+  reply Update(std::string_view kind,
+               std::string_view name,
+               std::uint64_t version,
+               std::string_view body);
+  reply Delete(std::string_view kind,
+               std::string_view name,
+               std::uint64_t version);
+  change_batch ChangesAfter(std::string_view kind, std::uint64_t version);
+  awaitable<void> Watch(http_exchange& exchange, std::string_view kind);
+  void Record(std::string_view kind,
+              std::string_view type,
+              std::string_view name,
+              const held_object& object);
+
+  std::mutex mutex_;
+  std::uint64_t version_ = 1;
+  std::map<std::string, std::map<std::string, held_object>> kinds_;
+  std::deque<change> changes_;
+};
+
+}  // namespace anvilloom
+
+#endif  // STANDINS_OBJECT_API_H_
--- /dev/null
+++ b/test/support/child_process.cc
@@ -0,0 +1,105 @@
+#include "test/support/child_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+#include <vector>
+
+extern char** environ;
+
+namespace anvilloom {
+
+namespace {
+
+std::string MakeOutputFile() {
+  std::string path = "/tmp/anvilloom-test-XXXXXX";
+  const int file = mkstemp(path.data());
+  if (file < 0) {
+    throw std::runtime_error("A temporary file could not be created.");
+  }
+  close(file);
+  return path;
+}
+
+}  // namespace
+
+child_process::child_process(std::string_view program,
+                             std::span<const std::string> arguments)
+    : output_path_(MakeOutputFile()) {
+  std::string path = std::string(ANVILLOOM_BINARY_FOLDER) + "/";
+  path += program;
+  std::vector<char*> argv = {path.data()};
+  std::vector<std::string> copies(arguments.begin(), arguments.end());
+  for (std::string& argument : copies) {
+    argv.push_back(argument.data());
+  }
+  argv.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(
+      &actions, STDOUT_FILENO, output_path_.c_str(), O_WRONLY | O_APPEND, 0);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  const int failed =
+      posix_spawn(&pid_, path.c_str(), &actions, nullptr, argv.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (failed != 0) {
+    throw std::runtime_error("The program " + path + " could not be started.");
+  }
+  running_ = true;
+}
+
+child_process::~child_process() {
+  Kill();
+  unlink(output_path_.c_str());
+}
+
+void child_process::Signal(int signal) const {
+  if (running_) {
+    kill(pid_, signal);
+  }
+}
+
+void child_process::Kill() {
+  if (running_) {
+    kill(pid_, SIGKILL);
+    Wait();
+  }
+}
+
+void child_process::Pause() const {
+  Signal(SIGSTOP);
+}
+
+void child_process::Continue() const {
+  Signal(SIGCONT);
+}
+
+int child_process::Wait() {
+  if (!running_) {
+    return -1;
+  }
+  int status = 0;
+  waitpid(pid_, &status, 0);
+  running_ = false;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+std::string child_process::Output() const {
+  std::ifstream file(output_path_);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+int RunProgram(std::string_view program,
+               std::span<const std::string> arguments) {
+  child_process process(program, arguments);
+  return process.Wait();
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/wire/http_client.cc
@@ -0,0 +1,297 @@
+#include "wire/http_client.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <optional>
+#include <utility>
+
+#include "wire/endpoint.h"
+#include "wire/steady_clock.h"
+
+namespace anvilloom {
+
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using tcp = net::ip::tcp;
+
+constexpr auto kAwaitTuple = net::as_tuple(net::use_awaitable);
+constexpr std::size_t kReadPieceBytes = std::size_t{16} * 1024;
+// Model engines and plain services answer with small headers.
+constexpr std::uint32_t kHeaderLimitBytes = 16 * 1024;
+
+transfer_error ErrorKind(const boost::system::error_code& error) {
+  if (error == boost::beast::error::timeout) {
+    return transfer_error::kTimedOut;
+  }
+  if (error == http::error::body_limit || error == http::error::header_limit) {
+    return transfer_error::kTooLarge;
+  }
+  if (error == http::error::end_of_stream ||
+      error == http::error::partial_message ||
+      error.category() == net::error::get_system_category() ||
+      error.category() == net::error::get_misc_category()) {
+    return transfer_error::kClosed;
+  }
+  return transfer_error::kMalformed;
+}
+
+}  // namespace
+
+namespace internal {
+
+// One connection, and the answer being read from it.
+class http_connection {
+ public:
+  http_connection(const net::any_io_executor& executor,
+                  std::string_view address)
+      : address_(address), stream_(executor) {}
+
+  std::string_view address() const { return address_; }
+  boost::beast::tcp_stream& stream() { return stream_; }
+  boost::beast::flat_buffer& buffer() { return buffer_; }
+  http::response_parser<http::buffer_body>& parser() { return *parser_; }
+  const http::response_parser<http::buffer_body>& parser() const {
+    return *parser_;
+  }
+  bool reused() const { return reused_; }
+  void MarkReused() { reused_ = true; }
+
+  void StartAnswer(std::size_t body_limit) {
+    parser_.emplace();
+    parser_->header_limit(kHeaderLimitBytes);
+    parser_->body_limit(body_limit);
+  }
+
+  bool AnswerEnded() const { return parser_ && parser_->is_done(); }
+
+  bool Reusable() const { return AnswerEnded() && parser_->get().keep_alive(); }
+
+  awaitable<transfer_result<std::string_view>> ReadSome(deadline until) {
+    if (AnswerEnded()) {
+      co_return std::string_view{};
+    }
+    auto& body = parser_->get().body();
+    body.data = piece_.data();
+    body.size = piece_.size();
+    body.more = true;
+    stream_.expires_at(ToSteady(until));
+    const auto [error, bytes] =
+        co_await http::async_read_some(stream_, buffer_, *parser_, kAwaitTuple);
+    const std::size_t filled = piece_.size() - body.size;
+    if (error && error != http::error::need_buffer) {
+      co_return transfer_failure{ErrorKind(error), true};
+    }
+    if (filled == 0) {
+      co_return co_await ReadSome(until);
+    }
+    co_return std::string_view(piece_.data(), filled);
+  }
+
+ private:
+  std::string address_;
+  boost::beast::tcp_stream stream_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;
+  std::array<char, kReadPieceBytes> piece_;
+  bool reused_ = false;
+};
+
+// Idle connections by server address.
+class connection_pool {
+ public:
+  explicit connection_pool(std::size_t per_server) : per_server_(per_server) {}
+
+  std::unique_ptr<http_connection> Take(std::string_view address) {
+    const auto found = idle_.find(address);
+    if (found == idle_.end() || found->second.empty()) {
+      return nullptr;
+    }
+    std::unique_ptr<http_connection> taken = std::move(found->second.back());
+    found->second.pop_back();
+    taken->MarkReused();
+    return taken;
+  }
+
+  void Put(std::unique_ptr<http_connection> connection) {
+    auto found = idle_.find(connection->address());
+    if (found == idle_.end()) {
+      found =
+          idle_.emplace(std::string(connection->address()), idle_list{}).first;
+    }
+    if (found->second.size() < per_server_) {
+      found->second.push_back(std::move(connection));
+    }
+  }
+
+ private:
+  using idle_list = std::vector<std::unique_ptr<http_connection>>;
+
+  std::size_t per_server_;
+  std::map<std::string, idle_list, std::less<>> idle_;
+};
+
+}  // namespace internal
+
+http_answer_stream::http_answer_stream(
+    std::unique_ptr<internal::http_connection> connection,
+    std::shared_ptr<internal::connection_pool> pool)
+    : connection_(std::move(connection)), pool_(std::move(pool)) {}
+
+http_answer_stream::~http_answer_stream() {
+  if (connection_->Reusable()) {
+    pool_->Put(std::move(connection_));
+  }
+}
+
+http_status http_answer_stream::status() const {
+  return connection_->parser().get().result();
+}
+
+std::string_view http_answer_stream::Header(std::string_view name) const {
+  const auto& message = connection_->parser().get();
+  const auto found = message.find(name);
+  if (found == message.end()) {
+    return {};
+  }
+  return {found->value().data(), found->value().size()};
+}
+
+awaitable<transfer_result<std::string_view>> http_answer_stream::ReadSome(
+    deadline until) {
+  return connection_->ReadSome(until);
+}
+
+http_client::http_client(net::any_io_executor executor,
+                         const http_client_limits& limits)
+    : executor_(std::move(executor)),
+      limits_(limits),
+      pool_(std::make_shared<internal::connection_pool>(
+          limits.idle_connections_per_server)) {}
+
+awaitable<transfer_result<std::unique_ptr<internal::http_connection>>>
+http_client::Connect(std::string_view address, deadline until) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    co_return transfer_failure{transfer_error::kBadAddress, false};
+  }
+  auto connection =
+      std::make_unique<internal::http_connection>(executor_, address);
+  connection->stream().expires_at(ToSteady(until));
+  const auto [error] =
+      co_await connection->stream().async_connect(*endpoint, kAwaitTuple);
+  if (error) {
+    const transfer_error kind = error == boost::beast::error::timeout
+                                    ? transfer_error::kTimedOut
+                                    : transfer_error::kRefused;
+    co_return transfer_failure{kind, false};
+  }
+  boost::system::error_code ignored;
+  connection->stream().socket().set_option(tcp::no_delay(true), ignored);
+  co_return connection;
+}
+
+awaitable<transfer_result<std::unique_ptr<internal::http_connection>>>
+http_client::SendAndReadHeader(std::string_view address,
+                               http_request& request,
+                               deadline until,
+                               connection_use use) {
+  std::unique_ptr<internal::http_connection> connection;
+  if (use == connection_use::kPooled) {
+    connection = pool_->Take(address);
+  }
+  if (!connection) {
+    auto connected = co_await Connect(address, until);
+    if (!connected) {
+      co_return connected.error();
+    }
+    connection = std::move(*connected);
+  }
+  connection->StartAnswer(limits_.answer_bytes);
+  connection->stream().expires_at(ToSteady(until));
+  auto [write_error, written] =
+      co_await http::async_write(connection->stream(), request, kAwaitTuple);
+  boost::system::error_code error = write_error;
+  std::size_t received = 0;
+  if (!error) {
+    auto [read_error, bytes] = co_await http::async_read_header(
+        connection->stream(), connection->buffer(), connection->parser(),
+        kAwaitTuple);
+    error = read_error;
+    received = bytes;
+  }
+  if (!error) {
+    co_return connection;
+  }
+  const transfer_failure failure{ErrorKind(error), true};
+  const bool stale = connection->reused() && received == 0 &&
+                     failure.error == transfer_error::kClosed;
+  if (stale) {
+    co_return co_await SendAndReadHeader(address, request, until,
+                                         connection_use::kFresh);
+  }
+  co_return failure;
+}
+
+awaitable<transfer_result<std::unique_ptr<http_answer_stream>>>
+http_client::Open(std::string_view address,
+                  http_request request,
+                  deadline until,
+                  connection_use use) {
+  auto connection = co_await SendAndReadHeader(address, request, until, use);
+  if (!connection) {
+    co_return connection.error();
+  }
+  co_return std::make_unique<http_answer_stream>(std::move(*connection), pool_);
+}
+
+awaitable<transfer_result<http_response>> http_client::Exchange(
+    std::string_view address,
+    http_request request,
+    deadline until,
+    connection_use use) {
+  auto connection = co_await SendAndReadHeader(address, request, until, use);
+  if (!connection) {
+    co_return connection.error();
+  }
+  http_response response;
+  response.base() = (*connection)->parser().get().base();
+  for (;;) {
+    const auto piece = co_await (*connection)->ReadSome(until);
+    if (!piece) {
+      co_return piece.error();
+    }
+    if (piece->empty()) {
+      break;
+    }
+    response.body().append(*piece);
+  }
+  if ((*connection)->Reusable()) {
+    pool_->Put(std::move(*connection));
+  }
+  co_return response;
+}
+
+http_request MakeRequest(http::verb method,
+                         std::string_view target,
+                         std::string_view body,
+                         std::string_view content_type) {
+  http_request request(method, target, 11);
+  request.set(http::field::host, "anvilloom");
+  if (!body.empty()) {
+    request.set(http::field::content_type, content_type);
+    request.body() = body;
+  }
+  request.prepare_payload();
+  return request;
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/wire/http_client.h
@@ -0,0 +1,105 @@
+// Defines http_client, which calls HTTP/1.1 servers by IP address and keeps
+// idle connections, and http_answer_stream, an answer read as it arrives.
+#ifndef WIRE_HTTP_CLIENT_H_
+#define WIRE_HTTP_CLIENT_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/time.h"
+#include "wire/http_exchange.h"
+#include "wire/transfer.h"
+
+namespace anvilloom {
+
+// Bounds on a client's connections and answers.
+struct http_client_limits {
+  std::size_t idle_connections_per_server = 64;
+  std::size_t answer_bytes = std::size_t{8} * 1024 * 1024;
+};
+
+// Whether a call may use a connection that was used before. A server may close
+// an idle connection just as a request is written to it, which leaves open
+// whether the request ran; a call that must not be repeated needs a fresh one.
+enum class connection_use { kPooled, kFresh };
+
+namespace internal {
+
+class http_connection;
+class connection_pool;
+
+}  // namespace internal
+
+// An answer whose body is read piece by piece. Destroying it before the end
+// closes the connection, which tells the server to stop.
+class http_answer_stream {
+ public:
+  http_answer_stream(std::unique_ptr<internal::http_connection> connection,
+                     std::shared_ptr<internal::connection_pool> pool);
+  ~http_answer_stream();
+  http_answer_stream(const http_answer_stream&) = delete;
+  http_answer_stream& operator=(const http_answer_stream&) = delete;
+
+  http_status status() const;
+  // The value of an answer header, or an empty view.
+  std::string_view Header(std::string_view name) const;
+
+  // The next bytes of the body; an empty view at its end. The view is valid
+  // until the next call.
+  awaitable<transfer_result<std::string_view>> ReadSome(deadline until);
+
+ private:
+  std::unique_ptr<internal::http_connection> connection_;
+  std::shared_ptr<internal::connection_pool> pool_;
+};
+
+// Not thread-safe: one client for each io_context.
+class http_client {
+ public:
+  explicit http_client(boost::asio::any_io_executor executor,
+                       const http_client_limits& limits = {});
+
+  // Sends `request` to `address` and reads the whole answer. With kPooled, a
+  // request whose reused connection closes before any byte of an answer is
+  // sent once more on a fresh one.
+  awaitable<transfer_result<http_response>> Exchange(
+      std::string_view address,
+      http_request request,
+      deadline until,
+      connection_use use = connection_use::kPooled);
+
+  // Sends `request` and returns once the header of the answer has arrived.
+  awaitable<transfer_result<std::unique_ptr<http_answer_stream>>> Open(
+      std::string_view address,
+      http_request request,
+      deadline until,
+      connection_use use = connection_use::kPooled);
+
+ private:
+  awaitable<transfer_result<std::unique_ptr<internal::http_connection>>>
+  Connect(std::string_view address, deadline until);
+  awaitable<transfer_result<std::unique_ptr<internal::http_connection>>>
+  SendAndReadHeader(std::string_view address,
+                    http_request& request,
+                    deadline until,
+                    connection_use use);
+
+  boost::asio::any_io_executor executor_;
+  http_client_limits limits_;
+  std::shared_ptr<internal::connection_pool> pool_;
+};
+
+// A request with its Host and Content-Type headers set. `body` may be empty.
+http_request MakeRequest(boost::beast::http::verb method,
+                         std::string_view target,
+                         std::string_view body = {},
+                         std::string_view content_type = "application/json");
+
+}  // namespace anvilloom
+
+#endif  // WIRE_HTTP_CLIENT_H_
--- /dev/null
+++ b/wire/http_exchange.cc
@@ -0,0 +1,132 @@
+#include "wire/http_exchange.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+namespace anvilloom {
+
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr auto kAwaitTuple = net::as_tuple(net::use_awaitable);
+
+std::string_view ToStd(boost::beast::string_view view) {
+  return {view.data(), view.size()};
+}
+
+template <typename Response>
+void SetHeaders(Response& response,
+                std::string_view content_type,
+                std::span<const http_header> headers) {
+  response.set(http::field::content_type, content_type);
+  for (const http_header& header : headers) {
+    response.set(header.name, header.value);
+  }
+}
+
+}  // namespace
+
+http_exchange::http_exchange(boost::beast::tcp_stream& stream,
+                             http_request request,
+                             const http_server_limits& limits)
+    : stream_(stream), request_(std::move(request)), limits_(limits) {}
+
+std::string_view http_exchange::target() const {
+  return ToStd(request_.target());
+}
+
+std::string_view http_exchange::path() const {
+  return target().substr(0, target().find('?'));
+}
+
+std::string_view http_exchange::Query(std::string_view name) const {
+  const std::size_t mark = target().find('?');
+  if (mark == std::string_view::npos) {
+    return {};
+  }
+  std::string_view rest = target().substr(mark + 1);
+  while (!rest.empty()) {
+    const std::size_t end = rest.find('&');
+    const std::string_view pair = rest.substr(0, end);
+    const std::size_t equals = pair.find('=');
+    if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
+      return pair.substr(equals + 1);
+    }
+    if (end == std::string_view::npos) {
+      break;
+    }
+    rest.remove_prefix(end + 1);
+  }
+  return {};
+}
+
+std::string_view http_exchange::Header(std::string_view name) const {
+  const auto found = request_.find(name);
+  return found == request_.end() ? std::string_view{} : ToStd(found->value());
+}
+
+awaitable<bool> http_exchange::Respond(http_status status,
+                                       std::string_view content_type,
+                                       std::string_view body,
+                                       std::span<const http_header> headers) {
+  responded_ = true;
+  http_response response(status, request_.version());
+  SetHeaders(response, content_type, headers);
+  response.keep_alive(request_.keep_alive() && !close_after_);
+  response.body() = body;
+  response.prepare_payload();
+  stream_.expires_after(limits_.write_limit);
+  const auto [error, bytes] =
+      co_await http::async_write(stream_, response, kAwaitTuple);
+  co_return Note(!error);
+}
+
+awaitable<bool> http_exchange::BeginStream(
+    http_status status,
+    std::string_view content_type,
+    std::span<const http_header> headers) {
+  responded_ = true;
+  streaming_ = true;
+  http::response<http::empty_body> response(status, request_.version());
+  SetHeaders(response, content_type, headers);
+  response.keep_alive(request_.keep_alive() && !close_after_);
+  response.chunked(true);
+  http::response_serializer<http::empty_body> serializer(response);
+  stream_.expires_after(limits_.write_limit);
+  const auto [error, bytes] =
+      co_await http::async_write_header(stream_, serializer, kAwaitTuple);
+  co_return Note(!error);
+}
+
+awaitable<bool> http_exchange::WriteChunk(std::string_view bytes) {
+  stream_.expires_after(limits_.write_limit);
+  const auto [error, written] = co_await net::async_write(
+      stream_, http::make_chunk(net::buffer(bytes)), kAwaitTuple);
+  co_return Note(!error);
+}
+
+awaitable<bool> http_exchange::EndStream() {
+  stream_.expires_after(limits_.write_limit);
+  const auto [error, written] =
+      co_await net::async_write(stream_, http::make_chunk_last(), kAwaitTuple);
+  streaming_ = false;
+  co_return Note(!error);
+}
+
+bool http_exchange::reusable() const {
+  return !broken_ && !streaming_ && !close_after_ && request_.keep_alive();
+}
+
+bool http_exchange::Note(bool written) {
+  broken_ = broken_ || !written;
+  return written;
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/wire/http_object_store.cc
@@ -0,0 +1,281 @@
+#include "wire/http_object_store.h"
+
+#include <boost/json/serialize.hpp>
+#include <optional>
+#include <utility>
+
+#include "wire/json_text.h"
+#include "wire/line_splitter.h"
+#include "wire/steady_clock.h"
+
+namespace anvilloom {
+
+namespace {
+
+namespace json = boost::json;
+using http_verb = boost::beast::http::verb;
+
+// Time left for the server to close a watch by itself before the client does.
+constexpr duration kWatchMargin = std::chrono::seconds(2);
+
+std::string KindPath(std::string_view kind) {
+  return "/objects/" + std::string(kind);
+}
+
+std::string ObjectPath(std::string_view kind, std::string_view name) {
+  return KindPath(kind) + "/" + std::string(name);
+}
+
+// A failed transfer of a read, or of a write that may have been sent.
+store_error ForFailure(const transfer_failure& failure) {
+  return failure.sent ? store_error::kAmbiguous : store_error::kUnavailable;
+}
+
+// The error for a status, or nothing when the call succeeded. A 5xx answer
+// does not say whether a write took effect.
+std::optional<store_error> ForStatus(unsigned status) {
+  constexpr unsigned kNotFoundStatus = 404;
+  constexpr unsigned kConflictStatus = 409;
+  constexpr unsigned kGoneStatus = 410;
+  constexpr unsigned kFirstServerError = 500;
+  if (status >= 200 && status < 300) {
+    return std::nullopt;
+  }
+  if (status == kNotFoundStatus) {
+    return store_error::kNotFound;
+  }
+  if (status == kConflictStatus) {
+    return store_error::kConflict;
+  }
+  if (status == kGoneStatus) {
+    return store_error::kGone;
+  }
+  return status >= kFirstServerError ? store_error::kAmbiguous
+                                     : store_error::kRefused;
+}
+
+std::optional<stored_object> DecodeObject(const json::value& encoded) {
+  const auto name = StringMember(encoded, "name");
+  const auto version = UnsignedMember(encoded, "version");
+  if (!name || !version) {
+    return std::nullopt;
+  }
+  const json::value* value = FindMember(encoded, "value");
+  return stored_object{std::string(*name), *version,
+                       value == nullptr ? "null" : json::serialize(*value)};
+}
+
+std::optional<object_list> DecodeList(std::string_view text) {
+  const auto parsed = ParseJson(text);
+  if (!parsed) {
+    return std::nullopt;
+  }
+  const auto version = UnsignedMember(*parsed, "version");
+  const json::value* items = FindMember(*parsed, "items");
+  if (!version || items == nullptr || !items->is_array()) {
+    return std::nullopt;
+  }
+  object_list list;
+  list.version = *version;
+  for (const json::value& item : items->get_array()) {
+    auto object = DecodeObject(item);
+    if (!object) {
+      return std::nullopt;
+    }
+    list.objects.push_back(std::move(*object));
+  }
+  return list;
+}
+
+// What one line of a watch says.
+struct watch_line {
+  std::optional<object_event> event;
+  std::uint64_t version = 0;
+  bool gone = false;
+};
+
+std::optional<watch_line> DecodeWatchLine(std::string_view text) {
+  const auto parsed = ParseJson(text);
+  if (!parsed) {
+    return std::nullopt;
+  }
+  const auto type = StringMember(*parsed, "type");
+  const auto version = UnsignedMember(*parsed, "version");
+  if (!type || !version) {
+    return std::nullopt;
+  }
+  watch_line line;
+  line.version = *version;
+  if (*type == "error") {
+    line.gone = true;
+    return line;
+  }
+  if (*type == "bookmark") {
+    return line;
+  }
+  const json::value* encoded = FindMember(*parsed, "object");
+  auto object = encoded == nullptr ? std::nullopt : DecodeObject(*encoded);
+  if (!object) {
+    return std::nullopt;
+  }
+  const bool deleted = *type == "delete";
+  line.event = object_event{
+      deleted ? object_event_kind::kDelete : object_event_kind::kPut,
+      std::move(*object)};
+  return line;
+}
+
+std::string ObjectBody(std::string_view name, std::string_view value) {
+  const json::value parsed = ParseJson(value).value_or(json::value());
+  return json::serialize(
+      json::value{{"name", std::string(name)}, {"value", parsed}});
+}
+
+}  // namespace
+
+http_object_store::http_object_store(boost::asio::any_io_executor executor,
+                                     std::string_view address)
+    : address_(address), client_(std::move(executor)) {}
+
+awaitable<store_result<object_list>> http_object_store::List(
+    std::string_view kind,
+    deadline until) {
+  const auto answer = co_await client_.Exchange(
+      address_, MakeRequest(http_verb::get, KindPath(kind)), until);
+  if (!answer) {
+    co_return ForFailure(answer.error());
+  }
+  if (const auto error = ForStatus(answer->result_int())) {
+    co_return *error;
+  }
+  auto list = DecodeList(answer->body());
+  if (!list) {
+    co_return store_error::kRefused;
+  }
+  co_return std::move(*list);
+}
+
+awaitable<store_result<stored_object>> http_object_store::Get(
+    std::string_view kind,
+    std::string_view name,
+    deadline until) {
+  const auto answer = co_await client_.Exchange(
+      address_, MakeRequest(http_verb::get, ObjectPath(kind, name)), until);
+  if (!answer) {
+    co_return ForFailure(answer.error());
+  }
+  if (const auto error = ForStatus(answer->result_int())) {
+    co_return *error;
+  }
+  const auto parsed = ParseJson(answer->body());
+  auto object = parsed ? DecodeObject(*parsed) : std::nullopt;
+  if (!object) {
+    co_return store_error::kRefused;
+  }
+  co_return std::move(*object);
+}
+
+awaitable<store_result<std::uint64_t>> http_object_store::Write(
+    http_request request,
+    deadline until) {
+  const bool may_reuse = request.method() == http_verb::get;
+  const auto answer = co_await client_.Exchange(
+      address_, std::move(request), until,
+      may_reuse ? connection_use::kPooled : connection_use::kFresh);
+  if (!answer) {
+    co_return ForFailure(answer.error());
+  }
+  if (const auto error = ForStatus(answer->result_int())) {
+    co_return *error;
+  }
+  const auto parsed = ParseJson(answer->body());
+  const auto version =
+      parsed ? UnsignedMember(*parsed, "version") : std::nullopt;
+  if (!version) {
+    co_return store_error::kAmbiguous;
+  }
+  co_return *version;
+}
+
+awaitable<store_result<std::uint64_t>> http_object_store::Create(
+    std::string_view kind,
+    std::string_view name,
+    std::string_view value,
+    deadline until) {
+  return Write(
+      MakeRequest(http_verb::post, KindPath(kind), ObjectBody(name, value)),
+      until);
+}
+
+awaitable<store_result<std::uint64_t>> http_object_store::Update(
+    std::string_view kind,
+    std::string_view name,
+    std::uint64_t version,
+    std::string_view value,
+    deadline until) {
+  return Write(MakeRequest(http_verb::put,
+                           ObjectPath(kind, name) +
+                               "?version=" + std::to_string(version),
+                           ObjectBody(name, value)),
+               until);
+}
+
+awaitable<store_result<std::uint64_t>> http_object_store::Delete(
+    std::string_view kind,
+    std::string_view name,
+    std::uint64_t version,
+    deadline until) {
+  return Write(MakeRequest(http_verb::delete_,
+                           ObjectPath(kind, name) +
+                               "?version=" + std::to_string(version)),
+               until);
+}
+
+awaitable<store_result<std::uint64_t>> http_object_store::Watch(
+    std::string_view kind,
+    std::uint64_t version,
+    const object_event_sink& sink,
+    deadline until) {
+  const duration wait = until.Remaining(steady_source().Now());
+  const auto wait_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+  const std::string target = KindPath(kind) +
+                             "?watch=1&from=" + std::to_string(version) +
+                             "&timeout_ms=" + std::to_string(wait_ms);
+  const deadline cutoff(until.at() + kWatchMargin);
+  auto answer = co_await client_.Open(
+      address_, MakeRequest(http_verb::get, target), cutoff);
+  if (!answer) {
+    co_return ForFailure(answer.error());
+  }
+  if (const auto error =
+          ForStatus(static_cast<unsigned>((*answer)->status()))) {
+    co_return *error;
+  }
+  line_splitter lines;
+  for (;;) {
+    const auto piece = co_await (*answer)->ReadSome(cutoff);
+    if (!piece) {
+      co_return ForFailure(piece.error());
+    }
+    if (piece->empty()) {
+      co_return version;
+    }
+    lines.Append(*piece);
+    while (const auto text = lines.NextLine()) {
+      const auto line = DecodeWatchLine(*text);
+      if (!line) {
+        co_return store_error::kRefused;
+      }
+      if (line->gone) {
+        co_return store_error::kGone;
+      }
+      version = line->version;
+      if (line->event && !sink(*line->event)) {
+        co_return version;
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
