--- a/common/time.h
+++ b/common/time.h
@@ -15,7 +15,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<monotonic>;
-  static constexpr bool is_steady = true;
 };
 
 using duration = monotonic::duration;
--- a/entry/request_metrics.h
+++ b/entry/request_metrics.h
@@ -2,6 +2,8 @@
 #ifndef ENTRY_REQUEST_METRICS_H_
 #define ENTRY_REQUEST_METRICS_H_
 
+#include <sstream>  // Boost.Accumulators 1.81 needs it and does not include it.
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
--- a/standins/object_api.h
+++ b/standins/object_api.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 
+#include "standins/fault_switch.h"
 #include "wire/http_exchange.h"
 
 namespace anvilloom {
@@ -43,6 +44,9 @@
     std::string lines;
   };
 
+  reply Apply(const http_exchange& exchange,
+              std::string_view kind,
+              std::string_view name);
   reply List(std::string_view kind);
   reply Get(std::string_view kind, std::string_view name);
   reply Create(std::string_view kind, std::string_view body);
@@ -60,6 +64,7 @@
               std::string_view name,
               const held_object& object);
 
+  fault_switch faults_;
   std::mutex mutex_;
   std::uint64_t version_ = 1;
   std::map<std::string, std::map<std::string, held_object>> kinds_;
--- a/wire/http_exchange.cc
+++ b/wire/http_exchange.cc
@@ -120,6 +120,12 @@
   co_return Note(!error);
 }
 
+void http_exchange::Abort() {
+  responded_ = true;
+  broken_ = true;
+  stream_.close();
+}
+
 bool http_exchange::reusable() const {
   return !broken_ && !streaming_ && !close_after_ && request_.keep_alive();
 }
--- a/wire/http_exchange.h
+++ b/wire/http_exchange.h
@@ -71,6 +71,10 @@
   awaitable<bool> WriteChunk(std::string_view bytes);
   awaitable<bool> EndStream();
 
+  // Closes the connection without an answer, or in the middle of one. Stand-ins
+  // use it to lose an answer.
+  void Abort();
+
   bool responded() const { return responded_; }
   // Whether the connection can carry another request.
   bool reusable() const;
