--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,7 +10,7 @@
 # The compile commands without the precompiled header, which clang cannot read.
 lint_commands=$(mktemp -d)
 trap 'rm -r "$lint_commands"' EXIT
-sed -E 's/ -Winvalid-pch//; s/ -include [^ ]*cmake_pch\.hxx//; s/ -fpch-preprocess//; s/ -Wno-tsan//; s/ -Wno-maybe-uninitialized//' \
+sed -E 's/ -Winvalid-pch//; s/ -include [^ ]*cmake_pch\.hxx//; s/ -fpch-preprocess//; s/ -Wno-tsan//; s/ -Wno-maybe-uninitialized//; s/ -Wno-mismatched-new-delete//' \
   "$build/compile_commands.json" >"$lint_commands/compile_commands.json"
 
 export build cache lint_commands
