--- a/links/link.h
+++ b/links/link.h
@@ -4,11 +4,13 @@
 #define LINKS_LINK_H_
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 #include "common/time.h"
+#include "contracts/contract.h"
 
 namespace anvilloom {
 
@@ -38,17 +40,23 @@
   std::string_view upstream_name() const { return upstream_name_; }
 
   // Counts a request of `tokens` estimated tokens as outstanding.
-  void Begin(std::uint32_t tokens);
-  // Ends what Begin() counted, with the same estimate.
-  void End(std::uint32_t tokens);
+  void Begin(std::uint32_t tokens, priority rank = priority::kNormal);
+  // Ends what Begin() counted, with the same estimate and rank.
+  void End(std::uint32_t tokens, priority rank = priority::kNormal);
 
-  // Stores a report and forgets what was sent before it.
+  // Stores a report, remembers how many of the reported requests are this
+  // entry instance's own, and forgets what was sent before it.
   void Report(const load_report& report, time_point now);
 
   // Records the time to the first token of one answer.
   void ObserveFirstToken(duration latency);
   // Records the time between two tokens of one answer.
   void ObserveTokenInterval(duration interval);
+  // Records the time that an engine took to compute `tokens` prompt tokens.
+  void ObservePrefill(std::uint32_t tokens, duration spent);
+  // Distrusts what is known of the upstream's cache up to `now`: its cache
+  // events have a gap, or its model version changed.
+  void DistrustCache(time_point now);
 
   // Records a failed call; returns the number of failures in a row.
   std::uint32_t Failed();
@@ -60,6 +68,13 @@
 
   std::uint32_t outstanding_requests() const;
   std::uint32_t outstanding_tokens() const;
+  // Outstanding requests of rank kBatch.
+  std::uint32_t outstanding_batch() const;
+  // Requests of every entry instance that the upstream is expected to hold:
+  // the others' as last reported, and this instance's own as of now. With
+  // `members` above 1, the others are assumed to have changed their use since
+  // the report as much as this instance did.
+  std::uint32_t expected_requests(std::uint32_t members) const;
   // Requests begun since the latest load report.
   std::uint32_t sent_since_report() const;
   load_report last_report() const;
@@ -67,6 +82,13 @@
   // Moving averages in microseconds; zero until first observed.
   duration first_token_average() const;
   duration token_interval_average() const;
+  // Requests held by the upstream when token_interval_average() was observed,
+  // as an average.
+  double interval_batch_average() const;
+  // Microseconds per prompt token; zero until first observed.
+  double prefill_us_per_token() const;
+  // Cache knowledge from before this time may be wrong.
+  time_point cache_trusted_since() const;
   std::uint32_t failures_in_a_row() const;
   link_condition condition() const;
   deadline reclaim_at() const;
@@ -75,16 +97,26 @@
  private:
   static constexpr std::memory_order kRelaxed = std::memory_order_relaxed;
 
+  static constexpr std::size_t kCacheLine = 64;
+
   std::string upstream_name_;
-  std::atomic<std::uint32_t> outstanding_requests_{0};
+  // Written for each request; kept apart from what is written less often.
+  alignas(kCacheLine) std::atomic<std::uint32_t> outstanding_requests_{0};
   std::atomic<std::uint32_t> outstanding_tokens_{0};
+  std::atomic<std::uint32_t> outstanding_batch_{0};
   std::atomic<std::uint32_t> sent_since_report_{0};
+  // Written for each report, token interval or change of condition.
+  alignas(kCacheLine) std::atomic<std::uint32_t> own_at_report_{0};
   std::atomic<std::uint32_t> running_{0};
   std::atomic<std::uint32_t> waiting_{0};
   std::atomic<std::uint32_t> cache_permille_{0};
   std::atomic<monotonic::rep> reported_at_{0};
   std::atomic<monotonic::rep> first_token_us_{0};
   std::atomic<monotonic::rep> token_interval_us_{0};
+  // Averages in 1/256 of a request and of a microsecond.
+  std::atomic<std::uint32_t> interval_batch_q8_{0};
+  std::atomic<std::uint32_t> prefill_us_q8_{0};
+  std::atomic<monotonic::rep> cache_trusted_since_{0};
   std::atomic<std::uint32_t> failures_in_a_row_{0};
   std::atomic<link_condition> condition_{link_condition::kHealthy};
   std::atomic<monotonic::rep> reclaim_at_;
--- a/links/router.cc
+++ b/links/router.cc
@@ -34,4 +34,35 @@
   return best;
 }
 
+std::optional<upstream_index> round_robin::Choose(const topology& world,
+                                                  const route_request& request,
+                                                  time_point /*now*/) {
+  const std::span<const upstream_index> all = world.UpstreamsOf(request.wanted);
+  const std::uint32_t first = next_.fetch_add(1, std::memory_order_relaxed);
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    const upstream_index candidate = all[(first + i) % all.size()];
+    if (MayTake(world, request, candidate)) {
+      return candidate;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<upstream_index> prefix_hash::Choose(const topology& world,
+                                                  const route_request& request,
+                                                  time_point /*now*/) {
+  std::optional<upstream_index> best;
+  std::uint64_t highest = 0;
+  for (const route_candidate& candidate : world.CandidatesOf(request.wanted)) {
+    const std::uint64_t score =
+        RendezvousScore(request.prefix_hash, candidate.name_hash);
+    if (MayTake(world, request, candidate.index) &&
+        (!best || score > highest)) {
+      best = candidate.index;
+      highest = score;
+    }
+  }
+  return best;
+}
+
 }  // namespace anvilloom
--- a/links/router.h
+++ b/links/router.h
@@ -1,8 +1,10 @@
 // Defines route_request, what a routing decision needs to know of a request,
-// the route_policy concept, and the baseline policy least_outstanding.
+// the route_policy concept, and the baseline policies least_outstanding,
+// round_robin and prefix_hash. The policy in use is links/least_cost.
 #ifndef LINKS_ROUTER_H_
 #define LINKS_ROUTER_H_
 
+#include <atomic>
 #include <concepts>
 #include <cstdint>
 #include <optional>
@@ -22,6 +24,8 @@
   // Estimates, in tokens.
   std::uint32_t prompt_tokens = 0;
   std::uint32_t answer_tokens = 0;
+  // Prompt tokens that requests with the same prefix hash share; 0 if unknown.
+  std::uint32_t prefix_tokens = 0;
   priority rank = priority::kNormal;
   deadline first_token_by = deadline::Never();
   deadline answer_by = deadline::Never();
@@ -55,6 +59,26 @@
                                        time_point now);
 };
 
+// Takes the eligible upstreams in turn.
+class round_robin {
+ public:
+  std::optional<upstream_index> Choose(const topology& world,
+                                       const route_request& request,
+                                       time_point now);
+
+ private:
+  std::atomic<std::uint32_t> next_{0};
+};
+
+// Chooses the eligible upstream with the highest rendezvous score for the
+// prefix, whatever its load.
+class prefix_hash {
+ public:
+  std::optional<upstream_index> Choose(const topology& world,
+                                       const route_request& request,
+                                       time_point now);
+};
+
 }  // namespace anvilloom
 
 #endif  // LINKS_ROUTER_H_
--- a/links/topology.cc
+++ b/links/topology.cc
@@ -3,6 +3,8 @@
 #include <cstddef>
 #include <utility>
 
+#include "common/hash.h"
+
 namespace anvilloom {
 
 namespace {
@@ -32,6 +34,16 @@
   return std::make_shared<link>(name);
 }
 
+std::shared_ptr<workspace_account> KeptOrNewAccount(const topology* previous,
+                                                    std::string_view name) {
+  if (previous != nullptr) {
+    if (const auto index = previous->FindWorkspaceByName(name)) {
+      return previous->accounts()[Position(*index)];
+    }
+  }
+  return std::make_shared<workspace_account>();
+}
+
 upstream MakeUpstream(const upstream_declaration& declared) {
   upstream made;
   made.name = declared.name;
@@ -47,6 +59,20 @@
   return made;
 }
 
+route_candidate MakeCandidate(const upstream& of,
+                              upstream_index index,
+                              link& path) {
+  route_candidate made;
+  made.index = index;
+  made.slots = of.slots;
+  made.name_hash = Hash64(of.name);
+  made.domain_hash = static_cast<std::uint32_t>(Hash64(of.host.domain()));
+  made.price_per_hour = static_cast<float>(of.host.price_per_hour());
+  made.path = &path;
+  made.reclaimable = of.host.reclaimable();
+  return made;
+}
+
 }  // namespace
 
 std::optional<service_index> topology::FindService(
@@ -59,6 +85,11 @@
   return Find(workspace_by_credential_, credential_digest);
 }
 
+std::optional<workspace_index> topology::FindWorkspaceByName(
+    std::string_view name) const {
+  return Find(workspace_by_name_, name);
+}
+
 std::optional<upstream_index> topology::FindUpstream(
     std::string_view name) const {
   return Find(upstream_by_name_, name);
@@ -69,6 +100,11 @@
   return upstreams_of_service_[Position(service)];
 }
 
+std::span<const route_candidate> topology::CandidatesOf(
+    service_index service) const {
+  return candidates_of_service_[Position(service)];
+}
+
 const service& topology::at(service_index index) const {
   return services_[Position(index)];
 }
@@ -109,6 +145,7 @@
     built_->services_ = declared_->services;
     built_->workspaces_ = declared_->workspaces;
     built_->upstreams_of_service_.resize(declared_->services.size());
+    built_->candidates_of_service_.resize(declared_->services.size());
     IndexNames();
     AddUpstreams();
   }
@@ -123,6 +160,10 @@
   for (std::size_t i = 0; i < built_->workspaces_.size(); ++i) {
     built_->workspace_by_credential_.emplace(
         built_->workspaces_[i].credential_digest, workspace_index(i));
+    built_->workspace_by_name_.emplace(built_->workspaces_[i].name,
+                                       workspace_index(i));
+    built_->accounts_.push_back(
+        KeptOrNewAccount(previous_, built_->workspaces_[i].name));
   }
 }
 
@@ -140,7 +181,12 @@
         built_->upstreams_of_service_[Position(*found)].push_back(index);
       }
     }
-    built_->links_.push_back(KeptOrNewLink(previous_, declared.name));
+    link& path =
+        *built_->links_.emplace_back(KeptOrNewLink(previous_, declared.name));
+    for (const service_index answered : added.services) {
+      built_->candidates_of_service_[Position(answered)].push_back(
+          MakeCandidate(added, index, path));
+    }
     built_->upstream_by_name_.emplace(added.name, index);
   }
 }
--- a/links/topology.h
+++ b/links/topology.h
@@ -12,7 +12,9 @@
 #include <vector>
 
 #include "contracts/configuration.h"
+#include "contracts/workspace_account.h"
 #include "links/link.h"
+#include "links/route_candidate.h"
 #include "links/upstream.h"
 
 namespace anvilloom {
@@ -23,6 +25,10 @@
   std::uint64_t revision() const { return revision_; }
   std::span<const service> services() const { return services_; }
   std::span<const workspace> workspaces() const { return workspaces_; }
+  // What each workspace is using, in the order of workspaces().
+  std::span<const std::shared_ptr<workspace_account>> accounts() const {
+    return accounts_;
+  }
   std::span<const upstream> upstreams() const { return upstreams_; }
   std::span<const std::shared_ptr<link>> links() const { return links_; }
   const system_limits& limits() const { return limits_; }
@@ -31,11 +37,16 @@
   // Finds a workspace by the SHA-256 of its credential, in hexadecimal.
   std::optional<workspace_index> FindWorkspace(
       std::string_view credential_digest) const;
+  std::optional<workspace_index> FindWorkspaceByName(
+      std::string_view name) const;
   std::optional<upstream_index> FindUpstream(std::string_view name) const;
 
   // The upstreams that answer a service.
   std::span<const upstream_index> UpstreamsOf(service_index service) const;
 
+  // The same upstreams, in the same order, as routing reads them.
+  std::span<const route_candidate> CandidatesOf(service_index service) const;
+
   const service& at(service_index index) const;
   const workspace& at(workspace_index index) const;
   const upstream& at(upstream_index index) const;
@@ -49,13 +60,16 @@
   system_limits limits_;
   std::vector<service> services_;
   std::vector<workspace> workspaces_;
+  std::vector<std::shared_ptr<workspace_account>> accounts_;
   std::vector<upstream> upstreams_;
   std::vector<std::shared_ptr<link>> links_;
   std::vector<std::vector<upstream_index>> upstreams_of_service_;
+  std::vector<std::vector<route_candidate>> candidates_of_service_;
   // Keys are views of the strings in the vectors above.
   std::unordered_map<std::string_view, service_index> service_by_name_;
   std::unordered_map<std::string_view, workspace_index>
       workspace_by_credential_;
+  std::unordered_map<std::string_view, workspace_index> workspace_by_name_;
   std::unordered_map<std::string_view, upstream_index> upstream_by_name_;
 };
 
@@ -64,8 +78,8 @@
 class topology_builder {
  public:
   topology_builder& Configuration(const configuration& declared);
-  // Takes over the links of upstreams that are still declared, so that their
-  // counters and conditions survive.
+  // Takes over the links of upstreams and the accounts of workspaces that are
+  // still declared, so that their counters and conditions survive.
   topology_builder& KeepLinks(const topology& previous);
 
   std::unique_ptr<const topology> Build();
--- /dev/null
+++ b/test/correctness/least_cost_test.cc
@@ -0,0 +1,319 @@
+// Guards the routing decisions against choices that cost more, come late, or
+// send work to an upstream that must not have it.
+
+#include "links/least_cost.h"
+
+#include <catch2/catch.hpp>
+
+#include "test/support/small_world.h"
+
+namespace anvilloom {
+
+namespace {
+
+constexpr upstream_index kFirst{0};
+constexpr upstream_index kSecond{1};
+constexpr time_point kNow{std::chrono::seconds(100)};
+
+void Fill(const topology& world, upstream_index index, std::uint32_t requests) {
+  for (std::uint32_t i = 0; i < requests; ++i) {
+    world.link_at(index).Begin(100);
+  }
+}
+
+}  // namespace
+
+SCENARIO("The cheapest upstream that meets the contract is chosen",
+         "[least_cost]") {
+  least_cost policy;
+
+  GIVEN("a cheap and an expensive upstream, both idle") {
+    const auto world =
+        small_world().Upstream("a", 1'000'000).Upstream("b", 400'000).Build();
+
+    THEN("the cheap one is chosen") {
+      REQUIRE(policy.Choose(*world, ChatRequest(), kNow) == kSecond);
+    }
+
+    WHEN("the cheap one's batch is as large as the token interval allows") {
+      Fill(*world, kSecond, 16);
+
+      THEN("the expensive one is chosen") {
+        REQUIRE(policy.Choose(*world, ChatRequest(), kNow) == kFirst);
+      }
+    }
+
+    WHEN("the cheap one's tokens come slower than the target") {
+      world->link_at(kSecond).ObserveTokenInterval(
+          std::chrono::milliseconds(70));
+
+      THEN("the expensive one is chosen") {
+        REQUIRE(policy.Choose(*world, ChatRequest(), kNow) == kFirst);
+      }
+    }
+
+    WHEN("the cheap one computes the prompt too slowly for the first token") {
+      world->link_at(kSecond).ObservePrefill(100, std::chrono::seconds(1));
+      route_request request = ChatRequest();
+      request.first_token_by =
+          deadline::After(kNow, std::chrono::milliseconds(650));
+
+      THEN("the expensive one is chosen") {
+        REQUIRE(policy.Choose(*world, request, kNow) == kFirst);
+      }
+    }
+
+    WHEN("the cheap one has already failed the request") {
+      const upstream_index failed[] = {kSecond};
+      route_request request = ChatRequest();
+      request.excluded = failed;
+
+      THEN("the expensive one is chosen") {
+        REQUIRE(policy.Choose(*world, request, kNow) == kFirst);
+      }
+    }
+
+    WHEN("the cheap one must not take new work") {
+      const auto condition =
+          GENERATE(link_condition::kQuarantined, link_condition::kLeaving);
+      world->link_at(kSecond).SetCondition(condition);
+
+      THEN("the expensive one is chosen") {
+        REQUIRE(policy.Choose(*world, ChatRequest(), kNow) == kFirst);
+      }
+      AND_WHEN("the expensive one must not either") {
+        world->link_at(kFirst).SetCondition(condition);
+
+        THEN("none is chosen") {
+          REQUIRE_FALSE(policy.Choose(*world, ChatRequest(), kNow));
+        }
+      }
+    }
+
+    WHEN("the cheap one is on probation with a few requests in flight") {
+      world->link_at(kSecond).SetCondition(link_condition::kProbation);
+      REQUIRE(policy.Choose(*world, ChatRequest(), kNow) == kSecond);
+      Fill(*world, kSecond, 2);
+
+      THEN("it gets no more") {
+        REQUIRE(policy.Choose(*world, ChatRequest(), kNow) == kFirst);
+      }
+    }
+  }
+
+  GIVEN("two upstreams at the same price, one of them with a batch running") {
+    const auto world =
+        small_world().Upstream("a", 1'000'000).Upstream("b", 1'000'000).Build();
+    Fill(*world, kSecond, 3);
+
+    THEN("the request joins the batch, which costs less engine time") {
+      REQUIRE(policy.Choose(*world, ChatRequest(), kNow) == kSecond);
+    }
+  }
+
+  GIVEN("every upstream over its limit") {
+    const auto world =
+        small_world().Upstream("a", 1'000'000).Upstream("b", 400'000).Build();
+    Fill(*world, kFirst, 20);
+    Fill(*world, kSecond, 60);
+
+    THEN("the one with the least delay is chosen, and the miss is reported") {
+      const auto estimate = policy.Estimate(*world, ChatRequest(), kNow);
+      REQUIRE(estimate);
+      REQUIRE(estimate->chosen == kFirst);
+      REQUIRE_FALSE(estimate->meets_target);
+      REQUIRE(estimate->load_permille > 1000);
+    }
+  }
+}
+
+SCENARIO("A prefix goes back to the upstream that caches it", "[least_cost]") {
+  least_cost policy;
+
+  GIVEN("two upstreams at the same price") {
+    const auto world =
+        small_world().Upstream("a", 1'000'000).Upstream("b", 1'000'000).Build();
+    const upstream_index home = *policy.Choose(*world, ChatRequest(42), kNow);
+    const upstream_index other = home == kFirst ? kSecond : kFirst;
+
+    THEN("a second request with the prefix goes to the same one") {
+      for (int i = 0; i < 20; ++i) {
+        REQUIRE(policy.Choose(*world, ChatRequest(42), kNow) == home);
+      }
+    }
+
+    THEN("another entry instance computes the same home without a message") {
+      least_cost elsewhere;
+      REQUIRE(elsewhere.Choose(*world, ChatRequest(42), kNow) == home);
+    }
+
+    WHEN(
+        "an event says that the other one has stored it and this one evicted") {
+      policy.CacheEvicted(42, world->at(home).name);
+      policy.CacheStored(42, world->at(other).name, kNow);
+
+      THEN("the request goes to the other one") {
+        REQUIRE(policy.Choose(*world, ChatRequest(42), kNow) == other);
+      }
+      AND_WHEN("the other one's events have a gap") {
+        world->link_at(other).DistrustCache(kNow + std::chrono::seconds(2));
+
+        THEN("the computed home is trusted more again") {
+          REQUIRE(policy.Choose(*world, ChatRequest(42),
+                                kNow + std::chrono::seconds(3)) == home);
+        }
+      }
+    }
+
+    WHEN("the home's batch is full") {
+      Fill(*world, home, 16);
+
+      THEN("the request goes elsewhere in spite of the cache") {
+        REQUIRE(policy.Choose(*world, ChatRequest(42), kNow) == other);
+      }
+    }
+  }
+}
+
+SCENARIO("Load reports lag and are corrected", "[least_cost]") {
+  GIVEN("an upstream whose report counts ten requests, four of them ours") {
+    link path("engine");
+    for (int i = 0; i < 4; ++i) {
+      path.Begin(100);
+    }
+    path.Report({.running = 8, .waiting = 2}, kNow);
+    REQUIRE(path.expected_requests(1) == 10);
+
+    WHEN("this entry instance sends three more") {
+      for (int i = 0; i < 3; ++i) {
+        path.Begin(100);
+      }
+
+      THEN("they are added") {
+        REQUIRE(path.expected_requests(1) == 13);
+      }
+      THEN("two further members are assumed to have sent as many each") {
+        REQUIRE(path.expected_requests(3) == 19);
+      }
+    }
+
+    WHEN("all four of ours end") {
+      for (int i = 0; i < 4; ++i) {
+        path.End(100);
+      }
+
+      THEN("the others' six remain") {
+        REQUIRE(path.expected_requests(1) == 6);
+      }
+      THEN("the expectation is never below our own") {
+        REQUIRE(path.expected_requests(50) == 0);
+      }
+    }
+  }
+}
+
+SCENARIO("Upstreams that may be reclaimed soon are avoided", "[least_cost]") {
+  least_cost policy;
+
+  GIVEN(
+      "a reclaimable upstream that is a little cheaper than an on-demand one") {
+    const auto world = small_world()
+                           .Upstream("a", 1'000'000)
+                           .Upstream("b", 900'000, true)
+                           .Build();
+    REQUIRE(policy.Choose(*world, ChatRequest(), kNow) == kSecond);
+
+    WHEN("its failure domain has just had a reclaim notice") {
+      policy.ObserveReclaim("b", kNow);
+      route_request request = ChatRequest();
+      request.prompt_tokens = 4000;
+      request.answer_tokens = 1000;
+
+      THEN("a long answer goes to the on-demand one") {
+        REQUIRE(policy.Choose(*world, request, kNow) == kFirst);
+      }
+      THEN("the memory of it fades") {
+        REQUIRE(policy.Choose(*world, request,
+                              kNow + std::chrono::minutes(20)) == kSecond);
+      }
+    }
+
+    WHEN("it has a notice that ends before the answer would") {
+      world->link_at(kSecond).SetReclaim(
+          deadline::After(kNow, std::chrono::seconds(2)));
+
+      THEN("the on-demand one is chosen") {
+        REQUIRE(policy.Choose(*world, ChatRequest(), kNow) == kFirst);
+      }
+    }
+  }
+}
+
+SCENARIO("Interactive requests pass batch work", "[least_cost]") {
+  least_cost policy;
+
+  GIVEN("an upstream with more batch requests than slots") {
+    const auto world = small_world().Upstream("a", 1'000'000).Build();
+    for (int i = 0; i < 20; ++i) {
+      world->link_at(kFirst).Begin(100, priority::kBatch);
+    }
+
+    THEN("an interactive request expects no queue, a batch request does") {
+      route_request request = ChatRequest();
+      request.rank = priority::kInteractive;
+      const auto interactive = policy.Estimate(*world, request, kNow);
+      request.rank = priority::kBatch;
+      const auto batch = policy.Estimate(*world, request, kNow);
+      REQUIRE(interactive->first_token + std::chrono::milliseconds(100) <
+              batch->first_token);
+    }
+  }
+}
+
+SCENARIO("Many upstreams are sampled", "[least_cost]") {
+  GIVEN("257 upstreams of which only one may take work") {
+    small_world many;
+    for (int i = 0; i < 257; ++i) {
+      many.Upstream("a", 1'000'000);
+    }
+    const auto world = many.Build();
+    for (std::uint32_t i = 0; i < 257; ++i) {
+      if (i != 200) {
+        world->link_at(upstream_index{i})
+            .SetCondition(link_condition::kLeaving);
+      }
+    }
+
+    THEN("it is found") {
+      least_cost policy;
+      REQUIRE(policy.Choose(*world, ChatRequest(), kNow) ==
+              upstream_index{200});
+    }
+  }
+
+  GIVEN("no upstream") {
+    const auto world = small_world().Build();
+
+    THEN("none is chosen") {
+      least_cost policy;
+      REQUIRE_FALSE(policy.Choose(*world, ChatRequest(), kNow));
+    }
+  }
+}
+
+SCENARIO("Plain work spreads over upstreams at one price", "[least_cost]") {
+  GIVEN("two upstreams, one of them busy") {
+    const auto world =
+        small_world().Upstream("a", 1'000'000).Upstream("b", 1'000'000).Build();
+    Fill(*world, kFirst, 3);
+
+    THEN("a request without tokens goes to the idle one") {
+      least_cost policy;
+      route_request request;
+      request.wanted = service_index{0};
+      REQUIRE(policy.Choose(*world, request, kNow) == kSecond);
+    }
+  }
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/test/correctness/router_test.cc
@@ -0,0 +1,91 @@
+// Guards the baseline policies, against which least_cost is measured: a wrong
+// baseline would make every comparison wrong.
+
+#include "links/router.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "common/random.h"
+#include "test/support/small_world.h"
+
+namespace anvilloom {
+
+SCENARIO("The baseline policies choose among upstreams", "[router]") {
+  const time_point now{std::chrono::seconds(100)};
+
+  GIVEN("three healthy upstreams") {
+    const auto world = small_world()
+                           .Upstream("a", 1)
+                           .Upstream("b", 1)
+                           .Upstream("c", 1)
+                           .Build();
+
+    WHEN("round robin chooses three times") {
+      round_robin policy;
+      std::set<upstream_index> chosen;
+      for (int i = 0; i < 3; ++i) {
+        chosen.insert(*policy.Choose(*world, ChatRequest(), now));
+      }
+
+      THEN("each upstream is chosen once") {
+        REQUIRE(chosen.size() == 3);
+      }
+    }
+
+    WHEN("one upstream has less outstanding than the others") {
+      world->link_at(upstream_index{0}).Begin(10);
+      world->link_at(upstream_index{2}).Begin(10);
+
+      THEN("least outstanding chooses it") {
+        least_outstanding policy;
+        REQUIRE(policy.Choose(*world, ChatRequest(), now) == upstream_index{1});
+      }
+    }
+
+    WHEN("prefix hashing places a thousand prefixes") {
+      prefix_hash policy;
+      split_mix random(7);
+      std::uint32_t counts[3] = {};
+      for (int i = 0; i < 1000; ++i) {
+        const auto chosen =
+            policy.Choose(*world, ChatRequest(random.Next()), now);
+        ++counts[static_cast<std::size_t>(*chosen)];
+      }
+
+      THEN("each upstream is home to about a third") {
+        for (const std::uint32_t count : counts) {
+          REQUIRE(count > 270);
+          REQUIRE(count < 400);
+        }
+      }
+    }
+
+    WHEN("the home of a prefix leaves") {
+      prefix_hash policy;
+      const auto home = policy.Choose(*world, ChatRequest(42), now);
+      world->link_at(*home).SetCondition(link_condition::kLeaving);
+
+      THEN("the prefix has another home, and gets the first one back later") {
+        REQUIRE(policy.Choose(*world, ChatRequest(42), now) != home);
+        world->link_at(*home).SetCondition(link_condition::kHealthy);
+        REQUIRE(policy.Choose(*world, ChatRequest(42), now) == home);
+      }
+    }
+
+    WHEN("every upstream has failed the request") {
+      const upstream_index all[] = {upstream_index{0}, upstream_index{1},
+                                    upstream_index{2}};
+      route_request request = ChatRequest();
+      request.excluded = all;
+
+      THEN("no policy chooses one") {
+        REQUIRE_FALSE(round_robin().Choose(*world, request, now));
+        REQUIRE_FALSE(least_outstanding().Choose(*world, request, now));
+        REQUIRE_FALSE(prefix_hash().Choose(*world, request, now));
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
