Route by least cost and admit before a queue builds up

Cause: the entry instance routed by outstanding requests and took every request, whatever its workspace's limit.

Change: entry_policy is least_cost. Chat completions pass admission and the workspace's limits; the estimate is settled with the tokens used when the stream ends.

--- a/common/log.cc
+++ b/common/log.cc
@@ -67,6 +67,10 @@
       return "stream_failed";
     case log_event::kAnswerRejected:
       return "answer_rejected";
+    case log_event::kRequestsRefused:
+      return "requests_refused";
+    case log_event::kLimitShareChanged:
+      return "limit_share_changed";
   }
   return "unknown";
 }
--- a/common/log.h
+++ b/common/log.h
@@ -25,6 +25,8 @@
   kStreamResumed = 301,
   kStreamFailed = 302,
   kAnswerRejected = 303,
+  kRequestsRefused = 600,
+  kLimitShareChanged = 601,
 };
 
 enum class log_level { kInfo, kWarning, kError };
--- a/entry/chat_handler.cc
+++ b/entry/chat_handler.cc
@@ -10,6 +10,8 @@
 #include <string>
 #include <utility>
 
+#include "common/hash.h"
+#include "entry/admission_gate.h"
 #include "entry/refusal_reply.h"
 #include "entry/stream_runner.h"
 #include "wire/chat_codec.h"
@@ -21,6 +23,9 @@
 namespace net = boost::asio;
 namespace leaf = boost::leaf;
 
+// Bytes of the prompt that decide its placement by prefix.
+constexpr std::size_t kPrefixBytes = 512;
+
 // A decoded body, or what is wrong with it.
 struct decoded_body {
   std::optional<chat_request> request;
@@ -135,49 +140,70 @@
   co_await exchange.Respond(http_status::ok, "application/json", body);
 }
 
-// The token after the one that Last-Event-ID ("<stream>:<n>") names.
-std::uint32_t NextIndex(std::string_view last_event_id) {
-  const std::size_t colon = last_event_id.rfind(':');
-  if (colon == std::string_view::npos) {
-    return 0;
+route_request MakeWish(const stream_order& order) {
+  route_request wish;
+  wish.prefix_hash =
+      Hash64(std::string_view(order.request.messages).substr(0, kPrefixBytes));
+  wish.prompt_tokens = EstimatePromptTokens(order.request);
+  wish.answer_tokens = order.request.max_tokens;
+  wish.first_token_by = order.first_token_by;
+  wish.answer_by = order.answer_by;
+  return wish;
+}
+
+// Holds the ticket until the stream has ended, whether or not its caller is
+// still there, and settles it with the tokens that were used.
+awaitable<void> HoldTicket(std::shared_ptr<stream_session> session,
+                           admission_ticket ticket) {
+  co_await AwaitEnd(session);
+  const bool complete = session->phase() == stream_phase::kComplete;
+  if (complete) {
+    ticket.Settle(EstimatePromptTokens(session->order().request) +
+                  session->tokens());
+  } else if (session->failure()->code == refusal_code::kNoUpstream &&
+             session->tokens() == 0) {
+    ticket.Settle(0);
   }
-  const std::string_view digits = last_event_id.substr(colon + 1);
-  std::uint32_t last = 0;
-  const auto [end, error] =
-      std::from_chars(digits.data(), digits.data() + digits.size(), last);
-  return error == std::errc() && last < UINT32_MAX ? last + 1 : 0;
+  // Any other failure may have used the upstream: the estimate stays charged.
 }
 
-}  // namespace
+// A request that was checked and admitted, or why it was refused.
+struct prepared_stream {
+  std::optional<refusal> refused;
+  // Replaces the general sentence of the refusal where it is not empty.
+  std::string_view detail;
+  stream_order order;
+  admission_ticket ticket;
+};
 
-awaitable<void> chat_handler::Complete(http_exchange& exchange,
-                                       worker& self,
-                                       const caller& from) {
+prepared_stream Refused(const refusal& why, std::string_view detail = {}) {
+  prepared_stream prepared;
+  prepared.refused = why;
+  prepared.detail = detail;
+  return prepared;
+}
+
+prepared_stream Prepare(const http_exchange& exchange,
+                        worker& self,
+                        const caller& from) {
   process_state& process = self.process();
   const time_point now = process.clock.Now();
   decoded_body body = DecodeBody(exchange.request().body());
   if (!body.request) {
-    ++self.metrics().refused;
-    co_await RespondRefusal(exchange, {refusal_code::kMalformedRequest},
-                            from.request_id, now, Sentence(body.fault));
-    co_return;
+    return Refused({refusal_code::kMalformedRequest}, Sentence(body.fault));
   }
   const auto target = FindModelService(process, body.request->service);
   if (!target) {
-    ++self.metrics().refused;
-    co_await RespondRefusal(exchange, {refusal_code::kUnknownService},
-                            from.request_id, now);
-    co_return;
+    return Refused({refusal_code::kUnknownService});
   }
   const auto answer_by = AnswerDeadline(exchange, target->terms, now);
   if (!answer_by) {
-    ++self.metrics().refused;
-    co_await RespondRefusal(
-        exchange, {refusal_code::kMalformedRequest}, from.request_id, now,
+    return Refused(
+        {refusal_code::kMalformedRequest},
         "The header X-Deadline-Ms must be a positive number of milliseconds.");
-    co_return;
   }
-  stream_order order;
+  prepared_stream prepared;
+  stream_order& order = prepared.order;
   order.stream_id = self.NextStreamId();
   order.request_id =
       from.request_id.empty() ? order.stream_id : from.request_id;
@@ -187,12 +213,55 @@
   order.accepted_at = now;
   order.first_token_by = deadline::After(now, target->terms.first_token_target);
   order.answer_by = *answer_by;
-  const bool wants_stream = order.request.stream;
+  admission_result admission =
+      AdmitRequest(process, order.workspace, *target, MakeWish(order), now);
+  if (admission.refused) {
+    return Refused(*admission.refused);
+  }
+  prepared.ticket = std::move(admission.ticket);
+  return prepared;
+}
+
+// Runs the stream apart from the caller's connection, which may be lost.
+std::shared_ptr<stream_session> StartStream(worker& self,
+                                            prepared_stream prepared) {
   auto session = std::make_shared<stream_session>(self.context().get_executor(),
-                                                  std::move(order));
+                                                  std::move(prepared.order));
   self.AddStream(session);
   ++self.metrics().accepted;
   net::co_spawn(self.context(), RunStream(self, session), net::detached);
+  net::co_spawn(self.context(), HoldTicket(session, std::move(prepared.ticket)),
+                net::detached);
+  return session;
+}
+
+// The token after the one that Last-Event-ID ("<stream>:<n>") names.
+std::uint32_t NextIndex(std::string_view last_event_id) {
+  const std::size_t colon = last_event_id.rfind(':');
+  if (colon == std::string_view::npos) {
+    return 0;
+  }
+  const std::string_view digits = last_event_id.substr(colon + 1);
+  std::uint32_t last = 0;
+  const auto [end, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), last);
+  return error == std::errc() && last < UINT32_MAX ? last + 1 : 0;
+}
+
+}  // namespace
+
+awaitable<void> chat_handler::Complete(http_exchange& exchange,
+                                       worker& self,
+                                       const caller& from) {
+  prepared_stream prepared = Prepare(exchange, self, from);
+  if (prepared.refused) {
+    ++self.metrics().refused;
+    co_await RespondRefusal(exchange, *prepared.refused, from.request_id,
+                            self.process().clock.Now(), prepared.detail);
+    co_return;
+  }
+  const bool wants_stream = prepared.order.request.stream;
+  const auto session = StartStream(self, std::move(prepared));
   if (wants_stream) {
     co_await AwaitFirstToken(session);
   } else {
@@ -202,7 +271,8 @@
                             (!wants_stream || session->tokens() == 0);
   if (failed_whole) {
     co_await RespondRefusal(exchange, *session->failure(),
-                            session->order().request_id, process.clock.Now());
+                            session->order().request_id,
+                            self.process().clock.Now());
   } else if (wants_stream) {
     co_await WriteEvents(exchange, session, 0);
   } else {
--- a/entry/process_state.cc
+++ b/entry/process_state.cc
@@ -4,6 +4,8 @@
 #include <random>
 #include <utility>
 
+#include "common/log.h"
+
 namespace anvilloom {
 
 namespace {
@@ -27,4 +29,15 @@
          !draining.load(std::memory_order_acquire);
 }
 
+void process_state::ObserveMembers(std::uint32_t live_members) {
+  const std::uint32_t before = share.divisor();
+  share.Update(live_members, clock.Now());
+  policy.SetMembers(live_members);
+  if (share.divisor() != before) {
+    Log(log_level::kInfo, log_event::kLimitShareChanged,
+        {{"members", std::to_string(live_members)},
+         {"divisor", std::to_string(share.divisor())}});
+  }
+}
+
 }  // namespace anvilloom
--- a/entry/process_state.h
+++ b/entry/process_state.h
@@ -8,15 +8,24 @@
 #include <string>
 
 #include "common/rcu.h"
+#include "contracts/limit_share.h"
 #include "entry/settings.h"
-#include "links/router.h"
+#include "links/least_cost.h"
+#include "links/retry_budget.h"
 #include "links/topology.h"
 #include "wire/steady_clock.h"
 
 namespace anvilloom {
 
 // The routing policy of the entry instance.
-using entry_policy = least_outstanding;
+using entry_policy = least_cost;
+
+// Refusals since the last log line about them.
+struct refusal_log {
+  std::atomic<std::uint64_t> refused{0};
+  // Earliest time of the next line.
+  std::atomic<monotonic::rep> next_at{0};
+};
 
 // Members are set before the threads start, or are atomics, or are read
 // through read-copy-update.
@@ -29,11 +38,19 @@
   steady_source clock;
   rcu_cell<topology> world;
   entry_policy policy;
+  // Of all layers: whoever accepted a request asks here before repeating it.
+  retry_budget retries;
+  limit_share share;
+  refusal_log refusals;
   std::atomic<std::uint64_t> revision_in_force{0};
   std::atomic<bool> draining{false};
 
   // Whether the balancer may send new requests here.
   bool ready() const;
+
+  // Takes over the number of live entry instances, this one included. Called by
+  // one control thread at least once a second.
+  void ObserveMembers(std::uint32_t live_members);
 };
 
 }  // namespace anvilloom
--- a/links/least_cost.cc
+++ b/links/least_cost.cc
@@ -1,7 +1,6 @@
 #include "links/least_cost.h"
 
 #include <algorithm>
-#include <cmath>
 #include <cstddef>
 
 #include "common/hash.h"
@@ -13,9 +12,6 @@
 // Used until an upstream's own figures have been observed.
 constexpr double kPriorPrefillUs = 200;
 constexpr double kPriorIntervalUs = 25'000;
-// Growth of the token interval for each further request in the batch, as a
-// share of the interval of a batch of one.
-constexpr double kIntervalGrowth = 1.0 / 16;
 // Batches are filled to this share of the target token interval, since reports
 // lag and a batch can't be made smaller afterwards.
 constexpr double kIntervalMargin = 0.9;
@@ -34,41 +30,10 @@
 // Up to this many candidates, each is costed. Above, only the rendezvous homes
 // and a sample are, which bounds the decision's time.
 constexpr std::size_t kScanAll = 32;
-constexpr std::size_t kSample = 14;
-constexpr std::size_t kHomes = 3;
+constexpr std::size_t kSample = 12;
 // Requests in flight with which an upstream on probation is tried.
 constexpr std::uint32_t kProbationRequests = 2;
 
-// The homes of a prefix in descending order of rendezvous score.
-struct home_list {
-  std::array<std::uint64_t, kHomes> scores{};
-  std::array<std::uint32_t, kHomes> positions{};
-  std::size_t count = 0;
-
-  void Offer(std::uint64_t score, std::uint32_t position) {
-    if (count == kHomes && score <= scores[kHomes - 1]) {
-      return;
-    }
-    std::size_t at = count < kHomes ? count++ : kHomes - 1;
-    while (at > 0 && scores[at - 1] < score) {
-      scores[at] = scores[at - 1];
-      positions[at] = positions[at - 1];
-      --at;
-    }
-    scores[at] = score;
-    positions[at] = position;
-  }
-};
-
-home_list FindHomes(std::span<const route_candidate> candidates,
-                    std::uint64_t prefix_hash) {
-  home_list homes;
-  for (std::uint32_t i = 0; i < candidates.size(); ++i) {
-    homes.Offer(RendezvousScore(prefix_hash, candidates[i].name_hash), i);
-  }
-  return homes;
-}
-
 // What one candidate would cost.
 struct candidate_cost {
   double cost = 0;
@@ -100,7 +65,7 @@
             world.at(request.wanted).terms.token_interval_target.count())),
         members_(policy.members_.load(std::memory_order_relaxed)) {
     if (parts_.locality && request.prompt_tokens > 0) {
-      homes_ = FindHomes(candidates_, request.prefix_hash);
+      homes_ = world.HomesOf(request.wanted).Find(request.prefix_hash);
       locations_ = policy.locations_.Find(request.prefix_hash, found_);
     }
   }
@@ -111,19 +76,33 @@
     }
     const auto size = static_cast<std::uint32_t>(candidates_.size());
     split_mix random(thread_random().Next());
+    std::array<std::uint32_t, kScanAll> positions;
+    std::size_t count = 0;
     if (size <= kScanAll) {
+      // A random start breaks ties differently at each entry instance.
       const std::uint32_t first = random.NextBelow(size);
-      for (std::uint32_t i = 0; i < size; ++i) {
-        Consider((first + i) % size);
+      while (count < size) {
+        positions[count] = static_cast<std::uint32_t>(
+            first + count < size ? first + count : first + count - size);
+        ++count;
       }
     } else {
-      for (std::size_t i = 0; i < homes_.count; ++i) {
-        Consider(homes_.positions[i]);
+      for (const std::uint16_t home : homes_) {
+        positions[count++] = home;
       }
       for (std::size_t i = 0; i < kSample; ++i) {
-        Consider(random.NextBelow(size));
+        positions[count++] = random.NextBelow(size);
       }
     }
+    const auto chosen = std::span(positions).first(count);
+    // The links are scattered and written by other threads: their cache misses
+    // should overlap.
+    for (const std::uint32_t position : chosen) {
+      candidates_[position].path->Prefetch();
+    }
+    for (const std::uint32_t position : chosen) {
+      Consider(position);
+    }
     if (!best_ && size > kScanAll) {
       // The sample held none that may take the request; any is better.
       for (std::uint32_t i = 0; i < size; ++i) {
@@ -151,10 +130,11 @@
     }
     const link& path = *candidate.path;
     const double held = HeldRequests(path);
-    const double usable = UsableBatch(candidate);
+    const double alone = IntervalAlone(path);
+    const double usable = UsableBatch(candidate, alone);
     held_sum_ += held;
     usable_sum_ += usable;
-    const candidate_cost cost = Cost(candidate, position, held, usable);
+    const candidate_cost cost = Cost(candidate, position, held, usable, alone);
     const bool better =
         !best_ || (cost.lateness_us == best_cost_.lateness_us
                        ? cost.cost < best_cost_.cost
@@ -173,32 +153,30 @@
     return path.expected_requests(members_);
   }
 
-  // Token interval in a batch of `requests`, from the observed interval.
-  double IntervalAt(const link& path, double requests) const {
-    const double observed =
-        static_cast<double>(path.token_interval_average().count());
-    if (observed <= 0) {
-      return kPriorIntervalUs * (1 + kIntervalGrowth * requests);
-    }
-    return observed * (1 + kIntervalGrowth * requests) /
-           (1 + kIntervalGrowth * path.interval_batch_average());
+  static double IntervalAlone(const link& path) {
+    return ObservedOr(path.interval_alone_us(), kPriorIntervalUs);
+  }
+
+  static double IntervalAt(double alone, double batch) {
+    return alone * (1 + link::kIntervalGrowth * (batch - 1));
   }
 
   // Largest batch that keeps the token interval within the target.
-  double UsableBatch(const route_candidate& candidate) const {
+  double UsableBatch(const route_candidate& candidate, double alone) const {
     if (!parts_.batching) {
       return candidate.slots;
     }
-    const double alone = IntervalAt(*candidate.path, 0);
+    constexpr double kRequestsPerGrowth = 1 / link::kIntervalGrowth;
     const double within =
-        (target_us_ * kIntervalMargin / alone - 1) / kIntervalGrowth;
+        (target_us_ * kIntervalMargin / alone - 1) * kRequestsPerGrowth + 1;
     return std::clamp(within, 1.0, static_cast<double>(candidate.slots));
   }
 
   candidate_cost Cost(const route_candidate& candidate,
                       std::uint32_t position,
                       double held,
-                      double usable) const {
+                      double usable,
+                      double alone) const {
     const link& path = *candidate.path;
     const double prefill_rate =
         ObservedOr(path.prefill_us_per_token(), kPriorPrefillUs);
@@ -206,7 +184,7 @@
         UncachedTokens(candidate, position) * prefill_rate;
     const double batch = held + 1;
     const double interval =
-        IntervalAt(path, std::min<double>(batch, candidate.slots));
+        IntervalAt(alone, std::min<double>(batch, candidate.slots));
     const double answer = request_.answer_tokens;
     candidate_cost result;
     result.interval_us = interval;
@@ -264,10 +242,9 @@
           0.0, answered_us - static_cast<double>(
                                  path.reclaim_at().Remaining(now_).count()));
     }
-    if (parts_.batching && answer > 0) {
+    if (parts_.batching && answer > 0 && batch > usable) {
       // A batch above the usable size delays each of its requests.
-      late += std::max(0.0, batch - usable) / usable * expected.interval_us *
-              answer;
+      late += (batch - usable) / usable * expected.interval_us * answer;
     }
     return late;
   }
@@ -294,12 +271,14 @@
                    : kCachedIfDistrusted;
       }
     }
-    for (std::size_t i = 0; i < homes_.count; ++i) {
-      if (homes_.positions[i] == position) {
-        // Other entry instances send the prefix to its first home that has
-        // room, so the chance halves with each place down the list.
-        return std::ldexp(kCachedIfHome, -static_cast<int>(i));
+    // Other entry instances send the prefix to its first home that has room, so
+    // the chance halves with each place down the list.
+    double chance = kCachedIfHome;
+    for (const std::uint16_t home : homes_) {
+      if (home == position) {
+        return chance;
       }
+      chance /= 2;
     }
     return 0;
   }
@@ -348,7 +327,7 @@
   std::span<const route_candidate> candidates_;
   double target_us_;
   std::uint32_t members_;
-  home_list homes_;
+  std::span<const std::uint16_t> homes_;
   prefix_locations::found_locations found_;
   std::span<const prefix_location> locations_;
   std::optional<std::uint32_t> best_;
--- a/links/link.cc
+++ b/links/link.cc
@@ -1,14 +1,11 @@
 #include "links/link.h"
 
-#include <algorithm>
-
 namespace anvilloom {
 
 namespace {
 
 // Weight of a new observation in the moving averages: 1/8.
 constexpr monotonic::rep kAverageDivisor = 8;
-constexpr double kFixedPoint = 256;
 
 // Concurrent updates may lose an observation; an average tolerates that.
 void UpdateAverage(std::atomic<monotonic::rep>& average, duration value) {
@@ -18,13 +15,12 @@
   average.store(next, std::memory_order_relaxed);
 }
 
-// The same for averages kept in 1/256 of their unit.
-void UpdateFixedAverage(std::atomic<std::uint32_t>& average, double value) {
-  const double old = average.load(std::memory_order_relaxed);
-  const double scaled = value * kFixedPoint;
-  const double next =
-      old == 0 ? scaled : old + (scaled - old) / kAverageDivisor;
-  average.store(static_cast<std::uint32_t>(next), std::memory_order_relaxed);
+void UpdateAverage(std::atomic<float>& average, float value) {
+  const float old = average.load(std::memory_order_relaxed);
+  const float next =
+      old == 0 ? value
+               : old + (value - old) / static_cast<float>(kAverageDivisor);
+  average.store(next, std::memory_order_relaxed);
 }
 
 }  // namespace
@@ -65,13 +61,16 @@
 
 void link::ObserveTokenInterval(duration interval) {
   UpdateAverage(token_interval_us_, interval);
-  UpdateFixedAverage(interval_batch_q8_, expected_requests(1));
+  const auto batch =
+      static_cast<float>(std::max<std::uint32_t>(expected_requests(1), 1));
+  UpdateAverage(interval_alone_us_, static_cast<float>(interval.count()) /
+                                        (1 + kIntervalGrowth * (batch - 1)));
 }
 
 void link::ObservePrefill(std::uint32_t tokens, duration spent) {
   if (tokens > 0) {
-    UpdateFixedAverage(prefill_us_q8_,
-                       static_cast<double>(spent.count()) / tokens);
+    UpdateAverage(prefill_us_per_token_, static_cast<float>(spent.count()) /
+                                             static_cast<float>(tokens));
   }
 }
 
@@ -96,30 +95,10 @@
                     std::memory_order_release);
 }
 
-std::uint32_t link::outstanding_requests() const {
-  return outstanding_requests_.load(kRelaxed);
-}
-
 std::uint32_t link::outstanding_tokens() const {
   return outstanding_tokens_.load(kRelaxed);
 }
 
-std::uint32_t link::outstanding_batch() const {
-  return outstanding_batch_.load(kRelaxed);
-}
-
-std::uint32_t link::expected_requests(std::uint32_t members) const {
-  const auto own = std::int64_t{outstanding_requests_.load(kRelaxed)};
-  const auto own_then = std::int64_t{own_at_report_.load(kRelaxed)};
-  const std::int64_t reported =
-      std::int64_t{running_.load(kRelaxed)} + waiting_.load(kRelaxed);
-  const std::int64_t others_then =
-      std::max<std::int64_t>(0, reported - own_then);
-  const std::int64_t others =
-      others_then + (std::int64_t{members} - 1) * (own - own_then);
-  return static_cast<std::uint32_t>(own + std::max<std::int64_t>(0, others));
-}
-
 std::uint32_t link::sent_since_report() const {
   return sent_since_report_.load(kRelaxed);
 }
@@ -141,31 +120,10 @@
   return duration(token_interval_us_.load(kRelaxed));
 }
 
-double link::interval_batch_average() const {
-  return interval_batch_q8_.load(kRelaxed) / kFixedPoint;
-}
-
-double link::prefill_us_per_token() const {
-  return prefill_us_q8_.load(kRelaxed) / kFixedPoint;
-}
-
-time_point link::cache_trusted_since() const {
-  return time_point(duration(cache_trusted_since_.load(kRelaxed)));
-}
-
 std::uint32_t link::failures_in_a_row() const {
   return failures_in_a_row_.load(kRelaxed);
 }
 
-link_condition link::condition() const {
-  return condition_.load(std::memory_order_acquire);
-}
-
-deadline link::reclaim_at() const {
-  return deadline(
-      time_point(duration(reclaim_at_.load(std::memory_order_acquire))));
-}
-
 bool link::takes_new_work() const {
   const link_condition current = condition();
   return current == link_condition::kHealthy ||
--- a/links/link.h
+++ b/links/link.h
@@ -3,6 +3,7 @@
 #ifndef LINKS_LINK_H_
 #define LINKS_LINK_H_
 
+#include <algorithm>
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
@@ -35,10 +36,21 @@
 // configuration change.
 class link {
  public:
+  // Growth of the token interval for each further request in the batch, as a
+  // share of the interval of a batch of one. A prior: the interval itself is
+  // observed.
+  static constexpr float kIntervalGrowth = 1.0F / 16;
+
   explicit link(std::string_view upstream_name);
 
   std::string_view upstream_name() const { return upstream_name_; }
 
+  // Begins to load what a routing decision reads.
+  void Prefetch() const {
+    __builtin_prefetch(&outstanding_requests_);
+    __builtin_prefetch(&own_at_report_);
+  }
+
   // Counts a request of `tokens` estimated tokens as outstanding.
   void Begin(std::uint32_t tokens, priority rank = priority::kNormal);
   // Ends what Begin() counted, with the same estimate and rank.
@@ -66,15 +78,29 @@
   // Sets the time after which the upstream is gone. Source: a notice.
   void SetReclaim(deadline reclaim_at);
 
-  std::uint32_t outstanding_requests() const;
+  std::uint32_t outstanding_requests() const {
+    return outstanding_requests_.load(kRelaxed);
+  }
   std::uint32_t outstanding_tokens() const;
   // Outstanding requests of rank kBatch.
-  std::uint32_t outstanding_batch() const;
+  std::uint32_t outstanding_batch() const {
+    return outstanding_batch_.load(kRelaxed);
+  }
   // Requests of every entry instance that the upstream is expected to hold:
   // the others' as last reported, and this instance's own as of now. With
   // `members` above 1, the others are assumed to have changed their use since
   // the report as much as this instance did.
-  std::uint32_t expected_requests(std::uint32_t members) const;
+  std::uint32_t expected_requests(std::uint32_t members) const {
+    const auto own = std::int64_t{outstanding_requests_.load(kRelaxed)};
+    const auto own_then = std::int64_t{own_at_report_.load(kRelaxed)};
+    const std::int64_t reported =
+        std::int64_t{running_.load(kRelaxed)} + waiting_.load(kRelaxed);
+    const std::int64_t others_then =
+        std::max<std::int64_t>(0, reported - own_then);
+    const std::int64_t others =
+        others_then + (std::int64_t{members} - 1) * (own - own_then);
+    return static_cast<std::uint32_t>(own + std::max<std::int64_t>(0, others));
+  }
   // Requests begun since the latest load report.
   std::uint32_t sent_since_report() const;
   load_report last_report() const;
@@ -82,16 +108,25 @@
   // Moving averages in microseconds; zero until first observed.
   duration first_token_average() const;
   duration token_interval_average() const;
-  // Requests held by the upstream when token_interval_average() was observed,
-  // as an average.
-  double interval_batch_average() const;
+  // Token interval of a batch of one, in microseconds, computed from the
+  // observed intervals; zero until first observed.
+  float interval_alone_us() const { return interval_alone_us_.load(kRelaxed); }
   // Microseconds per prompt token; zero until first observed.
-  double prefill_us_per_token() const;
+  float prefill_us_per_token() const {
+    return prefill_us_per_token_.load(kRelaxed);
+  }
   // Cache knowledge from before this time may be wrong.
-  time_point cache_trusted_since() const;
+  time_point cache_trusted_since() const {
+    return time_point(duration(cache_trusted_since_.load(kRelaxed)));
+  }
   std::uint32_t failures_in_a_row() const;
-  link_condition condition() const;
-  deadline reclaim_at() const;
+  link_condition condition() const {
+    return condition_.load(std::memory_order_acquire);
+  }
+  deadline reclaim_at() const {
+    return deadline(
+        time_point(duration(reclaim_at_.load(std::memory_order_acquire))));
+  }
   bool takes_new_work() const;
 
  private:
@@ -105,21 +140,22 @@
   std::atomic<std::uint32_t> outstanding_tokens_{0};
   std::atomic<std::uint32_t> outstanding_batch_{0};
   std::atomic<std::uint32_t> sent_since_report_{0};
-  // Written for each report, token interval or change of condition.
+  // What routing reads, in one cache line; written for each report, token
+  // interval, prefill or change of condition.
   alignas(kCacheLine) std::atomic<std::uint32_t> own_at_report_{0};
   std::atomic<std::uint32_t> running_{0};
   std::atomic<std::uint32_t> waiting_{0};
-  std::atomic<std::uint32_t> cache_permille_{0};
+  std::atomic<float> interval_alone_us_{0};
+  std::atomic<float> prefill_us_per_token_{0};
+  std::atomic<link_condition> condition_{link_condition::kHealthy};
+  std::atomic<monotonic::rep> reclaim_at_;
+  std::atomic<monotonic::rep> cache_trusted_since_{0};
+  // What routing does not read.
+  alignas(kCacheLine) std::atomic<std::uint32_t> cache_permille_{0};
+  std::atomic<std::uint32_t> failures_in_a_row_{0};
   std::atomic<monotonic::rep> reported_at_{0};
   std::atomic<monotonic::rep> first_token_us_{0};
   std::atomic<monotonic::rep> token_interval_us_{0};
-  // Averages in 1/256 of a request and of a microsecond.
-  std::atomic<std::uint32_t> interval_batch_q8_{0};
-  std::atomic<std::uint32_t> prefill_us_q8_{0};
-  std::atomic<monotonic::rep> cache_trusted_since_{0};
-  std::atomic<std::uint32_t> failures_in_a_row_{0};
-  std::atomic<link_condition> condition_{link_condition::kHealthy};
-  std::atomic<monotonic::rep> reclaim_at_;
 };
 
 }  // namespace anvilloom
--- a/links/topology.cc
+++ b/links/topology.cc
@@ -105,6 +105,10 @@
   return candidates_of_service_[Position(service)];
 }
 
+const prefix_homes& topology::HomesOf(service_index service) const {
+  return homes_of_service_[Position(service)];
+}
+
 const service& topology::at(service_index index) const {
   return services_[Position(index)];
 }
@@ -148,6 +152,9 @@
     built_->candidates_of_service_.resize(declared_->services.size());
     IndexNames();
     AddUpstreams();
+    for (const auto& candidates : built_->candidates_of_service_) {
+      built_->homes_of_service_.emplace_back(candidates);
+    }
   }
   return std::move(built_);
 }
--- a/links/topology.h
+++ b/links/topology.h
@@ -14,6 +14,7 @@
 #include "contracts/configuration.h"
 #include "contracts/workspace_account.h"
 #include "links/link.h"
+#include "links/prefix_homes.h"
 #include "links/route_candidate.h"
 #include "links/upstream.h"
 
@@ -47,6 +48,10 @@
   // The same upstreams, in the same order, as routing reads them.
   std::span<const route_candidate> CandidatesOf(service_index service) const;
 
+  // Where the prompt prefixes of a service are at home, as positions in
+  // CandidatesOf().
+  const prefix_homes& HomesOf(service_index service) const;
+
   const service& at(service_index index) const;
   const workspace& at(workspace_index index) const;
   const upstream& at(upstream_index index) const;
@@ -65,6 +70,7 @@
   std::vector<std::shared_ptr<link>> links_;
   std::vector<std::vector<upstream_index>> upstreams_of_service_;
   std::vector<std::vector<route_candidate>> candidates_of_service_;
+  std::vector<prefix_homes> homes_of_service_;
   // Keys are views of the strings in the vectors above.
   std::unordered_map<std::string_view, service_index> service_by_name_;
   std::unordered_map<std::string_view, workspace_index>
--- /dev/null
+++ b/test/error/admission_gate_test.cc
@@ -0,0 +1,97 @@
+// Guards the way of limits and admission into the request path: a refused
+// request must not run, and its caller must learn when to repeat it.
+
+#include <catch2/catch.hpp>
+
+#include "entry/admission_gate.h"
+#include "test/support/small_world.h"
+
+namespace anvilloom {
+
+SCENARIO("Requests pass the limits before they run", "[admission_gate]") {
+  GIVEN("a process with one engine and a workspace of 1,000 tokens a second") {
+    process_state process{entry_settings{}};
+    small_world declared;
+    declared.Upstream("a", 1'000'000).Workspace("studio");
+    declared.declared().workspaces[0].tokens_per_second = 1000;
+    process.world.Publish(declared.Build());
+    const service target = declared.declared().services[0];
+    const time_point now = process.clock.Now();
+    route_request wish = ChatRequest();
+    wish.answer_by = deadline::After(now, std::chrono::seconds(60));
+
+    const auto Account = [&] {
+      const rcu_read_guard guard;
+      return process.world.Read(guard).accounts()[0];
+    };
+
+    WHEN("a request of 600 tokens comes") {
+      auto first = AdmitRequest(process, "studio", target, wish, now);
+      REQUIRE_FALSE(first.refused);
+      REQUIRE(Account()->tokens_in_flight() == 600);
+
+      THEN("a second one is refused until the first is paid off") {
+        const auto second = AdmitRequest(process, "studio", target, wish, now);
+        REQUIRE(second.refused);
+        REQUIRE(second.refused->code == refusal_code::kWorkspaceLimit);
+        REQUIRE(second.refused->ran == outcome::kNotRun);
+        REQUIRE(second.refused->retry_at);
+        REQUIRE(Account()->requests_in_flight() == 1);
+      }
+      AND_WHEN("it ends with nothing used") {
+        {
+          const admission_ticket ended = std::move(first.ticket);
+          REQUIRE(Account()->requests_in_flight() == 1);
+        }
+        first.ticket.Settle(0);
+
+        THEN("its use of the account has ended once") {
+          REQUIRE(Account()->requests_in_flight() == 0);
+          REQUIRE(Account()->tokens_in_flight() == 0);
+        }
+      }
+      AND_WHEN("the configuration changes while it runs") {
+        declared.declared().revision = 2;
+        std::unique_ptr<const topology> next;
+        {
+          const rcu_read_guard guard;
+          next = topology_builder()
+                     .Configuration(declared.declared())
+                     .KeepLinks(process.world.Read(guard))
+                     .Build();
+        }
+        process.world.Publish(std::move(next));
+
+        THEN("it still counts against the limit") {
+          REQUIRE(Account()->tokens_in_flight() == 600);
+          REQUIRE(AdmitRequest(process, "studio", target, wish, now).refused);
+        }
+      }
+    }
+
+    WHEN("the engine holds more than it can serve within the target") {
+      const auto engine = [&] {
+        const rcu_read_guard guard;
+        return process.world.Read(guard).shared_link_at(upstream_index{0});
+      }();
+      engine->Report({.running = 16, .waiting = 40}, now);
+      Account()->Begin(5000);
+
+      THEN("the request is refused as overloaded, with a time to repeat") {
+        const auto refused = AdmitRequest(process, "studio", target, wish, now);
+        REQUIRE(refused.refused);
+        REQUIRE(refused.refused->code == refusal_code::kOverloaded);
+        REQUIRE(refused.refused->retry_at);
+      }
+    }
+
+    WHEN("the workspace or service is gone from the topology") {
+      THEN("admission leaves the refusal to routing") {
+        REQUIRE_FALSE(
+            AdmitRequest(process, "other", target, wish, now).refused);
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
