--- /dev/null
+++ b/scripts/measure_overhead.sh
@@ -0,0 +1,56 @@
+#!/usr/bin/env bash
+# Measures what one entry instance adds to plain calls and to streams, against
+# the same load sent straight to the stand-ins, and its memory per open stream.
+# Needs a build in build/; everything listens on loopback.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+
+pids=()
+trap 'kill "${pids[@]}" 2>/dev/null || true; wait' EXIT
+logs=$(mktemp -d)
+
+"$build"/standins/standin_objects --listen 127.0.0.1:9000 >"$logs/objects" 2>&1 &
+pids+=($!)
+"$build"/standins/standin_engine --listen 127.0.0.1:9101 \
+  --first-token-us 51000 --token-interval-us 51000 --slots 4096 >"$logs/engine" 2>&1 &
+pids+=($!)
+"$build"/standins/standin_service --listen 127.0.0.1:9201 >"$logs/service" 2>&1 &
+pids+=($!)
+"$build"/entry/anvilloom --settings example/settings/entry-a.json >"$logs/entry" 2>&1 &
+entry=$!
+pids+=("$entry")
+
+folder=$(mktemp -d)
+cp example/configuration/*.json "$folder/"
+# One engine, so that both ways have the same one.
+echo '{"upstreams": {"engine-2": null, "engine-1": {"slots": 4096}},
+       "workspaces": {"studio-one": {"requests_per_second": 0, "tokens_per_second": 0}}}' \
+  >"$folder/90-measure.json"
+sleep 1
+"$build"/ctl/anvilloomctl publish "$folder"
+for _ in $(seq 100); do
+  curl -fsS -o /dev/null http://127.0.0.1:8081/readyz 2>/dev/null && break
+  sleep 0.1
+done
+
+resident() { awk '/VmRSS/ {print $2}' "/proc/$entry/status"; }
+
+echo "Plain calls, one client:"
+"$build"/tools/load_generator --direct 127.0.0.1:9201 --through 127.0.0.1:8081 \
+  --entry-pid "$entry" --concurrency 1 --repeats 2000
+echo "Plain calls, 16 clients:"
+"$build"/tools/load_generator --direct 127.0.0.1:9201 --through 127.0.0.1:8081 \
+  --entry-pid "$entry" --concurrency 16 --repeats 500
+for streams in 140 560; do
+  before=$(resident)
+  echo "$streams streams of 100 tokens, one token each 51 ms:"
+  "$build"/tools/load_generator --direct 127.0.0.1:9101 --through 127.0.0.1:8081 \
+    --entry-pid "$entry" --concurrency "$streams" --repeats 1 --tokens 100 \
+    --rounds 1 &
+  load=$!
+  sleep 8
+  during=$(resident)
+  wait "$load" || true
+  echo "entry instance memory: ${before} KB before, ${during} KB during"
+done
