--- a/wire/http_client.cc
+++ b/wire/http_client.cc
@@ -24,7 +24,9 @@
 using tcp = net::ip::tcp;
 
 constexpr auto kAwaitTuple = net::as_tuple(net::use_awaitable);
-constexpr std::size_t kReadPieceBytes = std::size_t{16} * 1024;
+// A token event takes about 250 bytes. Larger pieces only cost memory for each
+// open stream.
+constexpr std::size_t kReadPieceBytes = std::size_t{4} * 1024;
 // Model engines and plain services answer with small headers.
 constexpr std::uint32_t kHeaderLimitBytes = 16 * 1024;
 
