Report all configuration faults at once and merge concurrent publishes

Cause: a configuration with unknown keys, wrong units or dangling references was accepted, and a publish replaced whatever another operator had published.

Change: DecodeConfiguration checks forms from one table of known keys and runs contracts/configuration_check on the typed values; it fails with every fault, each with file, key and expectation. DecodeWithWarnings adds the warnings. anvilloomctl merges per file against the folder's .anvilloom-base or a revision of the history, checks the merged result before the conditional update, settles a lost answer by reading back an attempt token, and removes old manifests and files.

--- /dev/null
+++ b/ctl/instance_commands.cc
@@ -0,0 +1,168 @@
+#include "ctl/instance_commands.h"
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <iostream>
+#include <optional>
+#include <thread>
+#include <utility>
+
+#include "ctl/instance_report.h"
+#include "ctl/publisher.h"
+#include "ctl/run_coroutine.h"
+#include "wire/http_client.h"
+#include "wire/http_object_store.h"
+
+namespace anvilloom {
+
+namespace {
+
+using http_verb = boost::beast::http::verb;
+
+constexpr std::size_t kShownDigits = 12;
+
+deadline TimeLimit(const ctl_arguments& arguments) {
+  return deadline::After(steady_source().Now(), arguments.time_limit);
+}
+
+// The body of a successful call to an admin port. Prints why there is none.
+std::optional<std::string> CallAdmin(const ctl_arguments& arguments,
+                                     const std::string& address,
+                                     http_verb method,
+                                     std::string_view path) {
+  boost::asio::io_context context(1);
+  http_client client(context.get_executor());
+  http_request request = MakeRequest(method, path);
+  if (!arguments.admin_token.empty()) {
+    request.set("Authorization", "Bearer " + arguments.admin_token);
+  }
+  const auto answer = RunCoroutine(
+      context, client.Exchange(address, std::move(request),
+                               TimeLimit(arguments), connection_use::kFresh));
+  const std::string instance = "The instance at " + address;
+  if (!answer) {
+    std::cerr << instance << " did not answer.\n";
+    return std::nullopt;
+  }
+  if (answer->result() == http_status::unauthorized) {
+    std::cerr << instance << " refused the admin token; use --token-file.\n";
+    return std::nullopt;
+  }
+  constexpr unsigned kFirstFailure = 300;
+  if (answer->result_int() >= kFirstFailure) {
+    std::cerr << instance << " answered with status " << answer->result_int()
+              << ".\n";
+    return std::nullopt;
+  }
+  return answer->body();
+}
+
+std::optional<instance_report> FetchReport(const ctl_arguments& arguments,
+                                           const std::string& address) {
+  const auto dump = CallAdmin(arguments, address, http_verb::get, "/dump");
+  if (!dump) {
+    return std::nullopt;
+  }
+  auto report = DecodeReport(*dump);
+  if (!report) {
+    std::cerr << "The instance at " << address
+              << " answered in an unknown form.\n";
+  }
+  return report;
+}
+
+// A failure outweighs an instance that is behind.
+exit_code Worse(exit_code left, exit_code right) {
+  if (left == exit_code::kFailed || right == exit_code::kFailed) {
+    return exit_code::kFailed;
+  }
+  return left == exit_code::kDone ? right : left;
+}
+
+void PrintManifest(const configuration_manifest& manifest) {
+  std::cout << "Revision " << manifest.revision << " is accepted. Files:\n";
+  for (const manifest_entry& entry : manifest.files) {
+    std::cout << "  " << entry.digest.substr(0, kShownDigits) << "  "
+              << entry.name << '\n';
+  }
+}
+
+exit_code ShowInstance(const ctl_arguments& arguments,
+                       const std::string& address,
+                       std::uint64_t accepted) {
+  const auto report = FetchReport(arguments, address);
+  if (!report) {
+    return exit_code::kFailed;
+  }
+  std::cout << address << ' ' << report->name << " has revision "
+            << report->revision << " in force.\n";
+  return report->revision == accepted ? exit_code::kDone : exit_code::kBehind;
+}
+
+exit_code PrintStatusOnce(const ctl_arguments& arguments) {
+  exit_code worst = exit_code::kDone;
+  for (const std::string& address : arguments.instances) {
+    const auto report = FetchReport(arguments, address);
+    if (!report) {
+      worst = exit_code::kFailed;
+      continue;
+    }
+    std::cout << address << ' ' << StatusLine(*report) << '\n';
+    worst = Worse(worst, report->ready ? exit_code::kDone : exit_code::kBehind);
+  }
+  std::cout << std::flush;
+  return worst;
+}
+
+}  // namespace
+
+exit_code ShowAccepted(const ctl_arguments& arguments) {
+  boost::asio::io_context context(1);
+  http_object_store store(context.get_executor(), arguments.object_api);
+  publisher reader(store, publish_options{TimeLimit(arguments)});
+  const auto held = RunCoroutine(context, reader.ReadManifest());
+  exit_code worst = exit_code::kDone;
+  std::uint64_t accepted = 0;
+  if (!held) {
+    std::cerr << "The accepted revision could not be read from the object "
+                 "API.\n";
+    worst = exit_code::kFailed;
+  } else if (held->version == 0) {
+    std::cout << "No configuration was published yet.\n";
+  } else {
+    accepted = held->manifest.revision;
+    PrintManifest(held->manifest);
+  }
+  for (const std::string& address : arguments.instances) {
+    worst = Worse(worst, ShowInstance(arguments, address, accepted));
+  }
+  return worst;
+}
+
+exit_code PrintStatus(const ctl_arguments& arguments) {
+  while (arguments.watch_interval) {
+    PrintStatusOnce(arguments);
+    std::this_thread::sleep_for(*arguments.watch_interval);
+  }
+  return PrintStatusOnce(arguments);
+}
+
+exit_code DumpInstance(const ctl_arguments& arguments) {
+  const auto body =
+      CallAdmin(arguments, arguments.target, http_verb::get, "/dump");
+  if (!body) {
+    return exit_code::kFailed;
+  }
+  std::cout << *body << '\n';
+  return exit_code::kDone;
+}
+
+exit_code DrainInstance(const ctl_arguments& arguments) {
+  if (!CallAdmin(arguments, arguments.target, http_verb::post, "/drain")) {
+    return exit_code::kFailed;
+  }
+  std::cout << "The instance at " << arguments.target << " is draining.\n";
+  return exit_code::kDone;
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/ctl/publish_result.cc
@@ -0,0 +1,55 @@
+#include "ctl/publish_result.h"
+
+#include <boost/throw_exception.hpp>
+#include <stdexcept>
+
+namespace anvilloom {
+
+std::string Sentences(const publish_failure& failure) {
+  const std::string revision = std::to_string(failure.revision);
+  std::string text;
+  switch (failure.error) {
+    case publish_error::kConflict:
+      for (const std::string& file : failure.files) {
+        text += "The file " + file +
+                " was changed both in this folder and by another operator.\n";
+      }
+      return text + "Bring revision " + revision +
+             " into the folder through version control, then publish with "
+             "--base " +
+             revision + ".\n";
+    case publish_error::kInvalid:
+      for (const configuration_fault& fault : failure.faults) {
+        text += Sentence(fault) + "\n";
+      }
+      return text + "The merged configuration was not published.\n";
+    case publish_error::kUnavailable:
+      return "The object API did not answer in time; nothing was published.\n";
+    case publish_error::kRefused:
+      return "The object API refused a write; nothing was published. A file "
+             "must be smaller than 1 MB.\n";
+    case publish_error::kOutcomeUnknown:
+      return "The object API did not say whether revision " + revision +
+             " was accepted. Publish again; that has no effect if it was.\n";
+    case publish_error::kUnknownBase:
+      return "The base revision " + revision +
+             " is not in the history of the object API. Publish with --base "
+             "and the accepted revision, after bringing it into the folder.\n";
+    case publish_error::kBaseAhead:
+      return "The object API holds revision " + revision +
+             ", which is earlier than the base of the folder. Publish with "
+             "--base " +
+             revision + " to replace it with the folder.\n";
+    case publish_error::kUnreadable:
+      return "The manifest in the object API cannot be read; nothing was "
+             "published.\n";
+  }
+  return "The configuration was not published.\n";
+}
+
+void throw_exception_from_error(const publish_failure& failure,
+                                const boost::source_location& location) {
+  boost::throw_exception(std::runtime_error(Sentences(failure)), location);
+}
+
+}  // namespace anvilloom
--- a/entry/configuration_follower.cc
+++ b/entry/configuration_follower.cc
@@ -1,8 +1,11 @@
 #include "entry/configuration_follower.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <span>
 #include <utility>
 
 #include "common/hash.h"
@@ -14,6 +17,7 @@
 namespace {
 
 namespace net = boost::asio;
+namespace leaf = boost::leaf;
 
 constexpr std::string_view kManifestKind = "configuration";
 constexpr std::string_view kManifestName = "manifest";
@@ -24,6 +28,34 @@
 // in force.
 constexpr duration kRetryPause = std::chrono::milliseconds(500);
 
+// Faults of one revision that are logged one by one.
+constexpr std::size_t kLoggedFaults = 20;
+
+// Decodes and checks a revision; logs what is wrong with it.
+std::optional<configuration> DecodeOrLog(
+    std::span<const configuration_file> files,
+    std::uint64_t revision) {
+  using accepted = std::optional<configuration>;
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<accepted> {
+        BOOST_LEAF_AUTO(decoded, DecodeConfiguration(files, revision));
+        return accepted(std::move(decoded));
+      },
+      [&](const configuration_faults& found) {
+        const std::string count = std::to_string(found.faults.size());
+        for (const configuration_fault& fault :
+             std::span(found.faults)
+                 .first(std::min(found.faults.size(), kLoggedFaults))) {
+          Log(log_level::kError, log_event::kConfigurationRefused,
+              {{"revision", std::to_string(revision)},
+               {"faults", count},
+               {"cause", Sentence(fault)}});
+        }
+        return accepted();
+      },
+      [] { return accepted(); });
+}
+
 }  // namespace
 
 configuration_follower::configuration_follower(
@@ -87,13 +119,11 @@
   if (!files) {
     co_return false;
   }
-  const auto decoded = DecodeConfiguration(*files, manifest.revision);
-  if (!decoded) {
-    Log(log_level::kError, log_event::kConfigurationRefused,
-        {{"revision", std::to_string(manifest.revision)}});
+  const auto accepted = DecodeOrLog(*files, manifest.revision);
+  if (!accepted) {
     co_return true;
   }
-  PutInForce(*decoded);
+  PutInForce(*accepted);
   co_return true;
 }
 
--- a/wire/configuration_json.cc
+++ b/wire/configuration_json.cc
@@ -1,9 +1,16 @@
 #include "wire/configuration_json.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/json/serialize.hpp>
+#include <boost/leaf/error.hpp>
+#include <functional>
+#include <iterator>
+#include <map>
+#include <set>
 #include <utility>
 
+#include "contracts/configuration_check.h"
 #include "wire/json_text.h"
 
 namespace anvilloom {
@@ -11,26 +18,326 @@
 namespace {
 
 namespace json = boost::json;
+namespace leaf = boost::leaf;
 
-// Applies `patch` to `target` as RFC 7396 defines it.
-void MergePatch(json::value& target, const json::value& patch) {
-  if (!patch.is_object()) {
-    target = patch;
-    return;
+constexpr std::size_t kDigestDigits = 64;
+
+// Latency targets up to 10 minutes, and whole answers up to 2 hours, leave room
+// for long route reviews; larger values are taken for a wrong unit.
+constexpr std::uint64_t kMaxTargetMs = 600'000;
+constexpr std::uint64_t kMaxAnswerMs = 7'200'000;
+constexpr std::uint64_t kMaxWeight = 1000;
+constexpr std::uint64_t kMaxRequestsPerSecond = 1'000'000;
+constexpr std::uint64_t kMaxTokensPerSecond = 100'000'000;
+constexpr std::uint64_t kMaxPriceMicros = 1'000'000'000;
+constexpr std::uint64_t kMaxSlots = 65'536;
+constexpr std::uint64_t kMaxPermille = 1000;
+constexpr std::uint64_t kMaxOpenRequests = 1'000'000;
+
+constexpr std::string_view kLimits = "limits";
+constexpr std::array<std::string_view, 5> kSections = {
+    "failure_domains", "workspaces", "services", "upstreams", kLimits};
+
+constexpr std::array<std::string_view, 2> kKindWords = {"model", "plain"};
+constexpr std::array<std::string_view, 3> kPriorityWords = {"interactive",
+                                                            "normal", "batch"};
+
+constexpr std::string_view kNonEmptyText = "be a text that is not empty";
+constexpr std::string_view kFlagText = "be true or false";
+constexpr std::string_view kTextListText =
+    "be a list of texts that are not empty";
+
+constexpr std::array<configuration_key, 23> kKeys = {{
+    {"failure_domains", "region", value_form::kText, true, 0, 0, kNonEmptyText},
+    {"workspaces", "credential_sha256", value_form::kDigest, true, 0, 0,
+     "be a SHA-256 digest of 64 lower-case hexadecimal digits"},
+    {"workspaces", "weight", value_form::kNumber, false, 1, kMaxWeight,
+     "be a whole number from 1 to 1000"},
+    {"workspaces", "requests_per_second", value_form::kNumber, false, 0,
+     kMaxRequestsPerSecond,
+     "be a whole number of requests per second from 0 to 1000000"},
+    {"workspaces", "tokens_per_second", value_form::kNumber, false, 0,
+     kMaxTokensPerSecond,
+     "be a whole number of tokens per second from 0 to 100000000"},
+    {"services", "kind", value_form::kWord, true, 0, 0,
+     "be \"model\" or \"plain\""},
+    {"services", "model", value_form::kText, false, 0, 0, kNonEmptyText},
+    {"services", "first_token_ms", value_form::kNumber, false, 1, kMaxTargetMs,
+     "be a whole number of milliseconds from 1 to 600000"},
+    {"services", "token_interval_ms", value_form::kNumber, false, 1,
+     kMaxTargetMs, "be a whole number of milliseconds from 1 to 600000"},
+    {"services", "answer_limit_ms", value_form::kNumber, false, 1, kMaxAnswerMs,
+     "be a whole number of milliseconds from 1 to 7200000"},
+    {"services", "priority", value_form::kWord, false, 0, 0,
+     "be \"interactive\", \"normal\" or \"batch\""},
+    {"services", "repeatable", value_form::kFlag, false, 0, 0, kFlagText},
+    {"services", "identity_fields", value_form::kTextList, false, 0, 0,
+     kTextListText},
+    {"upstreams", "address", value_form::kText, true, 0, 0,
+     "be an IP address and a port, for example 127.0.0.1:9101"},
+    {"upstreams", "failure_domain", value_form::kText, true, 0, 0,
+     kNonEmptyText},
+    {"upstreams", "machine_class", value_form::kText, false, 0, 0,
+     kNonEmptyText},
+    {"upstreams", "price_per_hour_micros", value_form::kNumber, false, 0,
+     kMaxPriceMicros,
+     "be a whole number of millionths of a currency unit per hour from 0 to "
+     "1000000000"},
+    {"upstreams", "reclaimable", value_form::kFlag, false, 0, 0, kFlagText},
+    {"upstreams", "checks_fencing", value_form::kFlag, false, 0, 0, kFlagText},
+    {"upstreams", "slots", value_form::kNumber, false, 1, kMaxSlots,
+     "be a whole number of requests from 1 to 65536"},
+    {"upstreams", "services", value_form::kTextList, false, 0, 0,
+     kTextListText},
+    {kLimits, "retry_permille", value_form::kNumber, false, 0, kMaxPermille,
+     "be a whole number of thousandths from 0 to 1000"},
+    {kLimits, "open_requests_per_workspace", value_form::kNumber, false, 1,
+     kMaxOpenRequests, "be a whole number of requests from 1 to 1000000"},
+}};
+
+std::string_view View(const json::string& text) {
+  return {text.data(), text.size()};
+}
+
+std::string Join(std::string_view path, std::string_view key) {
+  std::string joined(path);
+  if (!joined.empty()) {
+    joined += '/';
   }
-  if (!target.is_object()) {
-    target = json::object();
+  joined += key;
+  return joined;
+}
+
+// Merges files and remembers which one set each value last.
+class file_merger {
+ public:
+  void Add(const json::value& patch, std::string_view file) {
+    Apply(merged_, patch, {}, file);
   }
-  json::object& members = target.get_object();
-  for (const auto& [key, value] : patch.get_object()) {
-    if (value.is_null()) {
-      members.erase(key);
-    } else {
-      MergePatch(members[key], value);
+
+  const json::value& merged() const { return merged_; }
+
+  // The file that touched the path, or the nearest path above it, last.
+  std::string FileOf(std::string_view path) const {
+    for (;;) {
+      const auto found = origins_.find(path);
+      if (found != origins_.end()) {
+        return found->second;
+      }
+      const std::size_t slash = path.rfind('/');
+      if (slash == std::string_view::npos) {
+        return {};
+      }
+      path = path.substr(0, slash);
+    }
+  }
+
+ private:
+  // Applies `patch` to `target` as RFC 7396 defines it.
+  void Apply(json::value& target,
+             const json::value& patch,
+             const std::string& path,
+             std::string_view file) {
+    origins_.insert_or_assign(path, std::string(file));
+    if (!patch.is_object()) {
+      target = patch;
+      return;
+    }
+    if (!target.is_object()) {
+      target = json::object();
     }
+    json::object& members = target.get_object();
+    for (const auto& [key, value] : patch.get_object()) {
+      const std::string inner = Join(path, {key.data(), key.size()});
+      if (value.is_null()) {
+        members.erase(key);
+        origins_.erase(inner);
+      } else {
+        Apply(members[key], value, inner, file);
+      }
+    }
+  }
+
+  json::value merged_ = json::object();
+  std::map<std::string, std::string, std::less<>> origins_;
+};
+
+bool IsDigest(std::string_view text) {
+  const auto digit = [](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+  };
+  return text.size() == kDigestDigits && std::ranges::all_of(text, digit);
+}
+
+bool IsKnownWord(std::string_view key, std::string_view text) {
+  const std::span<const std::string_view> words =
+      key == "kind" ? std::span<const std::string_view>(kKindWords)
+                    : std::span<const std::string_view>(kPriorityWords);
+  return std::ranges::find(words, text) != words.end();
+}
+
+using optional_fault = std::optional<configuration_fault_kind>;
+
+optional_fault CheckText(const json::value& value) {
+  const json::string* text = value.if_string();
+  if (text == nullptr) {
+    return configuration_fault_kind::kWrongType;
+  }
+  return text->empty() ? optional_fault(configuration_fault_kind::kOutOfRange)
+                       : std::nullopt;
+}
+
+optional_fault CheckTextList(const json::value& value) {
+  const json::array* elements = value.if_array();
+  if (elements == nullptr) {
+    return configuration_fault_kind::kWrongType;
+  }
+  for (const json::value& element : *elements) {
+    if (const optional_fault fault = CheckText(element)) {
+      return fault;
+    }
+  }
+  return std::nullopt;
+}
+
+optional_fault CheckNumber(const json::value& value,
+                           const configuration_key& known) {
+  if (!value.is_number()) {
+    return configuration_fault_kind::kWrongType;
+  }
+  boost::system::error_code error;
+  const auto number = value.to_number<std::uint64_t>(error);
+  if (error || number < known.least || number > known.most) {
+    return configuration_fault_kind::kOutOfRange;
   }
+  return std::nullopt;
 }
 
+// What is wrong with the form of one value.
+optional_fault CheckForm(const json::value& value,
+                         const configuration_key& known) {
+  switch (known.form) {
+    case value_form::kText:
+      return CheckText(value);
+    case value_form::kTextList:
+      return CheckTextList(value);
+    case value_form::kFlag:
+      return value.is_bool()
+                 ? std::nullopt
+                 : optional_fault(configuration_fault_kind::kWrongType);
+    case value_form::kNumber:
+      return CheckNumber(value, known);
+    case value_form::kDigest:
+      if (!value.is_string()) {
+        return configuration_fault_kind::kWrongType;
+      }
+      return IsDigest(View(value.get_string()))
+                 ? std::nullopt
+                 : optional_fault(configuration_fault_kind::kOutOfRange);
+    case value_form::kWord:
+      if (!value.is_string()) {
+        return configuration_fault_kind::kWrongType;
+      }
+      return IsKnownWord(known.name, View(value.get_string()))
+                 ? std::nullopt
+                 : optional_fault(configuration_fault_kind::kUnknownWord);
+  }
+  return std::nullopt;
+}
+
+// Lists the known keys of a section, for the message about an unknown one.
+std::string KeysOf(std::string_view section) {
+  std::string listed;
+  for (const configuration_key& known : kKeys) {
+    if (known.section == section) {
+      listed += listed.empty() ? "" : ", ";
+      listed += known.name;
+    }
+  }
+  return listed;
+}
+
+// Collects every fault of the forms of a merged configuration.
+class form_checker {
+ public:
+  explicit form_checker(const file_merger& files) : files_(files) {}
+
+  std::vector<configuration_fault> Run() {
+    for (const auto& [key, value] : files_.merged().get_object()) {
+      CheckSection({key.data(), key.size()}, value);
+    }
+    return std::move(faults_);
+  }
+
+ private:
+  using fault_kind = configuration_fault_kind;
+
+  void Add(fault_kind kind, const std::string& key, std::string expected) {
+    faults_.push_back({kind, files_.FileOf(key), key, std::move(expected)});
+  }
+
+  void CheckSection(std::string_view section, const json::value& value) {
+    const std::string path(section);
+    if (std::ranges::find(kSections, section) == kSections.end()) {
+      Add(fault_kind::kUnknownKey, path,
+          "be one of the sections failure_domains, workspaces, services, "
+          "upstreams and limits");
+    } else if (!value.is_object()) {
+      Add(fault_kind::kWrongType, path, "be an object");
+    } else if (section == kLimits) {
+      CheckMembers(section, path, value);
+    } else {
+      CheckEntries(section, value);
+    }
+  }
+
+  void CheckEntries(std::string_view section, const json::value& entries) {
+    for (const auto& [name, entry] : entries.get_object()) {
+      const std::string path = Join(section, {name.data(), name.size()});
+      if (entry.is_object()) {
+        CheckMembers(section, path, entry);
+      } else {
+        Add(fault_kind::kWrongType, path, "be an object");
+      }
+    }
+  }
+
+  void CheckMembers(std::string_view section,
+                    const std::string& path,
+                    const json::value& entry) {
+    for (const auto& [key, value] : entry.get_object()) {
+      CheckMember(section, Join(path, {key.data(), key.size()}),
+                  {key.data(), key.size()}, value);
+    }
+    for (const configuration_key& known : kKeys) {
+      if (known.section == section && known.required &&
+          FindMember(entry, known.name) == nullptr) {
+        Add(fault_kind::kMissingKey, Join(path, known.name),
+            std::string(known.expected));
+      }
+    }
+  }
+
+  void CheckMember(std::string_view section,
+                   const std::string& path,
+                   std::string_view key,
+                   const json::value& value) {
+    const auto known =
+        std::ranges::find_if(kKeys, [&](const configuration_key& one) {
+          return one.section == section && one.name == key;
+        });
+    if (known == kKeys.end()) {
+      Add(fault_kind::kUnknownKey, path,
+          "be one of the keys " + KeysOf(section));
+    } else if (const optional_fault fault = CheckForm(value, *known)) {
+      Add(*fault, path, std::string(known->expected));
+    }
+  }
+
+  const file_merger& files_;
+  std::vector<configuration_fault> faults_;
+};
+
 std::string Text(const json::value& object, std::string_view key) {
   return std::string(StringMember(object, key).value_or(""));
 }
@@ -130,6 +437,79 @@
   }
 }
 
+// Merges the files in the order of their names; returns those that are no JSON
+// object.
+std::vector<configuration_fault> MergeFiles(
+    std::span<const configuration_file> files,
+    file_merger& merger) {
+  std::vector<configuration_fault> faults;
+  std::vector<const configuration_file*> ordered;
+  for (const configuration_file& file : files) {
+    ordered.push_back(&file);
+  }
+  std::ranges::sort(ordered, {}, &configuration_file::name);
+  for (const configuration_file* file : ordered) {
+    const auto parsed = ParseJsonWithComments(file->text);
+    if (parsed && parsed->is_object()) {
+      merger.Add(*parsed, file->name);
+    } else {
+      faults.push_back({configuration_fault_kind::kNotJson, file->name, "",
+                        "be a JSON object with comments"});
+    }
+  }
+  return faults;
+}
+
+configuration DecodeMerged(const json::value& merged, std::uint64_t revision) {
+  configuration decoded;
+  decoded.revision = revision;
+  ForEachMember(merged, "failure_domains", [&](auto name, const auto& value) {
+    decoded.domains.emplace_back(name, Text(value, "region"));
+  });
+  ForEachMember(merged, "workspaces", [&](auto name, const auto& value) {
+    decoded.workspaces.push_back(DecodeWorkspace(name, value));
+  });
+  ForEachMember(merged, "services", [&](auto name, const auto& value) {
+    decoded.services.push_back(DecodeService(name, value));
+  });
+  ForEachMember(merged, "upstreams", [&](auto name, const auto& value) {
+    decoded.upstreams.push_back(DecodeUpstream(name, value));
+  });
+  if (const json::value* limits = FindMember(merged, kLimits)) {
+    decoded.limits.retry_permille =
+        Number(*limits, "retry_permille", decoded.limits.retry_permille);
+    decoded.limits.open_requests_per_workspace =
+        Number(*limits, "open_requests_per_workspace",
+               decoded.limits.open_requests_per_workspace);
+  }
+  return decoded;
+}
+
+// Adds what the checks between values find. A value whose form is faulty
+// already was decoded as its default, so findings about it are left out, and so
+// are findings about a service whose kind is faulty.
+void AddFindings(const file_merger& merger,
+                 decoded_configuration& decoded,
+                 std::vector<configuration_fault>& faults) {
+  std::set<std::string> reported;
+  for (const configuration_fault& fault : faults) {
+    reported.insert(fault.key);
+  }
+  for (const configuration_finding& finding :
+       CheckConfiguration(decoded.value)) {
+    const std::string entry = finding.key.substr(0, finding.key.rfind('/'));
+    if (reported.contains(finding.key) || reported.contains(entry) ||
+        reported.contains(Join(entry, "kind"))) {
+      continue;
+    }
+    configuration_fault fault{configuration_fault_kind::kInconsistent,
+                              merger.FileOf(finding.key), finding.key,
+                              Expectation(finding)};
+    (IsWarning(finding.kind) ? decoded.warnings : faults)
+        .push_back(std::move(fault));
+  }
+}
+
 }  // namespace
 
 std::string EncodeManifest(const configuration_manifest& manifest) {
@@ -138,6 +518,7 @@
     files.push_back({{"name", entry.name}, {"digest", entry.digest}});
   }
   return json::serialize(json::value{{"revision", manifest.revision},
+                                     {"attempt", manifest.attempt},
                                      {"files", std::move(files)}});
 }
 
@@ -151,50 +532,62 @@
   }
   configuration_manifest manifest;
   manifest.revision = *revision;
+  manifest.attempt = Text(*parsed, "attempt");
   for (const json::value& encoded : files->get_array()) {
     manifest.files.push_back({Text(encoded, "name"), Text(encoded, "digest")});
   }
   return manifest;
 }
 
-std::optional<configuration> DecodeConfiguration(
+std::span<const configuration_key> KnownConfigurationKeys() {
+  return kKeys;
+}
+
+std::string Sentence(const configuration_fault& fault) {
+  const std::string place = "The file " + fault.file;
+  const std::string key = "the key \"" + fault.key + "\"";
+  const std::string expected = "; it must " + fault.expected + ".";
+  switch (fault.kind) {
+    case configuration_fault_kind::kNotJson:
+      return place + " must " + fault.expected + ".";
+    case configuration_fault_kind::kUnknownKey:
+      return place + " has " + key + ", which is not known" + expected;
+    case configuration_fault_kind::kMissingKey:
+      return place + " lacks " + key + expected;
+    case configuration_fault_kind::kWrongType:
+      return place + " has a value of the wrong type for " + key + expected;
+    case configuration_fault_kind::kOutOfRange:
+      return place + " has a value out of range for " + key + expected;
+    case configuration_fault_kind::kUnknownWord:
+      return place + " has an unknown word for " + key + expected;
+    case configuration_fault_kind::kInconsistent:
+      return place + " has a value that does not fit for " + key + expected;
+  }
+  return place + " is not valid.";
+}
+
+leaf::result<decoded_configuration> DecodeWithWarnings(
     std::span<const configuration_file> files,
     std::uint64_t revision) {
-  std::vector<const configuration_file*> ordered;
-  for (const configuration_file& file : files) {
-    ordered.push_back(&file);
+  file_merger merger;
+  std::vector<configuration_fault> faults = MergeFiles(files, merger);
+  const bool whole = faults.empty();
+  std::ranges::move(form_checker(merger).Run(), std::back_inserter(faults));
+  decoded_configuration decoded{DecodeMerged(merger.merged(), revision), {}};
+  if (whole) {
+    AddFindings(merger, decoded, faults);
   }
-  std::ranges::sort(ordered, {}, &configuration_file::name);
-  json::value merged = json::object();
-  for (const configuration_file* file : ordered) {
-    const auto parsed = ParseJsonWithComments(file->text);
-    if (!parsed || !parsed->is_object()) {
-      return std::nullopt;
-    }
-    MergePatch(merged, *parsed);
-  }
-  configuration decoded;
-  decoded.revision = revision;
-  ForEachMember(merged, "failure_domains", [&](auto name, const auto& value) {
-    decoded.domains.emplace_back(name, Text(value, "region"));
-  });
-  ForEachMember(merged, "workspaces", [&](auto name, const auto& value) {
-    decoded.workspaces.push_back(DecodeWorkspace(name, value));
-  });
-  ForEachMember(merged, "services", [&](auto name, const auto& value) {
-    decoded.services.push_back(DecodeService(name, value));
-  });
-  ForEachMember(merged, "upstreams", [&](auto name, const auto& value) {
-    decoded.upstreams.push_back(DecodeUpstream(name, value));
-  });
-  if (const json::value* limits = FindMember(merged, "limits")) {
-    decoded.limits.retry_permille =
-        Number(*limits, "retry_permille", decoded.limits.retry_permille);
-    decoded.limits.open_requests_per_workspace =
-        Number(*limits, "open_requests_per_workspace",
-               decoded.limits.open_requests_per_workspace);
+  if (!faults.empty()) {
+    return leaf::new_error(configuration_faults{std::move(faults)});
   }
   return decoded;
 }
 
+leaf::result<configuration> DecodeConfiguration(
+    std::span<const configuration_file> files,
+    std::uint64_t revision) {
+  BOOST_LEAF_AUTO(decoded, DecodeWithWarnings(files, revision));
+  return std::move(decoded.value);
+}
+
 }  // namespace anvilloom
