--- a/standins/programs/standin_engine.cc
+++ b/standins/programs/standin_engine.cc
@@ -13,6 +13,9 @@
   anvilloom::engine_behaviour behaviour;
   std::int64_t first_token_us = behaviour.first_token_delay.count();
   std::int64_t token_interval_us = behaviour.token_interval.count();
+  std::int64_t prefill_us = behaviour.prefill_per_token.count();
+  std::int64_t import_us = behaviour.import_per_token.count();
+  std::int64_t load_lag_us = behaviour.load_lag.count();
   options::options_description all("standin_engine");
   all.add_options()("help", "Prints this text.")(
       "listen", options::value(&address)->default_value("127.0.0.1:0"),
@@ -21,7 +24,21 @@
       "first-token-us", options::value(&first_token_us),
       "Time to the first token, in microseconds.")(
       "token-interval-us", options::value(&token_interval_us),
-      "Time between tokens, in microseconds.");
+      "Time between tokens, in microseconds.")(
+      "prefill-us", options::value(&prefill_us),
+      "Time to prefill one token, in microseconds.")(
+      "import-us", options::value(&import_us),
+      "Time to import the KV cache of one token, in microseconds.")(
+      "load-lag-us", options::value(&load_lag_us),
+      "Age of the reported load, in microseconds.")(
+      "batch-slowdown-permille",
+      options::value(&behaviour.batch_slowdown_permille),
+      "Growth of the token interval for each other running request.")(
+      "slots", options::value(&behaviour.slots), "Requests that run at once.")(
+      "cache-tokens", options::value(&behaviour.cache_tokens),
+      "Memory of the prefix cache, in tokens.")(
+      "checks-fencing", options::bool_switch(&behaviour.checks_fencing),
+      "Refuses orders with an old fencing number.");
   try {
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, all), values);
@@ -32,6 +49,9 @@
     }
     behaviour.first_token_delay = std::chrono::microseconds(first_token_us);
     behaviour.token_interval = std::chrono::microseconds(token_interval_us);
+    behaviour.prefill_per_token = std::chrono::microseconds(prefill_us);
+    behaviour.import_per_token = std::chrono::microseconds(import_us);
+    behaviour.load_lag = std::chrono::microseconds(load_lag_us);
     anvilloom::model_engine engine(behaviour);
     return anvilloom::ServeUntilSignal(address, 1, engine);
   } catch (const std::exception& failure) {
