Add the reclaim plan, upstream health and stall limits

Pure decisions for streams on upstreams that leave, hang or change. The plan picks among running on, KV export and prefilling the choice with the fewest recomputed tokens that fits the notice. upstream_health turns the counters of a link into quarantine, probation and readmission; one thread reviews, request threads only count. The last upstream of a service is never quarantined, because checked answers of a doubtful upstream are better than none. A link is leaving as long as any source says so.

--- a/common/log.cc
+++ b/common/log.cc
@@ -67,6 +67,22 @@
       return "stream_failed";
     case log_event::kAnswerRejected:
       return "answer_rejected";
+    case log_event::kStreamMoved:
+      return "stream_moved";
+    case log_event::kReclaimNotice:
+      return "reclaim_notice";
+    case log_event::kUpstreamLeaving:
+      return "upstream_leaving";
+    case log_event::kUpstreamQuarantined:
+      return "upstream_quarantined";
+    case log_event::kUpstreamOnProbation:
+      return "upstream_on_probation";
+    case log_event::kUpstreamReadmitted:
+      return "upstream_readmitted";
+    case log_event::kInstanceApiUnavailable:
+      return "instance_api_unavailable";
+    case log_event::kCacheMoveFailed:
+      return "cache_move_failed";
   }
   return "unknown";
 }
--- a/common/log.h
+++ b/common/log.h
@@ -25,6 +25,14 @@
   kStreamResumed = 301,
   kStreamFailed = 302,
   kAnswerRejected = 303,
+  kStreamMoved = 304,
+  kReclaimNotice = 305,
+  kUpstreamLeaving = 306,
+  kUpstreamQuarantined = 307,
+  kUpstreamOnProbation = 308,
+  kUpstreamReadmitted = 309,
+  kInstanceApiUnavailable = 310,
+  kCacheMoveFailed = 311,
 };
 
 enum class log_level { kInfo, kWarning, kError };
--- a/links/link.cc
+++ b/links/link.cc
@@ -46,6 +46,7 @@
 
 void link::ObserveTokenInterval(duration interval) {
   UpdateAverage(token_interval_us_, interval);
+  token_intervals_.fetch_add(1, kRelaxed);
 }
 
 std::uint32_t link::Failed() {
@@ -56,6 +57,36 @@
   failures_in_a_row_.store(0, kRelaxed);
 }
 
+void link::RecordGoodAnswer() {
+  good_answers_.fetch_add(1, kRelaxed);
+}
+
+void link::RecordBadAnswer() {
+  bad_answers_.fetch_add(1, kRelaxed);
+}
+
+void link::ObserveVersion(std::uint64_t version) {
+  // Read first, so that the usual case writes nothing that threads share.
+  if (version_.load(kRelaxed) == version) {
+    return;
+  }
+  const std::uint64_t before = version_.exchange(version, kRelaxed);
+  if (before != 0 && before != version) {
+    prefixes_.Clear();
+    version_changes_.fetch_add(1, kRelaxed);
+  }
+}
+
+void link::SetLeaving(leaving_source source, bool leaving) {
+  const auto bit = static_cast<std::uint8_t>(source);
+  if (leaving) {
+    leaving_.fetch_or(bit, std::memory_order_acq_rel);
+  } else {
+    leaving_.fetch_and(static_cast<std::uint8_t>(~bit),
+                       std::memory_order_acq_rel);
+  }
+}
+
 void link::SetCondition(link_condition condition) {
   condition_.store(condition, std::memory_order_release);
 }
@@ -99,6 +130,9 @@
 }
 
 link_condition link::condition() const {
+  if (leaving_.load(std::memory_order_acquire) != 0) {
+    return link_condition::kLeaving;
+  }
   return condition_.load(std::memory_order_acquire);
 }
 
@@ -110,7 +144,29 @@
 bool link::takes_new_work() const {
   const link_condition current = condition();
   return current == link_condition::kHealthy ||
-         current == link_condition::kProbation;
+         (current == link_condition::kProbation &&
+          outstanding_requests() < kProbationRequests);
+}
+
+bool link::LeavingBy(leaving_source source) const {
+  return (leaving_.load(std::memory_order_acquire) &
+          static_cast<std::uint8_t>(source)) != 0;
+}
+
+health_reading link::health() const {
+  health_reading reading;
+  reading.failures_in_a_row = failures_in_a_row_.load(kRelaxed);
+  reading.good_answers = good_answers_.load(kRelaxed);
+  reading.bad_answers = bad_answers_.load(kRelaxed);
+  reading.version_changes = version_changes_.load(kRelaxed);
+  reading.token_intervals = token_intervals_.load(kRelaxed);
+  reading.outstanding_requests = outstanding_requests();
+  reading.token_interval = token_interval_average();
+  return reading;
+}
+
+std::uint64_t link::version() const {
+  return version_.load(kRelaxed);
 }
 
 }  // namespace anvilloom
--- a/links/link.h
+++ b/links/link.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "common/time.h"
+#include "links/prefix_memory.h"
 
 namespace anvilloom {
 
@@ -20,6 +21,26 @@
   kLeaving,      // Takes none: the upstream is going away.
 };
 
+// What says that an upstream is going away. Each source is set and cleared on
+// its own; any of them makes the link kLeaving.
+enum class leaving_source : std::uint8_t {
+  kNotice = 1,
+  kList = 2,
+  kRefusal = 4,
+};
+
+// What the requests of all threads saw of an upstream, counted since the
+// link was made. Input of upstream_health.
+struct health_reading {
+  std::uint32_t failures_in_a_row = 0;
+  std::uint32_t good_answers = 0;
+  std::uint32_t bad_answers = 0;
+  std::uint32_t version_changes = 0;
+  std::uint32_t token_intervals = 0;
+  std::uint32_t outstanding_requests = 0;
+  duration token_interval{};
+};
+
 // What an upstream reports about its load. Source: GET /load, with a lag.
 struct load_report {
   std::uint32_t running = 0;
@@ -54,7 +75,16 @@
   std::uint32_t Failed();
   void Succeeded();
 
+  // Records a whole answer that passed every check.
+  void RecordGoodAnswer();
+  // Records a malformed or mismatched answer.
+  void RecordBadAnswer();
+  // Records the model version that an answer showed, as a hash that is not
+  // zero. A change drops what is assumed about the upstream's cache.
+  void ObserveVersion(std::uint64_t version);
+
   void SetCondition(link_condition condition);
+  void SetLeaving(leaving_source source, bool leaving);
   // Sets the time after which the upstream is gone. Source: a notice.
   void SetReclaim(deadline reclaim_at);
 
@@ -68,10 +98,20 @@
   duration first_token_average() const;
   duration token_interval_average() const;
   std::uint32_t failures_in_a_row() const;
+  // kLeaving if any source says so, else what SetCondition() set.
   link_condition condition() const;
+  bool LeavingBy(leaving_source source) const;
+  health_reading health() const;
+  // Hash of the latest model version; zero until an answer showed one.
+  std::uint64_t version() const;
+  // Prompts that the upstream has probably cached.
+  prefix_memory& prefixes() { return prefixes_; }
   deadline reclaim_at() const;
+  // On probation, only while fewer than kProbationRequests are outstanding.
   bool takes_new_work() const;
 
+  static constexpr std::uint32_t kProbationRequests = 2;
+
  private:
   static constexpr std::memory_order kRelaxed = std::memory_order_relaxed;
 
@@ -88,6 +128,13 @@
   std::atomic<std::uint32_t> failures_in_a_row_{0};
   std::atomic<link_condition> condition_{link_condition::kHealthy};
   std::atomic<monotonic::rep> reclaim_at_;
+  std::atomic<std::uint8_t> leaving_{0};
+  std::atomic<std::uint32_t> good_answers_{0};
+  std::atomic<std::uint32_t> bad_answers_{0};
+  std::atomic<std::uint32_t> version_changes_{0};
+  std::atomic<std::uint32_t> token_intervals_{0};
+  std::atomic<std::uint64_t> version_{0};
+  prefix_memory prefixes_;
 };
 
 }  // namespace anvilloom
--- /dev/null
+++ b/links/stall_limits.cc
@@ -0,0 +1,45 @@
+#include "links/stall_limits.h"
+
+#include <algorithm>
+
+namespace anvilloom {
+
+namespace {
+
+// Multiples of the contract's targets. Work that waits longer in an engine's
+// queue gets more.
+struct stall_factors {
+  int first_token;
+  int token_interval;
+};
+
+constexpr stall_factors kInteractiveFactors = {4, 20};
+constexpr stall_factors kNormalFactors = {8, 40};
+constexpr stall_factors kBatchFactors = {32, 200};
+// A shorter silence can be a pause of this process or of the network.
+constexpr duration kShortestFirstToken = std::chrono::seconds(2);
+constexpr duration kShortestInterval = std::chrono::seconds(1);
+
+stall_factors FactorsOf(priority rank) {
+  switch (rank) {
+    case priority::kInteractive:
+      return kInteractiveFactors;
+    case priority::kNormal:
+      return kNormalFactors;
+    case priority::kBatch:
+      return kBatchFactors;
+  }
+  return kNormalFactors;
+}
+
+}  // namespace
+
+stall_limits StallLimitsOf(const contract& terms) {
+  const stall_factors factors = FactorsOf(terms.rank);
+  return {std::max(terms.first_token_target * factors.first_token,
+                   kShortestFirstToken),
+          std::max(terms.token_interval_target * factors.token_interval,
+                   kShortestInterval)};
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/test/correctness/reclaim_plan_test.cc
@@ -0,0 +1,187 @@
+// Guards against moves that recompute more tokens than they must, that don't
+// fit the notice, or that carry a cache into another model version.
+
+#include "links/reclaim_plan.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <vector>
+
+namespace anvilloom {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point kNow{duration(1'000'000)};
+
+moving_stream LongStream() {
+  moving_stream stream;
+  stream.prompt_tokens = 2000;
+  stream.generated = 500;
+  stream.remaining = 1000;
+  stream.token_interval = milliseconds(50);
+  return stream;
+}
+
+deadline In(duration left) {
+  return deadline::After(kNow, left);
+}
+
+}  // namespace
+
+SCENARIO("A stream on a leaving upstream loses as few tokens as possible") {
+  const move_target same{upstream_index{1}, true, 0, 5};
+  const move_target patched{upstream_index{2}, false, 0, 0};
+  const move_target cached{upstream_index{3}, false, 2000, 0};
+
+  GIVEN("a stream with 50 s left to run") {
+    const moving_stream stream = LongStream();
+
+    WHEN("the notice is longer than that") {
+      const auto choice =
+          PlanMove(stream, std::vector{same}, In(seconds(60)), kNow);
+
+      THEN("it runs to its end") {
+        REQUIRE(choice->action == reclaim_action::kRunToEnd);
+        REQUIRE(choice->recomputed_tokens == 0);
+      }
+    }
+
+    WHEN("the time of the reclaim is not known") {
+      const auto choice =
+          PlanMove(stream, std::vector{same}, deadline::Never(), kNow);
+
+      THEN("it runs on") {
+        REQUIRE(choice->action == reclaim_action::kRunToEnd);
+      }
+    }
+
+    WHEN("the notice fits an export") {
+      const auto choice = PlanMove(stream, std::vector{patched, cached, same},
+                                   In(seconds(2)), kNow);
+
+      THEN("the cache moves, to the engine of the same version") {
+        REQUIRE(choice->action == reclaim_action::kExport);
+        REQUIRE(choice->target == same.where);
+        // What the source generates in the 282 ms of the transfer.
+        REQUIRE(choice->recomputed_tokens == 5);
+      }
+    }
+
+    WHEN("no engine has the same version") {
+      const auto choice =
+          PlanMove(stream, std::vector{patched, cached}, In(seconds(2)), kNow);
+
+      THEN("it is prefilled where the prompt is cached") {
+        REQUIRE(choice->action == reclaim_action::kReprefill);
+        REQUIRE(choice->target == cached.where);
+        REQUIRE(choice->recomputed_tokens == 500);
+      }
+    }
+
+    WHEN("the notice is too short for an export") {
+      const auto choice = PlanMove(stream, std::vector{same, cached},
+                                   In(milliseconds(400)), kNow);
+
+      THEN("it is prefilled") {
+        REQUIRE(choice->action == reclaim_action::kReprefill);
+        REQUIRE(choice->target == cached.where);
+      }
+    }
+
+    WHEN("so many streams leave at once that they share the network") {
+      moving_stream crowded = stream;
+      crowded.moving_at_once = 20;
+      const auto choice =
+          PlanMove(crowded, std::vector{same}, In(seconds(2)), kNow);
+
+      THEN("the export does not fit and it is prefilled") {
+        REQUIRE(choice->action == reclaim_action::kReprefill);
+      }
+    }
+
+    WHEN("the export failed before") {
+      moving_stream failed = stream;
+      failed.may_export = false;
+      const auto choice =
+          PlanMove(failed, std::vector{same}, In(seconds(2)), kNow);
+
+      THEN("it is prefilled") {
+        REQUIRE(choice->action == reclaim_action::kReprefill);
+      }
+    }
+
+    WHEN("no upstream can take it") {
+      const auto choice = PlanMove(stream, {}, In(seconds(2)), kNow);
+
+      THEN("there is no choice, and the caller of the plan asks again") {
+        REQUIRE(!choice);
+      }
+    }
+
+    WHEN("two targets cost the same") {
+      move_target busy = same;
+      busy.where = upstream_index{7};
+      busy.outstanding_requests = 50;
+      const auto choice =
+          PlanMove(stream, std::vector{busy, same}, In(seconds(2)), kNow);
+
+      THEN("the one with less outstanding work takes it") {
+        REQUIRE(choice->target == same.where);
+      }
+    }
+  }
+}
+
+SCENARIO("Plans hold their rules for random streams and notices") {
+  GIVEN("schedules from fixed seeds") {
+    const unsigned seed = GENERATE(1U, 2U, 3U, 4U, 5U);
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    const auto below = [&](std::uint32_t bound) {
+      return static_cast<std::uint32_t>(random() % bound);
+    };
+
+    THEN("no plan imports into another version, overruns or recomputes more") {
+      for (int round = 0; round < 2000; ++round) {
+        moving_stream stream;
+        stream.prompt_tokens = 1 + below(8000);
+        stream.generated = below(4000);
+        stream.remaining = below(4000);
+        stream.token_interval = milliseconds(1 + below(100));
+        stream.moving_at_once = 1 + below(30);
+        std::vector<move_target> targets;
+        const std::uint32_t count = below(6);
+        for (std::uint32_t i = 0; i < count; ++i) {
+          targets.push_back(
+              {upstream_index{i}, below(2) == 0, below(9000), below(40)});
+        }
+        const duration left = milliseconds(below(30'000));
+        const auto choice = PlanMove(stream, targets, In(left), kNow);
+        if (!choice) {
+          REQUIRE(targets.empty());
+          continue;
+        }
+        if (choice->action == reclaim_action::kRunToEnd) {
+          REQUIRE(stream.token_interval * stream.remaining <= left);
+          continue;
+        }
+        const auto chosen = static_cast<std::uint32_t>(*choice->target);
+        if (choice->action == reclaim_action::kExport) {
+          REQUIRE(targets[chosen].same_version);
+          REQUIRE(stream.token_interval * choice->recomputed_tokens <= left);
+        }
+        for (const move_target& other : targets) {
+          const std::uint32_t cached =
+              std::min(other.cached_tokens, stream.prompt_tokens);
+          REQUIRE(choice->recomputed_tokens <=
+                  stream.prompt_tokens + stream.generated - cached);
+        }
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/test/correctness/upstream_health_test.cc
@@ -0,0 +1,227 @@
+// Guards against work for an upstream that was changed silently or gives wrong
+// answers, and against quarantines that strand callers.
+
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "links/health.h"
+
+namespace anvilloom {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Reviews one upstream at the interval of the entry instance.
+class reviewed_upstream {
+ public:
+  link& path() { return path_; }
+
+  link_condition Review(bool is_last = false) {
+    now_ += milliseconds(50);
+    const link_condition next = health_.Review(path_.health(), now_, is_last);
+    path_.SetCondition(next);
+    return next;
+  }
+
+  link_condition ReviewFor(duration time) {
+    for (const time_point end = now_ + time; now_ < end;) {
+      Review();
+    }
+    return path_.condition();
+  }
+
+  // A good answer of ten tokens.
+  void Answer(duration interval, std::uint64_t version = 1) {
+    path_.ObserveVersion(version);
+    for (int i = 0; i < 10; ++i) {
+      path_.ObserveTokenInterval(interval);
+    }
+    path_.Succeeded();
+    path_.RecordGoodAnswer();
+  }
+
+  void Settle() {
+    for (int i = 0; i < 60; ++i) {
+      Answer(milliseconds(20));
+      Review();
+    }
+  }
+
+  const upstream_health& health() const { return health_; }
+
+ private:
+  link path_{"engine-1"};
+  upstream_health health_;
+  time_point now_{duration(1)};
+};
+
+}  // namespace
+
+SCENARIO("An upstream that changes silently is quarantined and readmitted") {
+  GIVEN("an upstream with a steady record") {
+    reviewed_upstream upstream;
+    upstream.Settle();
+    REQUIRE(upstream.path().condition() == link_condition::kHealthy);
+    upstream.path().prefixes().Remember(77);
+
+    WHEN("an answer shows another model version") {
+      upstream.Answer(milliseconds(20), 2);
+      upstream.Review();
+
+      THEN("it gets no new work and its cache is no longer counted on") {
+        REQUIRE(!upstream.path().takes_new_work());
+        REQUIRE(upstream.health().cause() == health_cause::kVersionChange);
+        REQUIRE(!upstream.path().prefixes().Holds(77));
+      }
+
+      AND_WHEN("the quarantine has passed") {
+        REQUIRE(upstream.ReviewFor(seconds(3)) == link_condition::kProbation);
+
+        THEN("it takes no more than a few requests at once") {
+          REQUIRE(upstream.path().takes_new_work());
+          upstream.path().Begin(1);
+          upstream.path().Begin(1);
+          REQUIRE(!upstream.path().takes_new_work());
+        }
+
+        THEN("good answers let it back") {
+          for (int i = 0; i < 3; ++i) {
+            upstream.Answer(milliseconds(20), 2);
+          }
+          REQUIRE(upstream.Review() == link_condition::kHealthy);
+        }
+
+        THEN("a failure quarantines it for twice as long") {
+          upstream.path().Failed();
+          REQUIRE(upstream.Review() == link_condition::kQuarantined);
+          REQUIRE(upstream.ReviewFor(milliseconds(3500)) ==
+                  link_condition::kQuarantined);
+          REQUIRE(upstream.ReviewFor(seconds(1)) == link_condition::kProbation);
+        }
+      }
+    }
+
+    WHEN("its tokens take three times as long at the same load") {
+      int reviews = 0;
+      while (upstream.path().condition() == link_condition::kHealthy &&
+             reviews < 100) {
+        upstream.Answer(milliseconds(60));
+        upstream.Review();
+        ++reviews;
+      }
+
+      THEN("the shift is found within a second of reviews") {
+        REQUIRE(upstream.health().cause() == health_cause::kLatencyShift);
+        REQUIRE(reviews <= 20);
+      }
+    }
+
+    WHEN("its tokens take longer because its load grew") {
+      for (int i = 0; i < 8; ++i) {
+        upstream.path().Begin(1);
+      }
+      for (int i = 0; i < 100; ++i) {
+        upstream.Answer(milliseconds(60));
+        upstream.Review();
+      }
+
+      THEN("that is no fault") {
+        REQUIRE(upstream.path().condition() == link_condition::kHealthy);
+      }
+    }
+
+    WHEN("one answer is malformed") {
+      upstream.path().RecordBadAnswer();
+
+      THEN("it stays") {
+        REQUIRE(upstream.Review() == link_condition::kHealthy);
+      }
+    }
+
+    WHEN("several answers are malformed or mismatched") {
+      upstream.path().RecordBadAnswer();
+      upstream.path().RecordBadAnswer();
+
+      THEN("it is quarantined") {
+        REQUIRE(upstream.Review() == link_condition::kQuarantined);
+        REQUIRE(upstream.health().cause() == health_cause::kBadAnswers);
+      }
+    }
+
+    WHEN("three calls fail in a row") {
+      for (int i = 0; i < 3; ++i) {
+        upstream.path().Failed();
+      }
+
+      THEN("it is quarantined") {
+        REQUIRE(upstream.Review() == link_condition::kQuarantined);
+      }
+
+      THEN("it keeps its work if it is the last of its service") {
+        REQUIRE(upstream.Review(true) == link_condition::kHealthy);
+      }
+    }
+  }
+}
+
+SCENARIO("A vanished upstream comes back whatever happened") {
+  GIVEN("random evidence from fixed seeds") {
+    const unsigned seed = GENERATE(11U, 12U, 13U, 14U);
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    reviewed_upstream upstream;
+    for (int i = 0; i < 500; ++i) {
+      switch (random() % 5) {
+        case 0:
+          upstream.path().Failed();
+          break;
+        case 1:
+          upstream.path().RecordBadAnswer();
+          break;
+        case 2:
+          upstream.Answer(milliseconds(10 + random() % 100), 1 + random() % 2);
+          break;
+        default:
+          break;
+      }
+      upstream.Review();
+    }
+
+    WHEN("it answers well from then on, whenever it is asked") {
+      for (int i = 0; i < 3000; ++i) {
+        if (upstream.path().takes_new_work()) {
+          upstream.Answer(milliseconds(20));
+        }
+        upstream.Review();
+      }
+
+      THEN("it is healthy again") {
+        REQUIRE(upstream.path().condition() == link_condition::kHealthy);
+      }
+    }
+  }
+}
+
+SCENARIO("Each source that says an upstream leaves counts by itself") {
+  GIVEN("a link") {
+    link path("engine-1");
+
+    WHEN("two sources say that it leaves and one takes it back") {
+      path.SetLeaving(leaving_source::kNotice, true);
+      path.SetLeaving(leaving_source::kList, true);
+      path.SetLeaving(leaving_source::kList, false);
+
+      THEN("it is still leaving, whatever its health") {
+        path.SetCondition(link_condition::kHealthy);
+        REQUIRE(path.condition() == link_condition::kLeaving);
+        REQUIRE(!path.takes_new_work());
+        path.SetLeaving(leaving_source::kNotice, false);
+        REQUIRE(path.takes_new_work());
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
