Move streams off leaving upstreams and quarantine doubtful ones

A stream died with four failed attempts, a hung engine was found only at the answer deadline, and reclaims were not known.

stream_attempt reads one answer on its own coroutine; stream_runner drives the attempts: it waits and tries again until the deadline when no upstream takes the stream, finds hung engines by stall limits from the contract, and carries out the reclaim plan on a notice. notice_follower marks links from notices and the list and wakes the streams; health_reviewer sets conditions every 50 ms. 'Not run' is said only if nothing was sent. Settings instance_api and reclaim_plan, events E304 to E311.

--- /dev/null
+++ b/entry/chosen_upstream.h
@@ -0,0 +1,56 @@
+// Defines chosen_upstream, an upstream copied out of the topology for one
+// attempt, and the choices that the stream runner makes among upstreams.
+#ifndef ENTRY_CHOSEN_UPSTREAM_H_
+#define ENTRY_CHOSEN_UPSTREAM_H_
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "entry/process_state.h"
+#include "entry/stream_session.h"
+#include "links/reclaim_plan.h"
+
+namespace anvilloom {
+
+// Stays valid when the topology changes.
+struct chosen_upstream {
+  std::string address;
+  std::shared_ptr<link> path;
+};
+
+using shared_links = std::vector<std::shared_ptr<link>>;
+
+// Chooses by the routing policy, among upstreams that are not in `excluded`.
+std::optional<chosen_upstream> ChooseUpstream(process_state& process,
+                                              const stream_session& session,
+                                              const shared_links& excluded);
+
+// Whether any upstream is declared for the stream's service.
+bool HasUpstreams(process_state& process, const stream_session& session);
+
+// A planned move, and where it goes.
+struct planned_move {
+  reclaim_choice choice;
+  std::optional<chosen_upstream> target;
+};
+
+// Decides what happens to a stream that runs on `source`, which is leaving.
+std::optional<planned_move> ChooseMove(process_state& process,
+                                       const stream_session& session,
+                                       const link& source,
+                                       const shared_links& excluded,
+                                       bool may_export);
+
+// Hashes under which a link's prefix_memory holds a prompt: the whole and its
+// leading part.
+std::uint64_t PromptHash(const stream_session& session);
+std::uint64_t PrefixHash(const stream_session& session);
+// Tokens of the prompt that an upstream has probably cached.
+std::uint32_t CachedTokens(const stream_session& session, link& path);
+
+}  // namespace anvilloom
+
+#endif  // ENTRY_CHOSEN_UPSTREAM_H_
--- a/entry/entry_instance.cc
+++ b/entry/entry_instance.cc
@@ -32,7 +32,9 @@
       workers_(MakeWorkers(process_, request_pool_)),
       request_handler_(workers_),
       admin_handler_(process_, workers_),
-      follower_(process_, control_pool_.context(0).get_executor()) {
+      follower_(process_, control_pool_.context(0).get_executor()),
+      notices_(process_, workers_, control_pool_.context(0).get_executor()),
+      health_(process_, control_pool_.context(0).get_executor()) {
   const http_server_limits limits;
   callers_ = std::make_unique<http_server>(
       request_pool_, process_.settings.listen, limits, request_handler_);
@@ -40,6 +42,9 @@
       control_pool_, process_.settings.admin_listen, limits, admin_handler_);
   boost::asio::co_spawn(control_pool_.context(0), follower_.Run(),
                         boost::asio::detached);
+  notices_.Start();
+  boost::asio::co_spawn(control_pool_.context(0), health_.Run(),
+                        boost::asio::detached);
   request_pool_.Start();
   control_pool_.Start();
   Log(log_level::kInfo, log_event::kStarted,
--- a/entry/entry_instance.h
+++ b/entry/entry_instance.h
@@ -8,6 +8,8 @@
 
 #include "entry/admin_handler.h"
 #include "entry/configuration_follower.h"
+#include "entry/health_reviewer.h"
+#include "entry/notice_follower.h"
 #include "entry/process_state.h"
 #include "entry/request_handler.h"
 #include "entry/worker.h"
@@ -38,6 +40,8 @@
   request_handler request_handler_;
   admin_handler admin_handler_;
   configuration_follower follower_;
+  notice_follower notices_;
+  health_reviewer health_;
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> admin_;
 };
--- a/entry/request_metrics.cc
+++ b/entry/request_metrics.cc
@@ -93,6 +93,9 @@
   counter("tokens_total", metrics.tokens);
   counter("recomputed_tokens_total", metrics.recomputed_tokens);
   counter("rejected_chunks_total", metrics.rejected_chunks);
+  counter("streams_moved_by_export_total", metrics.moved_by_export);
+  counter("streams_moved_by_prefill_total", metrics.moved_by_prefill);
+  counter("stalled_attempts_total", metrics.stalled_attempts);
   AppendSummary(out, "first_token_us", label, metrics.first_token);
   AppendSummary(out, "token_interval_us", label, metrics.token_interval);
 }
--- a/entry/request_metrics.h
+++ b/entry/request_metrics.h
@@ -56,6 +56,10 @@
   std::uint64_t tokens = 0;
   std::uint64_t recomputed_tokens = 0;
   std::uint64_t rejected_chunks = 0;
+  // Streams moved off a leaving upstream, by how.
+  std::uint64_t moved_by_export = 0;
+  std::uint64_t moved_by_prefill = 0;
+  std::uint64_t stalled_attempts = 0;
   latency_summary first_token;
   latency_summary token_interval;
 };
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -16,10 +16,10 @@
 namespace json = boost::json;
 namespace leaf = boost::leaf;
 
-constexpr std::array<std::string_view, 7> kKeys = {
+constexpr std::array<std::string_view, 9> kKeys = {
     "name",         "failure_domain",     "listen",
     "admin_listen", "admin_token_sha256", "object_api",
-    "threads"};
+    "threads",      "instance_api",       "reclaim_plan"};
 constexpr std::size_t kMaxThreads = 64;
 
 // Collects the first fault while members are read.
@@ -63,6 +63,18 @@
     into = *number;
   }
 
+  void Flag(std::string_view key, bool& into) {
+    if (FindMember(settings_, key) == nullptr) {
+      return;
+    }
+    const auto flag = BoolMember(settings_, key);
+    if (!flag) {
+      Fail(settings_fault_kind::kWrongType, key);
+      return;
+    }
+    into = *flag;
+  }
+
   void Fail(settings_fault_kind kind, std::string_view key) {
     if (!failed_) {
       fault_ = {kind, std::string(file_), std::string(key)};
@@ -143,6 +155,8 @@
   reader.Address("admin_listen", false, settings.admin_listen);
   reader.Text("admin_token_sha256", false, settings.admin_token_sha256);
   reader.Address("object_api", true, settings.object_api);
+  reader.Address("instance_api", false, settings.instance_api);
+  reader.Flag("reclaim_plan", settings.reclaim_plan);
   reader.Count("threads", kMaxThreads, settings.threads);
   if (!IsName(settings.name)) {
     reader.Fail(settings_fault_kind::kBadName, "name");
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -21,6 +21,11 @@
   std::string admin_listen = "127.0.0.1:8081";
   std::string admin_token_sha256;
   std::string object_api;
+  // Empty if no instance API announces reclaims.
+  std::string instance_api;
+  // Whether streams move when their upstream receives a notice. Without it
+  // they run until the upstream is gone and are computed again elsewhere.
+  bool reclaim_plan = true;
   std::size_t threads = 2;
 };
 
--- /dev/null
+++ b/entry/stream_attempt.cc
@@ -0,0 +1,250 @@
+#include "entry/stream_attempt.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "common/hash.h"
+#include "common/log.h"
+
+namespace anvilloom {
+
+namespace {
+
+namespace net = boost::asio;
+using http_verb = boost::beast::http::verb;
+
+constexpr std::string_view kEventData = "data: ";
+constexpr std::string_view kDone = "[DONE]";
+constexpr std::string_view kLeavingHeader = "X-Leaving";
+
+// Counts an attempt on its link for as long as it runs.
+class link_use {
+ public:
+  link_use(link& path, std::uint32_t tokens) : path_(path), tokens_(tokens) {
+    path_.Begin(tokens_);
+  }
+  ~link_use() { path_.End(tokens_); }
+  link_use(const link_use&) = delete;
+  link_use& operator=(const link_use&) = delete;
+
+ private:
+  link& path_;
+  std::uint32_t tokens_;
+};
+
+http_request EncodeAttempt(const stream_session& session,
+                           std::string_view attempt_id,
+                           std::string_view cache_handle) {
+  const stream_order& order = session.order();
+  resume_point resume;
+  resume.tokens = session.tokens();
+  resume.text = session.text();
+  resume.cache_handle = cache_handle;
+  return MakeRequest(
+      http_verb::post, "/v1/chat/completions",
+      EncodeEngineRequest(order.request, order.target.model, attempt_id,
+                          order.target.terms.rank, resume));
+}
+
+std::uint32_t EstimatePrefill(const stream_session& session, link& path) {
+  const std::uint32_t prompt = EstimatePromptTokens(session.order().request);
+  return prompt + session.tokens() - CachedTokens(session, path);
+}
+
+}  // namespace
+
+stream_attempt::stream_attempt(worker& self,
+                               std::shared_ptr<stream_session> session,
+                               chosen_upstream chosen,
+                               std::uint32_t number)
+    : self_(self),
+      session_(std::move(session)),
+      chosen_(std::move(chosen)),
+      number_(number),
+      id_(session_->order().stream_id + "/" + std::to_string(number)),
+      stall_(StallLimitsOf(session_->order().target.terms)),
+      check_(id_, session_->tokens()),
+      started_at_(self.process().clock.Now()),
+      last_token_at_(started_at_),
+      prefilled_(EstimatePrefill(*session_, *chosen_.path)) {}
+
+void stream_attempt::Start(std::string cache_handle) {
+  if (!cache_handle.empty()) {
+    // The import covers everything but what was generated meanwhile.
+    prefilled_ = 0;
+  }
+  net::co_spawn(self_.context(),
+                Run(shared_from_this(), std::move(cache_handle)),
+                net::detached);
+}
+
+void stream_attempt::Abandon() {
+  abandoned_ = true;
+  if (answer_) {
+    answer_->Close();
+  }
+}
+
+std::uint32_t stream_attempt::recomputed_tokens() const {
+  return number_ > 1 && first_seen_ ? prefilled_ : 0;
+}
+
+awaitable<void> stream_attempt::Run(std::shared_ptr<stream_attempt> keep_alive,
+                                    std::string cache_handle) {
+  const std::shared_ptr<link> path = chosen_.path;
+  const link_use use(*path, session_->order().request.max_tokens);
+  Finish(co_await ReadAnswer(std::move(cache_handle)));
+  keep_alive->answer_.reset();
+}
+
+awaitable<attempt_end> stream_attempt::ReadAnswer(std::string cache_handle) {
+  auto opened = co_await self_.client().Open(
+      chosen_.address, EncodeAttempt(*session_, id_, cache_handle),
+      StallDeadline());
+  if (abandoned_) {
+    co_return attempt_end::kBroken;
+  }
+  if (!opened) {
+    co_return EndForFailure(opened.error());
+  }
+  answer_ = std::move(*opened);
+  if (answer_->status() != http_status::ok) {
+    co_return EndForStatus();
+  }
+  for (;;) {
+    const auto piece = co_await answer_->ReadSome(StallDeadline());
+    if (abandoned_) {
+      co_return attempt_end::kBroken;
+    }
+    if (!piece) {
+      co_return EndForFailure(piece.error());
+    }
+    if (piece->empty()) {
+      co_return done_&& check_.complete() ? attempt_end::kComplete
+                                          : attempt_end::kBroken;
+    }
+    if (!Take(*piece)) {
+      co_return attempt_end::kBadAnswer;
+    }
+  }
+}
+
+attempt_end stream_attempt::EndForStatus() const {
+  switch (answer_->status()) {
+    case http_status::service_unavailable:
+      return answer_->Header(kLeavingHeader) == "1" ? attempt_end::kLeaving
+                                                    : attempt_end::kRefused;
+    case http_status::conflict:
+    case http_status::too_many_requests:
+      return attempt_end::kRefused;
+    case http_status::bad_request:
+    case http_status::payload_too_large:
+    case http_status::unprocessable_entity:
+      return attempt_end::kRejected;
+    default:
+      return attempt_end::kBroken;
+  }
+}
+
+attempt_end stream_attempt::EndForFailure(
+    const transfer_failure& failure) const {
+  if (failure.error == transfer_error::kTimedOut) {
+    return attempt_end::kStalled;
+  }
+  if (failure.error == transfer_error::kMalformed) {
+    return attempt_end::kBadAnswer;
+  }
+  return failure.sent ? attempt_end::kBroken : attempt_end::kNotSent;
+}
+
+bool stream_attempt::Take(std::string_view piece) {
+  lines_.Append(piece);
+  while (const auto line = lines_.NextLine()) {
+    if (line->starts_with(kEventData) &&
+        !TakeData(line->substr(kEventData.size()))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool stream_attempt::TakeData(std::string_view data) {
+  if (data == kDone) {
+    done_ = true;
+    return true;
+  }
+  const auto chunk = decoder_.Decode(data);
+  if (!chunk) {
+    return Reject();
+  }
+  switch (check_.Observe(*chunk)) {
+    case chunk_verdict::kAccept:
+      Accept(*chunk);
+      return true;
+    case chunk_verdict::kDuplicate:
+      ++self_.metrics().rejected_chunks;
+      return true;
+    case chunk_verdict::kVersionChange:
+      chosen_.path->ObserveVersion(Hash64(chunk->model_version));
+      return Reject();
+    default:
+      return Reject();
+  }
+}
+
+void stream_attempt::Accept(const answer_chunk& chunk) {
+  if (!chunk.model_version.empty()) {
+    chosen_.path->ObserveVersion(Hash64(chunk.model_version));
+    if (session_->model_version() != chunk.model_version) {
+      session_->SetModelVersion(chunk.model_version);
+    }
+  }
+  if (chunk.prefilled_tokens) {
+    prefilled_ = *chunk.prefilled_tokens;
+  }
+  if (chunk.token_index) {
+    ObserveTiming();
+    ++self_.metrics().tokens;
+    session_->Append(chunk.text);
+  }
+}
+
+void stream_attempt::ObserveTiming() {
+  const time_point now = self_.process().clock.Now();
+  if (!first_seen_) {
+    first_seen_ = true;
+    chosen_.path->ObserveFirstToken(now - started_at_);
+    chosen_.path->prefixes().Remember(PromptHash(*session_));
+    chosen_.path->prefixes().Remember(PrefixHash(*session_));
+    if (session_->tokens() == 0) {
+      self_.metrics().first_token.Add(now - session_->order().accepted_at);
+    }
+  } else {
+    chosen_.path->ObserveTokenInterval(now - last_token_at_);
+    self_.metrics().token_interval.Add(now - last_token_at_);
+  }
+  last_token_at_ = now;
+}
+
+bool stream_attempt::Reject() {
+  ++self_.metrics().rejected_chunks;
+  Log(log_level::kWarning, log_event::kAnswerRejected,
+      {{"stream", session_->order().stream_id},
+       {"upstream", std::string(chosen_.path->upstream_name())}});
+  return false;
+}
+
+deadline stream_attempt::StallDeadline() const {
+  const duration silence =
+      first_seen_ ? stall_.token_interval : stall_.first_token;
+  return deadline::After(last_token_at_, silence)
+      .Earlier(session_->order().answer_by);
+}
+
+void stream_attempt::Finish(attempt_end end) {
+  end_ = end;
+  session_->WakeDriver();
+}
+
+}  // namespace anvilloom
--- a/entry/stream_session.cc
+++ b/entry/stream_session.cc
@@ -4,11 +4,13 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "wire/steady_clock.h"
+
 namespace anvilloom {
 
 stream_session::stream_session(const boost::asio::any_io_executor& executor,
                                stream_order order)
-    : order_(std::move(order)), changed_(executor) {
+    : order_(std::move(order)), changed_(executor), wake_(executor) {
   changed_.expires_at(std::chrono::steady_clock::time_point::max());
 }
 
@@ -43,6 +45,15 @@
       boost::asio::as_tuple(boost::asio::use_awaitable));
 }
 
+awaitable<void> stream_session::AwaitWake(deadline until) {
+  wake_.expires_at(ToSteady(until));
+  co_await wake_.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
+void stream_session::WakeDriver() {
+  wake_.cancel();
+}
+
 void stream_session::Notify() {
   changed_.cancel();
 }
--- a/entry/stream_session.h
+++ b/entry/stream_session.h
@@ -59,6 +59,11 @@
   // Returns when a token was appended or the phase changed since the call.
   awaitable<void> Changed();
 
+  // Lets the coroutine that drives the stream wait until WakeDriver() or
+  // `until`, whichever is first.
+  awaitable<void> AwaitWake(deadline until);
+  void WakeDriver();
+
  private:
   void Notify();
 
@@ -71,6 +76,8 @@
   std::optional<refusal> failure_;
   // Never expires; cancelled to wake the readers.
   boost::asio::steady_timer changed_;
+  // Cancelled to wake the driver.
+  boost::asio::steady_timer wake_;
 };
 
 }  // namespace anvilloom
--- /dev/null
+++ b/test/error/notice_test.cc
@@ -0,0 +1,193 @@
+// Guards against new work for upstreams that are leaving, and against streams
+// that break or recompute needlessly when their upstream is reclaimed.
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <thread>
+
+#include "test/support/stream_world.h"
+
+namespace anvilloom {
+
+namespace {
+
+using std::chrono::steady_clock;
+
+stream_world_options Engines(std::size_t count) {
+  stream_world_options options;
+  options.engines.resize(count);
+  options.service = R"({"first_token_ms":250,"token_interval_ms":25})";
+  return options;
+}
+
+void RequireWhole(const streamed_answer& answer,
+                  std::string_view prompt,
+                  std::uint32_t tokens) {
+  REQUIRE(answer.status == 200);
+  REQUIRE(answer.text == ExpectedAnswer(prompt, tokens));
+  REQUIRE(answer.consecutive);
+  REQUIRE(answer.ended);
+}
+
+// Keeps asking for short streams until destroyed.
+class steady_load {
+ public:
+  explicit steady_load(const stream_world& world)
+      : thread_([this, &world] {
+          while (!stop_) {
+            world.Stream("load", 1);
+          }
+        }) {}
+  ~steady_load() {
+    stop_ = true;
+    thread_.join();
+  }
+
+ private:
+  std::atomic<bool> stop_{false};
+  std::thread thread_;
+};
+
+}  // namespace
+
+SCENARIO("A leaving upstream gets no new work") {
+  GIVEN("two engines under load") {
+    stream_world world(Engines(2));
+    world.AnswerOnceEach();
+
+    WHEN("one gets a notice") {
+      const auto given_at = steady_clock::now();
+      world.GiveNotice(1, 30'000);
+      REQUIRE(Eventually([&] { return world.Condition(1) == "leaving"; },
+                         std::chrono::seconds(5)));
+      const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+          steady_clock::now() - given_at);
+      WARN("Time from notice to no new work: " << took.count() << " ms");
+
+      THEN("no request reaches it within seconds") {
+        REQUIRE(took < std::chrono::seconds(3));
+        const std::uint64_t seen = world.Seen(1);
+        {
+          const steady_load load(world);
+          std::this_thread::sleep_for(std::chrono::seconds(1));
+        }
+        REQUIRE(world.Seen(1) == seen);
+      }
+    }
+
+    WHEN("one refuses new work because it is leaving") {
+      world.Ask(1, "/leave", "");
+      {
+        const steady_load load(world);
+        REQUIRE(Eventually([&] { return world.Condition(1) == "leaving"; },
+                           std::chrono::seconds(5)));
+      }
+
+      THEN("it is left alone while callers are served") {
+        const std::uint64_t seen = world.Seen(1);
+        RequireWhole(world.Stream("a plan", 5), "a plan", 5);
+        REQUIRE(world.Seen(1) == seen);
+      }
+    }
+
+    WHEN("one is dead without notice") {
+      world.engine(1).Kill();
+      {
+        const steady_load load(world);
+        REQUIRE(Eventually([&] { return world.Condition(1) == "quarantined"; },
+                           std::chrono::seconds(5)));
+      }
+
+      THEN("failures in a row keep new work away from it") {
+        RequireWhole(world.Stream("a plan", 5), "a plan", 5);
+      }
+    }
+  }
+
+  GIVEN("an instance API whose notices fail and whose list lags") {
+    stream_world_options options = Engines(2);
+    options.list_lag_ms = "500";
+    stream_world world(options);
+    Call(world.system().port("instances"), boost::beast::http::verb::post,
+         "/faults", R"({"action":"refuse","path":"/notices","count":9999})");
+    // The wait that was open before the fault still answers the first notice.
+    world.GiveNotice(2, 30'000);
+    REQUIRE(Eventually([&] { return world.Condition(2) == "leaving"; },
+                       std::chrono::seconds(5)));
+
+    WHEN("an instance leaves") {
+      world.GiveNotice(1, 30'000);
+
+      THEN("the list says so") {
+        REQUIRE(Eventually([&] { return world.Condition(1) == "leaving"; },
+                           std::chrono::seconds(5)));
+      }
+    }
+  }
+}
+
+SCENARIO("A stream outlives the announced reclaim of its engine") {
+  GIVEN("a stream in the middle of its answer on one of three engines") {
+    stream_world world(Engines(3));
+    world.AnswerOnceEach();
+    const double before = world.Metric("recomputed_tokens_total");
+    auto answer = world.StreamAside("a long plan", 150);
+    REQUIRE(world.AwaitTokens(30));
+    const std::size_t holder = world.BusiestEngine();
+    REQUIRE(holder != 0);
+
+    WHEN("the engine is reclaimed a second after the notice") {
+      world.GiveNotice(holder, 1000);
+      std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+      world.engine(holder).Kill();
+
+      THEN("the cache moved first, and almost nothing is computed again") {
+        RequireWhole(answer.get(), "a long plan", 150);
+        REQUIRE(world.Metric("streams_moved_by_export_total") == 1);
+        REQUIRE(world.Metric("recomputed_tokens_total") - before < 10);
+      }
+    }
+
+    WHEN("the notice is long enough to run to the end") {
+      world.GiveNotice(holder, 60'000);
+
+      THEN("the stream stays and nothing is computed again") {
+        RequireWhole(answer.get(), "a long plan", 150);
+        REQUIRE(world.Metric("streams_moved_by_export_total") == 0);
+        REQUIRE(world.Metric("streams_moved_by_prefill_total") == 0);
+        REQUIRE(world.Metric("recomputed_tokens_total") == before);
+      }
+    }
+
+    WHEN("the engine dies while its cache is being exported") {
+      world.AddFault(holder, R"({"action":"delay","path":"/kv/export",)"
+                             R"("delay_ms":5000})");
+      world.GiveNotice(holder, 1500);
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+      world.engine(holder).Kill();
+
+      THEN("the stream is computed again elsewhere and is whole") {
+        RequireWhole(answer.get(), "a long plan", 150);
+        REQUIRE(world.Metric("streams_moved_by_export_total") == 0);
+      }
+    }
+
+    WHEN("the other engines were patched to another version unseen") {
+      for (std::size_t i = 1; i <= 3; ++i) {
+        if (i != holder) {
+          world.Ask(i, "/version", R"({"version":"v2"})");
+        }
+      }
+      world.GiveNotice(holder, 1000);
+
+      THEN("the cache is refused and the stream is prefilled instead") {
+        RequireWhole(answer.get(), "a long plan", 150);
+        REQUIRE(world.Metric("streams_moved_by_export_total") == 0);
+        REQUIRE(world.Metric("streams_moved_by_prefill_total") == 1);
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/test/support/stream_world.h
@@ -0,0 +1,90 @@
+// Defines stream_world, a local_system with engines, an instance API and one
+// entry instance, for tests of streams that survive faults of upstreams.
+#ifndef TEST_SUPPORT_STREAM_WORLD_H_
+#define TEST_SUPPORT_STREAM_WORLD_H_
+
+#include <cstdint>
+#include <future>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "test/support/local_system.h"
+
+namespace anvilloom {
+
+// What a caller got of one stream.
+struct streamed_answer {
+  unsigned status = 0;
+  std::string text;
+  std::uint32_t tokens = 0;
+  // Every token had the index after the one before it.
+  bool consecutive = true;
+  // The end marker arrived.
+  bool ended = false;
+};
+
+// Reads the server-sent events of a whole stream.
+streamed_answer ReadEvents(const caller_answer& answer);
+
+// How a stream_world is made.
+struct stream_world_options {
+  // Arguments for each engine.
+  std::vector<std::vector<std::string>> engines;
+  // Appended to the settings of the entry instance.
+  std::string settings;
+  // Members of the service "plan", for example {"priority":"batch"}.
+  std::string service = "{}";
+  std::string list_lag_ms = "0";
+};
+
+class stream_world {
+ public:
+  explicit stream_world(const stream_world_options& options);
+
+  // The name of engine `number`, counted from 1: upstream, instance, process.
+  static std::string EngineName(std::size_t number);
+  child_process& engine(std::size_t number);
+  // Sends a request to engine `number` itself.
+  caller_answer Ask(std::size_t number,
+                    std::string_view path,
+                    std::string_view body) const;
+  // Adds a fault rule for chat completions (standins/fault_switch.h).
+  void AddFault(std::size_t number, std::string_view rule) const;
+  void GiveNotice(std::size_t number, std::uint32_t until_reclaim_ms) const;
+
+  streamed_answer Stream(std::string_view prompt,
+                         std::uint32_t tokens,
+                         std::uint32_t until_ms = 60'000) const;
+  std::future<streamed_answer> StreamAside(std::string prompt,
+                                           std::uint32_t tokens) const;
+
+  // Lets every engine answer once, so that its model version is known.
+  void AnswerOnceEach();
+
+  // Sum over threads of a metric without its prefix "anvilloom_".
+  double Metric(std::string_view name) const;
+  // The condition of engine `number`, from the state dump.
+  std::string Condition(std::size_t number) const;
+  // The engine on which the most requests run, or 0.
+  std::size_t BusiestEngine() const;
+  // Requests that the entry instance has outstanding at engine `number`.
+  std::uint64_t Outstanding(std::size_t number) const;
+  // Waits until the first stream in the state dump has `tokens` tokens.
+  bool AwaitTokens(std::uint64_t tokens) const;
+  // Completion requests that engine `number` has seen.
+  std::uint64_t Seen(std::size_t number) const;
+  local_system& system() { return system_; }
+  std::size_t engines() const { return engines_; }
+
+ private:
+  std::string Link(std::size_t number, std::string_view member) const;
+
+  local_system system_;
+  std::uint16_t entry_port_ = 0;
+  std::size_t engines_;
+};
+
+}  // namespace anvilloom
+
+#endif  // TEST_SUPPORT_STREAM_WORLD_H_
--- a/wire/http_client.cc
+++ b/wire/http_client.cc
@@ -170,6 +170,10 @@
   return connection_->ReadSome(until);
 }
 
+void http_answer_stream::Close() {
+  connection_->stream().close();
+}
+
 http_client::http_client(net::any_io_executor executor,
                          const http_client_limits& limits)
     : executor_(std::move(executor)),
--- a/wire/http_client.h
+++ b/wire/http_client.h
@@ -53,6 +53,9 @@
   // until the next call.
   awaitable<transfer_result<std::string_view>> ReadSome(deadline until);
 
+  // Closes the connection; a pending ReadSome() fails with kClosed.
+  void Close();
+
  private:
   std::unique_ptr<internal::http_connection> connection_;
   std::shared_ptr<internal::connection_pool> pool_;
