--- a/common/log.h
+++ b/common/log.h
@@ -33,6 +33,8 @@
   kUpstreamReadmitted = 309,
   kInstanceApiUnavailable = 310,
   kCacheMoveFailed = 311,
+  kRequestsRefused = 600,
+  kLimitShareChanged = 601,
 };
 
 enum class log_level { kInfo, kWarning, kError };
--- a/links/link.cc
+++ b/links/link.cc
@@ -15,19 +15,33 @@
   average.store(next, std::memory_order_relaxed);
 }
 
+void UpdateAverage(std::atomic<float>& average, float value) {
+  const float old = average.load(std::memory_order_relaxed);
+  const float next =
+      old == 0 ? value
+               : old + (value - old) / static_cast<float>(kAverageDivisor);
+  average.store(next, std::memory_order_relaxed);
+}
+
 }  // namespace
 
 link::link(std::string_view upstream_name)
     : upstream_name_(upstream_name),
       reclaim_at_(time_point::max().time_since_epoch().count()) {}
 
-void link::Begin(std::uint32_t tokens) {
+void link::Begin(std::uint32_t tokens, priority rank) {
+  if (rank == priority::kBatch) {
+    outstanding_batch_.fetch_add(1, kRelaxed);
+  }
   outstanding_requests_.fetch_add(1, kRelaxed);
   outstanding_tokens_.fetch_add(tokens, kRelaxed);
   sent_since_report_.fetch_add(1, kRelaxed);
 }
 
-void link::End(std::uint32_t tokens) {
+void link::End(std::uint32_t tokens, priority rank) {
+  if (rank == priority::kBatch) {
+    outstanding_batch_.fetch_sub(1, kRelaxed);
+  }
   outstanding_requests_.fetch_sub(1, kRelaxed);
   outstanding_tokens_.fetch_sub(tokens, kRelaxed);
 }
@@ -36,6 +50,7 @@
   running_.store(report.running, kRelaxed);
   waiting_.store(report.waiting, kRelaxed);
   cache_permille_.store(report.cache_permille, kRelaxed);
+  own_at_report_.store(outstanding_requests_.load(kRelaxed), kRelaxed);
   sent_since_report_.store(0, kRelaxed);
   reported_at_.store(now.time_since_epoch().count(), kRelaxed);
 }
@@ -47,6 +62,21 @@
 void link::ObserveTokenInterval(duration interval) {
   UpdateAverage(token_interval_us_, interval);
   token_intervals_.fetch_add(1, kRelaxed);
+  const auto batch =
+      static_cast<float>(std::max<std::uint32_t>(expected_requests(1), 1));
+  UpdateAverage(interval_alone_us_, static_cast<float>(interval.count()) /
+                                        (1 + kIntervalGrowth * (batch - 1)));
+}
+
+void link::ObservePrefill(std::uint32_t tokens, duration spent) {
+  if (tokens > 0) {
+    UpdateAverage(prefill_us_per_token_, static_cast<float>(spent.count()) /
+                                             static_cast<float>(tokens));
+  }
+}
+
+void link::DistrustCache(time_point now) {
+  cache_trusted_since_.store(now.time_since_epoch().count(), kRelaxed);
 }
 
 std::uint32_t link::Failed() {
@@ -96,10 +126,6 @@
                     std::memory_order_release);
 }
 
-std::uint32_t link::outstanding_requests() const {
-  return outstanding_requests_.load(kRelaxed);
-}
-
 std::uint32_t link::outstanding_tokens() const {
   return outstanding_tokens_.load(kRelaxed);
 }
@@ -129,18 +155,6 @@
   return failures_in_a_row_.load(kRelaxed);
 }
 
-link_condition link::condition() const {
-  if (leaving_.load(std::memory_order_acquire) != 0) {
-    return link_condition::kLeaving;
-  }
-  return condition_.load(std::memory_order_acquire);
-}
-
-deadline link::reclaim_at() const {
-  return deadline(
-      time_point(duration(reclaim_at_.load(std::memory_order_acquire))));
-}
-
 bool link::takes_new_work() const {
   const link_condition current = condition();
   return current == link_condition::kHealthy ||
--- a/links/link.h
+++ b/links/link.h
@@ -3,12 +3,15 @@
 #ifndef LINKS_LINK_H_
 #define LINKS_LINK_H_
 
+#include <algorithm>
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 #include "common/time.h"
+#include "contracts/contract.h"
 #include "links/prefix_memory.h"
 
 namespace anvilloom {
@@ -54,22 +57,39 @@
 // configuration change.
 class link {
  public:
+  // Growth of the token interval for each further request in the batch, as a
+  // share of the interval of a batch of one. A prior: the interval itself is
+  // observed.
+  static constexpr float kIntervalGrowth = 1.0F / 16;
+
   explicit link(std::string_view upstream_name);
 
   std::string_view upstream_name() const { return upstream_name_; }
 
+  // Begins to load what a routing decision reads.
+  void Prefetch() const {
+    __builtin_prefetch(&outstanding_requests_);
+    __builtin_prefetch(&own_at_report_);
+  }
+
   // Counts a request of `tokens` estimated tokens as outstanding.
-  void Begin(std::uint32_t tokens);
-  // Ends what Begin() counted, with the same estimate.
-  void End(std::uint32_t tokens);
+  void Begin(std::uint32_t tokens, priority rank = priority::kNormal);
+  // Ends what Begin() counted, with the same estimate and rank.
+  void End(std::uint32_t tokens, priority rank = priority::kNormal);
 
-  // Stores a report and forgets what was sent before it.
+  // Stores a report, remembers how many of the reported requests are this
+  // entry instance's own, and forgets what was sent before it.
   void Report(const load_report& report, time_point now);
 
   // Records the time to the first token of one answer.
   void ObserveFirstToken(duration latency);
   // Records the time between two tokens of one answer.
   void ObserveTokenInterval(duration interval);
+  // Records the time that an engine took to compute `tokens` prompt tokens.
+  void ObservePrefill(std::uint32_t tokens, duration spent);
+  // Distrusts what is known of the upstream's cache up to `now`: its cache
+  // events have a gap, or its model version changed.
+  void DistrustCache(time_point now);
 
   // Records a failed call; returns the number of failures in a row.
   std::uint32_t Failed();
@@ -88,8 +108,29 @@
   // Sets the time after which the upstream is gone. Source: a notice.
   void SetReclaim(deadline reclaim_at);
 
-  std::uint32_t outstanding_requests() const;
+  std::uint32_t outstanding_requests() const {
+    return outstanding_requests_.load(kRelaxed);
+  }
   std::uint32_t outstanding_tokens() const;
+  // Outstanding requests of rank kBatch.
+  std::uint32_t outstanding_batch() const {
+    return outstanding_batch_.load(kRelaxed);
+  }
+  // Requests of every entry instance that the upstream is expected to hold:
+  // the others' as last reported, and this instance's own as of now. With
+  // `members` above 1, the others are assumed to have changed their use since
+  // the report as much as this instance did.
+  std::uint32_t expected_requests(std::uint32_t members) const {
+    const auto own = std::int64_t{outstanding_requests_.load(kRelaxed)};
+    const auto own_then = std::int64_t{own_at_report_.load(kRelaxed)};
+    const std::int64_t reported =
+        std::int64_t{running_.load(kRelaxed)} + waiting_.load(kRelaxed);
+    const std::int64_t others_then =
+        std::max<std::int64_t>(0, reported - own_then);
+    const std::int64_t others =
+        others_then + (std::int64_t{members} - 1) * (own - own_then);
+    return static_cast<std::uint32_t>(own + std::max<std::int64_t>(0, others));
+  }
   // Requests begun since the latest load report.
   std::uint32_t sent_since_report() const;
   load_report last_report() const;
@@ -97,16 +138,35 @@
   // Moving averages in microseconds; zero until first observed.
   duration first_token_average() const;
   duration token_interval_average() const;
+  // Token interval of a batch of one, in microseconds, computed from the
+  // observed intervals; zero until first observed.
+  float interval_alone_us() const { return interval_alone_us_.load(kRelaxed); }
+  // Microseconds per prompt token; zero until first observed.
+  float prefill_us_per_token() const {
+    return prefill_us_per_token_.load(kRelaxed);
+  }
+  // Cache knowledge from before this time may be wrong.
+  time_point cache_trusted_since() const {
+    return time_point(duration(cache_trusted_since_.load(kRelaxed)));
+  }
   std::uint32_t failures_in_a_row() const;
   // kLeaving if any source says so, else what SetCondition() set.
-  link_condition condition() const;
+  link_condition condition() const {
+    if (leaving_.load(std::memory_order_acquire) != 0) {
+      return link_condition::kLeaving;
+    }
+    return condition_.load(std::memory_order_acquire);
+  }
   bool LeavingBy(leaving_source source) const;
   health_reading health() const;
   // Hash of the latest model version; zero until an answer showed one.
   std::uint64_t version() const;
   // Prompts that the upstream has probably cached.
   prefix_memory& prefixes() { return prefixes_; }
-  deadline reclaim_at() const;
+  deadline reclaim_at() const {
+    return deadline(
+        time_point(duration(reclaim_at_.load(std::memory_order_acquire))));
+  }
   // On probation, only while fewer than kProbationRequests are outstanding.
   bool takes_new_work() const;
 
@@ -115,20 +175,31 @@
  private:
   static constexpr std::memory_order kRelaxed = std::memory_order_relaxed;
 
+  static constexpr std::size_t kCacheLine = 64;
+
   std::string upstream_name_;
-  std::atomic<std::uint32_t> outstanding_requests_{0};
+  // Written for each request; kept apart from what is written less often.
+  alignas(kCacheLine) std::atomic<std::uint32_t> outstanding_requests_{0};
   std::atomic<std::uint32_t> outstanding_tokens_{0};
+  std::atomic<std::uint32_t> outstanding_batch_{0};
   std::atomic<std::uint32_t> sent_since_report_{0};
+  // What routing reads, in one cache line; written for each report, token
+  // interval, prefill or change of condition.
+  alignas(kCacheLine) std::atomic<std::uint32_t> own_at_report_{0};
   std::atomic<std::uint32_t> running_{0};
   std::atomic<std::uint32_t> waiting_{0};
-  std::atomic<std::uint32_t> cache_permille_{0};
+  std::atomic<float> interval_alone_us_{0};
+  std::atomic<float> prefill_us_per_token_{0};
+  std::atomic<link_condition> condition_{link_condition::kHealthy};
+  std::atomic<std::uint8_t> leaving_{0};
+  std::atomic<monotonic::rep> reclaim_at_;
+  std::atomic<monotonic::rep> cache_trusted_since_{0};
+  // What routing does not read.
+  alignas(kCacheLine) std::atomic<std::uint32_t> cache_permille_{0};
+  std::atomic<std::uint32_t> failures_in_a_row_{0};
   std::atomic<monotonic::rep> reported_at_{0};
   std::atomic<monotonic::rep> first_token_us_{0};
   std::atomic<monotonic::rep> token_interval_us_{0};
-  std::atomic<std::uint32_t> failures_in_a_row_{0};
-  std::atomic<link_condition> condition_{link_condition::kHealthy};
-  std::atomic<monotonic::rep> reclaim_at_;
-  std::atomic<std::uint8_t> leaving_{0};
   std::atomic<std::uint32_t> good_answers_{0};
   std::atomic<std::uint32_t> bad_answers_{0};
   std::atomic<std::uint32_t> version_changes_{0};
