--- a/common/log.cc
+++ b/common/log.cc
@@ -67,6 +67,16 @@
       return "stream_failed";
     case log_event::kAnswerRejected:
       return "answer_rejected";
+    case log_event::kClaimStoreUnavailable:
+      return "claim_store_unavailable";
+    case log_event::kClaimClosedUnknown:
+      return "claim_closed_unknown";
+    case log_event::kClaimNotRecorded:
+      return "claim_not_recorded";
+    case log_event::kClaimReleased:
+      return "claim_released";
+    case log_event::kClaimsSwept:
+      return "claims_swept";
   }
   return "unknown";
 }
--- a/common/log.h
+++ b/common/log.h
@@ -25,6 +25,11 @@
   kStreamResumed = 301,
   kStreamFailed = 302,
   kAnswerRejected = 303,
+  kClaimStoreUnavailable = 400,
+  kClaimClosedUnknown = 401,
+  kClaimNotRecorded = 402,
+  kClaimReleased = 403,
+  kClaimsSwept = 404,
 };
 
 enum class log_level { kInfo, kWarning, kError };
--- /dev/null
+++ b/entry/claim_runner.h
@@ -0,0 +1,187 @@
+// Defines claim_runner, which drives claim_attempt against an object store.
+#ifndef ENTRY_CLAIM_RUNNER_H_
+#define ENTRY_CLAIM_RUNNER_H_
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <concepts>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+#include "common/log.h"
+#include "common/time.h"
+#include "contracts/claim_attempt.h"
+#include "wire/claim_json.h"
+#include "wire/object_store.h"
+#include "wire/steady_clock.h"
+
+namespace anvilloom {
+
+// Kind of the claim objects in the object API.
+inline constexpr std::string_view kClaimKind = "claims";
+
+// A send without an answer. `sent` is false only if no byte of the request can
+// have reached an upstream.
+struct claim_send_failure {
+  bool sent;
+  refusal_code code;
+};
+using claim_send_result = std::variant<claim_answer, claim_send_failure>;
+
+// What the caller of an operation is told.
+using claim_verdict = std::variant<tell_answer, tell_refusal>;
+
+// Sends the request once; the first byte must leave before the deadline.
+template <typename T>
+concept claim_sender = requires(T& send, deadline send_by) {
+  { send(send_by) } -> std::same_as<awaitable<claim_send_result>>;
+};
+
+// How the store's answers look to the protocol.
+claim_write_result ToClaimWrite(const store_result<std::uint64_t>& result);
+claim_reading ToClaimReading(const store_result<stored_object>& result);
+// Seconds since 1970.
+std::int64_t WallClockSeconds();
+// Logs what an operator needs to know about how an attempt ended.
+void LogClaimEnd(std::string_view name,
+                 const claim_progress& progress,
+                 const claim_verdict& verdict);
+
+// Runs one attempt at a time; make one for each call.
+template <object_store Store, clock_source Clock>
+class claim_runner {
+ public:
+  // `name` is the name of the claim object. All references must outlive the
+  // runner.
+  claim_runner(Store& store, const Clock& clock, std::string_view name)
+      : store_(store), clock_(clock), name_(name) {}
+
+  // Runs the attempt until its caller can be told. What is left to store after
+  // that goes on in the background; the store and the clock must outlive it.
+  // `answer_by` bounds every wait before the send.
+  template <claim_sender Send>
+  awaitable<claim_verdict> Run(claim_identity identity,
+                               const claim_terms& terms,
+                               deadline answer_by,
+                               Send& send) {
+    claim_attempt<> attempt(std::move(identity), terms, answer_by);
+    claim_effect next = attempt.Start(clock_.Now());
+    for (;;) {
+      if (auto* answer = std::get_if<tell_answer>(&next)) {
+        co_return co_await Finish(std::move(attempt),
+                                  claim_verdict(std::move(*answer)));
+      }
+      if (auto* refused = std::get_if<tell_refusal>(&next)) {
+        co_return co_await Finish(std::move(attempt), claim_verdict(*refused));
+      }
+      if (const auto* order = std::get_if<send_request>(&next)) {
+        auto result = co_await send(order->send_by);
+        next = AfterSend(attempt, std::move(result));
+      } else {
+        next = co_await Perform(attempt, std::move(next), answer_by);
+      }
+    }
+  }
+
+ private:
+  // Longest wait for one call to the object API, which answers in milliseconds
+  // when it is well.
+  static constexpr duration kStoreCallLimit = std::chrono::seconds(1);
+
+  awaitable<claim_verdict> Finish(claim_attempt<> attempt,
+                                  claim_verdict verdict) {
+    LogClaimEnd(name_, attempt.progress(), verdict);
+    auto more = attempt.FollowUp(clock_.Now());
+    if (more) {
+      boost::asio::co_spawn(
+          co_await boost::asio::this_coro::executor,
+          FollowUp(*this, std::move(attempt), std::move(*more)),
+          boost::asio::detached);
+    }
+    co_return verdict;
+  }
+
+  // Works on a copy of the runner, since the call has ended.
+  static awaitable<void> FollowUp(claim_runner self,
+                                  claim_attempt<> attempt,
+                                  claim_effect next) {
+    while (!std::holds_alternative<tell_answer>(next) &&
+           !std::holds_alternative<tell_refusal>(next)) {
+      next = co_await self.Perform(attempt, std::move(next), deadline::Never());
+    }
+  }
+
+  deadline StoreDeadline(const claim_attempt<>& attempt, deadline answer_by) {
+    const deadline limit = deadline::After(clock_.Now(), kStoreCallLimit);
+    const bool recording = attempt.progress().result != claim_state::kOpen;
+    return limit.Earlier(recording ? attempt.progress().record_by : answer_by);
+  }
+
+  claim_effect AfterSend(claim_attempt<>& attempt, claim_send_result result) {
+    if (auto* answer = std::get_if<claim_answer>(&result)) {
+      return attempt.OnAnswer(clock_.Now(), std::move(*answer));
+    }
+    const auto& failed = std::get<claim_send_failure>(result);
+    return attempt.OnSendFailed(clock_.Now(), failed.sent, failed.code);
+  }
+
+  awaitable<claim_effect> Perform(claim_attempt<>& attempt,
+                                  claim_effect effect,
+                                  deadline answer_by) {
+    const deadline until = StoreDeadline(attempt, answer_by);
+    if (auto* create = std::get_if<create_claim>(&effect)) {
+      create->record.written_at_s = WallClockSeconds();
+      const std::string text = EncodeClaim(create->record);
+      const auto result =
+          ToClaimWrite(co_await store_.Create(kClaimKind, name_, text, until));
+      co_return attempt.OnWritten(clock_.Now(), result);
+    }
+    if (auto* update = std::get_if<update_claim>(&effect)) {
+      co_return co_await Update(attempt, std::move(*update), until);
+    }
+    if (const auto* wait = std::get_if<wait_for_claim>(&effect)) {
+      co_await Wait(wait->until);
+      co_return attempt.OnWaited(clock_.Now());
+    }
+    const claim_reading reading =
+        ToClaimReading(co_await store_.Get(kClaimKind, name_, until));
+    co_return attempt.OnRead(clock_.Now(), reading);
+  }
+
+  awaitable<claim_effect> Update(claim_attempt<>& attempt,
+                                 update_claim update,
+                                 deadline until) {
+    update.record.written_at_s = WallClockSeconds();
+    const bool closing = attempt.progress().phase == claim_phase::kClosing;
+    const std::string text = EncodeClaim(update.record);
+    const auto result = ToClaimWrite(
+        co_await store_.Update(kClaimKind, name_, update.version, text, until));
+    if (closing && result.outcome == claim_write_outcome::kApplied) {
+      Log(log_level::kWarning, log_event::kClaimClosedUnknown,
+          {{"claim", name_}, {"owner", update.record.owner}});
+    }
+    co_return attempt.OnWritten(clock_.Now(), result);
+  }
+
+  awaitable<void> Wait(deadline until) {
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    timer.expires_at(ToSteady(until));
+    co_await timer.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+  }
+
+  Store& store_;
+  const Clock& clock_;
+  std::string name_;
+};
+
+}  // namespace anvilloom
+
+#endif  // ENTRY_CLAIM_RUNNER_H_
--- /dev/null
+++ b/entry/operation_identity.cc
@@ -0,0 +1,67 @@
+#include "entry/operation_identity.h"
+
+#include <boost/json/serialize.hpp>
+#include <span>
+#include <string_view>
+
+#include "common/hash.h"
+#include "wire/json_text.h"
+
+namespace anvilloom {
+
+namespace {
+
+// Prefixes each part with its length, so that no two lists of parts give the
+// same text.
+void AppendPart(std::string& text, std::string_view part) {
+  text += std::to_string(part.size());
+  text += ':';
+  text += part;
+}
+
+std::optional<std::string> KeyFromBody(std::string_view body,
+                                       std::span<const std::string> fields) {
+  const auto parsed = fields.empty() ? std::nullopt : ParseJson(body);
+  if (!parsed) {
+    return std::nullopt;
+  }
+  std::string key;
+  for (const std::string& field : fields) {
+    const boost::json::value* member = FindMember(*parsed, field);
+    if (member == nullptr || member->is_null()) {
+      return std::nullopt;
+    }
+    AppendPart(key, field);
+    AppendPart(key, boost::json::serialize(*member));
+  }
+  return key;
+}
+
+}  // namespace
+
+std::optional<operation_identity> IdentifyOperation(
+    const http_exchange& exchange,
+    const workspace& customer,
+    const service& target) {
+  const std::string_view header = exchange.Header("Idempotency-Key");
+  const std::string_view body = exchange.request().body();
+  const std::optional<std::string> from_body =
+      header.empty() ? KeyFromBody(body, target.terms.identity_fields)
+                     : std::nullopt;
+  if (header.empty() && !from_body) {
+    return std::nullopt;
+  }
+  std::string operation;
+  AppendPart(operation, customer.name);
+  AppendPart(operation, target.name);
+  AppendPart(operation, header.empty() ? "fields" : "header");
+  AppendPart(operation, header.empty() ? *from_body : header);
+  const auto method = exchange.request().method_string();
+  std::string request;
+  AppendPart(request, {method.data(), method.size()});
+  AppendPart(request, exchange.target());
+  AppendPart(request, body);
+  return operation_identity{Sha256Hex(operation), Sha256Hex(request)};
+}
+
+}  // namespace anvilloom
--- a/entry/plain_handler.cc
+++ b/entry/plain_handler.cc
@@ -1,10 +1,13 @@
 #include "entry/plain_handler.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "entry/claim_runner.h"
+#include "entry/operation_identity.h"
 #include "entry/refusal_reply.h"
 
 namespace anvilloom {
@@ -56,6 +59,12 @@
                          world.shared_link_at(*chosen)};
 }
 
+std::string ContentType(const http_response& answer) {
+  const auto type = answer.find(boost::beast::http::field::content_type);
+  return type == answer.end() ? "application/octet-stream"
+                              : std::string(type->value());
+}
+
 http_request MakeForwarded(const http_exchange& exchange,
                            std::string_view path) {
   http_request forwarded =
@@ -68,6 +77,61 @@
   return forwarded;
 }
 
+// A duplicate, or the owner, needs this much time to tell the caller.
+duration TellMargin(duration left) {
+  constexpr duration kMostMargin = std::chrono::milliseconds(100);
+  constexpr int kShareOfTimeLeft = 10;
+  return std::min(kMostMargin, left / kShareOfTimeLeft);
+}
+
+// Sends one claimed request. Tries another upstream only while no byte can
+// have reached the earlier one. A claim_sender.
+class claimed_send {
+ public:
+  claimed_send(worker& self,
+               const service& target,
+               http_request request,
+               deadline answer_by)
+      : self_(self),
+        target_(target),
+        request_(std::move(request)),
+        answer_by_(answer_by) {}
+
+  awaitable<claim_send_result> operator()(deadline send_by) {
+    std::vector<upstream_index> refusing;
+    claim_send_failure failure{false, refusal_code::kNoUpstream};
+    while (!failure.sent && !send_by.Expired(self_.process().clock.Now())) {
+      const auto chosen =
+          ChooseUpstream(self_.process(), target_, answer_by_, refusing);
+      if (!chosen) {
+        break;
+      }
+      chosen->path->Begin(0);
+      auto answer = co_await self_.client().Exchange(
+          chosen->address, request_, answer_by_, connection_use::kFresh,
+          send_by);
+      chosen->path->End(0);
+      if (answer) {
+        chosen->path->Succeeded();
+        co_return claim_answer{answer->result_int(), ContentType(*answer),
+                               std::move(answer->body())};
+      }
+      chosen->path->Failed();
+      refusing.push_back(chosen->index);
+      failure = {answer.error().sent, refusal_code::kUpstreamFailed};
+    }
+    co_return failure;
+  }
+
+ private:
+  worker& self_;
+  const service& target_;
+  http_request request_;
+  deadline answer_by_;
+};
+
+static_assert(claim_sender<claimed_send>);
+
 }  // namespace
 
 awaitable<void> plain_handler::Forward(http_exchange& exchange,
@@ -92,28 +156,36 @@
     co_return;
   }
   ++self.metrics().accepted;
-  const std::uint32_t attempts = target->terms.repeatable ? kMaxAttempts : 1;
-  const connection_use use = target->terms.repeatable ? connection_use::kPooled
-                                                      : connection_use::kFresh;
+  if (target->terms.repeatable) {
+    co_await ForwardRepeatable(exchange, self, from, *target, path, *answer_by);
+  } else {
+    co_await ForwardClaimed(exchange, self, from, *target, path, *answer_by);
+  }
+}
+
+awaitable<void> plain_handler::ForwardRepeatable(http_exchange& exchange,
+                                                 worker& self,
+                                                 const caller& from,
+                                                 const service& target,
+                                                 std::string_view path,
+                                                 deadline answer_by) {
+  process_state& process = self.process();
   std::vector<upstream_index> failed;
   refusal why{refusal_code::kNoUpstream};
-  for (std::uint32_t attempt = 0; attempt < attempts; ++attempt) {
-    const auto chosen = ChooseUpstream(process, *target, *answer_by, failed);
+  for (std::uint32_t attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    const auto chosen = ChooseUpstream(process, target, answer_by, failed);
     if (!chosen) {
       break;
     }
     chosen->path->Begin(0);
     auto answer = co_await self.client().Exchange(
-        chosen->address, MakeForwarded(exchange, path), *answer_by, use);
+        chosen->address, MakeForwarded(exchange, path), answer_by);
     chosen->path->End(0);
     if (answer) {
       chosen->path->Succeeded();
       ++self.metrics().completed;
-      const auto type = answer->find(boost::beast::http::field::content_type);
-      const std::string content_type = type == answer->end()
-                                           ? "application/octet-stream"
-                                           : std::string(type->value());
-      co_await exchange.Respond(answer->result(), content_type, answer->body());
+      co_await exchange.Respond(answer->result(), ContentType(*answer),
+                                answer->body());
       co_return;
     }
     chosen->path->Failed();
@@ -125,4 +197,41 @@
   co_await RespondRefusal(exchange, why, from.request_id, process.clock.Now());
 }
 
+awaitable<void> plain_handler::ForwardClaimed(http_exchange& exchange,
+                                              worker& self,
+                                              const caller& from,
+                                              const service& target,
+                                              std::string_view path,
+                                              deadline answer_by) {
+  process_state& process = self.process();
+  const auto operation = IdentifyOperation(exchange, from.customer, target);
+  if (!operation) {
+    ++self.metrics().refused;
+    co_await RespondRefusal(exchange, {refusal_code::kMissingIdempotencyKey},
+                            from.request_id, process.clock.Now());
+    co_return;
+  }
+  http_request request = MakeForwarded(exchange, path);
+  if (exchange.Header("Idempotency-Key").empty()) {
+    request.set("Idempotency-Key", operation->name);
+  }
+  const time_point now = process.clock.Now();
+  const deadline tell_by(answer_by.at() - TellMargin(answer_by.Remaining(now)));
+  claimed_send send(self, target, std::move(request), tell_by);
+  claim_runner runner(self.objects(), process.clock, operation->name);
+  claim_identity identity{self.NextAttemptToken(), process.settings.name,
+                          operation->request_digest};
+  const claim_verdict verdict =
+      co_await runner.Run(std::move(identity), claim_terms{}, tell_by, send);
+  if (const auto* told = std::get_if<tell_answer>(&verdict)) {
+    ++self.metrics().completed;
+    co_await exchange.Respond(static_cast<http_status>(told->answer.status),
+                              told->answer.content_type, told->answer.body);
+    co_return;
+  }
+  ++self.metrics().failed;
+  co_await RespondRefusal(exchange, std::get<tell_refusal>(verdict).why,
+                          from.request_id, process.clock.Now());
+}
+
 }  // namespace anvilloom
--- a/entry/plain_handler.h
+++ b/entry/plain_handler.h
@@ -4,6 +4,7 @@
 
 #include <string_view>
 
+#include "contracts/service.h"
 #include "entry/caller.h"
 #include "entry/worker.h"
 #include "wire/http_exchange.h"
@@ -19,6 +20,22 @@
                           const caller& from,
                           std::string_view service_name,
                           std::string_view path);
+
+ private:
+  // Sends until an upstream answers, within the attempts of one call.
+  awaitable<void> ForwardRepeatable(http_exchange& exchange,
+                                    worker& self,
+                                    const caller& from,
+                                    const service& target,
+                                    std::string_view path,
+                                    deadline answer_by);
+  // Sends at most once for each operation, under a claim.
+  awaitable<void> ForwardClaimed(http_exchange& exchange,
+                                 worker& self,
+                                 const caller& from,
+                                 const service& target,
+                                 std::string_view path,
+                                 deadline answer_by);
 };
 
 }  // namespace anvilloom
--- a/entry/worker.cc
+++ b/entry/worker.cc
@@ -10,7 +10,8 @@
     : process_(process),
       context_(context),
       thread_(thread),
-      client_(context.get_executor()) {}
+      client_(context.get_executor()),
+      objects_(context.get_executor(), process.settings.object_api) {}
 
 std::string worker::NextStreamId() {
   std::string id = process_.settings.name;
--- a/entry/worker.h
+++ b/entry/worker.h
@@ -16,6 +16,7 @@
 #include "entry/request_metrics.h"
 #include "entry/stream_session.h"
 #include "wire/http_client.h"
+#include "wire/http_object_store.h"
 
 namespace anvilloom {
 
@@ -30,11 +31,15 @@
   boost::asio::io_context& context() { return context_; }
   std::size_t thread() const { return thread_; }
   http_client& client() { return client_; }
+  // The platform's object API, for claims.
+  http_object_store& objects() { return objects_; }
   request_metrics& metrics() { return metrics_; }
 
   // An id that no other stream of any instance has. It names this instance
   // and thread, so that a reconnecting caller can be sent to its stream.
   std::string NextStreamId();
+  // A token that no other attempt of any instance has.
+  std::string NextAttemptToken() { return NextStreamId(); }
 
   void AddStream(std::shared_ptr<stream_session> session);
   void RemoveStream(std::string_view stream_id);
@@ -53,6 +58,7 @@
   boost::asio::io_context& context_;
   std::size_t thread_;
   http_client client_;
+  http_object_store objects_;
   request_metrics metrics_;
   std::uint64_t next_stream_ = 1;
   std::map<std::string, std::shared_ptr<stream_session>, std::less<>> streams_;
--- /dev/null
+++ b/instances/lease.cc
@@ -0,0 +1,50 @@
+#include "instances/lease.h"
+
+namespace anvilloom {
+
+lease_record TakeOver(const std::optional<lease_record>& current,
+                      std::string_view holder,
+                      const lease_terms& terms) {
+  lease_record next;
+  next.holder = holder;
+  next.fencing = current ? current->fencing + 1 : 1;
+  next.period = terms.period;
+  return next;
+}
+
+void lease_observer::Observe(std::uint64_t version,
+                             const lease_record& record,
+                             time_point now) {
+  if (version == version_) {
+    return;
+  }
+  version_ = version;
+  expires_ = deadline::After(now, record.period);
+}
+
+bool lease_observer::Expired(time_point now) const {
+  return version_ != 0 && expires_.Expired(now);
+}
+
+void lease_holder::Written(std::uint64_t version, const lease_record& record) {
+  version_ = version;
+  record_ = record;
+  act_by_ = deadline::After(write_begun_, record.period - terms_.stop_margin);
+  renew_at_ = deadline::After(write_begun_, terms_.renew_interval);
+}
+
+bool lease_holder::MayAct(time_point now) const {
+  return version_ != 0 && !act_by_.Expired(now);
+}
+
+deadline lease_holder::renew_at() const {
+  return renew_at_;
+}
+
+lease_record lease_holder::Renewal() const {
+  lease_record next = record_;
+  ++next.renewals;
+  return next;
+}
+
+}  // namespace anvilloom
--- a/standins/plain_service.h
+++ b/standins/plain_service.h
@@ -8,16 +8,20 @@
 #include <mutex>
 #include <string>
 
+#include "standins/fault_switch.h"
 #include "wire/http_exchange.h"
 
 namespace anvilloom {
 
-// A handler for http_server. Thread-safe.
+// A handler for http_server. Thread-safe. Runs are counted by the
+// Idempotency-Key header and listed at /runs. Takes the faults refuse, delay,
+// hang, drop_before and drop_after.
 class plain_service {
  public:
   awaitable<void> Handle(http_exchange& exchange, std::size_t thread);
 
  private:
+  fault_switch faults_;
   std::mutex mutex_;
   // Runs by idempotency key.
   std::map<std::string, std::uint32_t> runs_;
--- /dev/null
+++ b/test/correctness/claim_interleavings_test.cc
@@ -0,0 +1,657 @@
+// Guards at-most-once calls: explores every interleaving of several attempts at
+// one operation over the real transition functions, with lost and late writes,
+// crashes, pauses past the lease, late upstreams and clean-up, and shows that
+// the exploration fails when any one mechanism is switched off.
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+#include "common/hash.h"
+#include "contracts/claim_attempt.h"
+
+namespace anvilloom {
+
+namespace {
+
+// One tick of the explored time line, in microseconds.
+using ticks = std::int64_t;
+
+time_point At(ticks tick) {
+  return time_point(duration(tick));
+}
+
+struct no_send_deadline : full_claim_policy {
+  static constexpr bool kSendDeadline = false;
+};
+struct no_read_back : full_claim_policy {
+  static constexpr bool kReadBack = false;
+};
+struct no_attempt_token : full_claim_policy {
+  static constexpr bool kAttemptToken = false;
+};
+struct no_final_unknown : full_claim_policy {
+  static constexpr bool kUnknownIsFinal = false;
+};
+struct not_run_after_send : full_claim_policy {
+  static constexpr bool kNotRunOnlyIfUnsent = false;
+};
+
+enum class violation {
+  kNone,
+  kSecondSend,
+  // The sender's claim is not open in the store, for example because an
+  // observer has closed it.
+  kSendWithoutClaim,
+  kFalseNotRun,
+  kLostResult,
+  kWrongAnswer,
+};
+
+// What may happen in one exploration.
+struct exploration {
+  // Time from an attempt's start to its answer deadline, by attempt.
+  std::vector<ticks> patience;
+  ticks last_tick = 6;
+  // The first attempt starts at 0, the others until this tick.
+  ticks last_start = 2;
+  // Faults of the store, the upstream and the instances, together.
+  std::uint32_t faults = 2;
+  // Ticks after which a closed claim may be deleted; 0 means never.
+  ticks retention = 0;
+  // Whether the store honours the conditions of creates and updates.
+  bool conditional_create = true;
+  bool conditional_update = true;
+  // The only violation to look for; kNone means any.
+  violation wanted = violation::kNone;
+};
+
+std::string_view Name(violation found) {
+  constexpr std::array<std::string_view, 6> kNames = {
+      "none",          "second send", "send without claim",
+      "false not run", "lost result", "wrong answer"};
+  return kNames[static_cast<std::size_t>(found)];
+}
+
+// What the exploration found.
+struct findings {
+  std::uint64_t states = 0;
+  violation first = violation::kNone;
+  // Ends that must be reachable, so that a passing exploration is not empty.
+  bool duplicate_got_answer = false;
+  bool told_unknown = false;
+  bool told_not_run = false;
+  bool ran_after_not_run = false;
+  bool unknown_became_done = false;
+};
+
+claim_terms Terms() {
+  claim_terms terms;
+  terms.send_window = duration(1);
+  terms.record_limit = duration(1);
+  terms.follow_up_limit = duration(1);
+  terms.poll_interval = duration(2);
+  terms.acquire_tries = 2;
+  terms.read_tries = 2;
+  return terms;
+}
+
+// An attempt on its own entry instance.
+template <claim_policy Policy>
+struct attempt_state {
+  std::optional<claim_attempt<Policy>> machine;
+  std::optional<claim_effect> next;
+  bool crashed = false;
+  // The request has left, and the attempt waits for the answer.
+  bool awaiting = false;
+  bool sent = false;
+  // The upstream has the request and has not run it yet.
+  bool run_pending = false;
+  bool ran = false;
+  bool told_not_run = false;
+};
+
+struct held_claim {
+  std::uint64_t version;
+  claim_record record;
+};
+
+// A write whose answer was lost and that the store applies later.
+struct late_write {
+  // 0 for a create.
+  std::uint64_t version;
+  claim_record record;
+};
+
+template <claim_policy Policy>
+struct world_state {
+  ticks now = 0;
+  std::optional<held_claim> claim;
+  std::uint64_t last_version = 0;
+  std::vector<late_write> late;
+  std::vector<attempt_state<Policy>> attempts;
+  std::uint32_t faults = 0;
+  std::uint32_t sends = 0;
+  bool released = false;
+  ticks closed_at = 0;
+  violation found = violation::kNone;
+};
+
+// Appends fixed-size values to a text that identifies a state.
+class fingerprint {
+ public:
+  template <typename T>
+  fingerprint& Add(T value) {
+    const auto number = static_cast<std::uint64_t>(value);
+    bytes_.append(reinterpret_cast<const char*>(&number), sizeof(number));
+    return *this;
+  }
+  fingerprint& Add(deadline value) {
+    return Add(value.at().time_since_epoch().count());
+  }
+  fingerprint& Add(const claim_record& record) {
+    bytes_ += record.attempt;
+    return Add(record.state).Add(record.lease.count());
+  }
+  std::uint64_t hash() const { return Hash64(bytes_); }
+
+ private:
+  std::string bytes_;
+};
+
+void AddProgress(fingerprint& print, const claim_progress& at) {
+  print.Add(at.phase).Add(at.version).Add(at.send_by).Add(at.record_by);
+  print.Add(at.watched_version).Add(at.lease_end).Add(at.acquire_tries);
+  print.Add(at.read_failures).Add(at.release_tries).Add(at.acquire_ambiguous);
+  print.Add(at.following_up).Add(at.released).Add(at.result_stored);
+  print.Add(at.saw_other).Add(at.result).Add(at.why.ran);
+}
+
+void AddEffect(fingerprint& print, const claim_effect& effect) {
+  print.Add(effect.index());
+  if (const auto* create = std::get_if<create_claim>(&effect)) {
+    print.Add(create->record);
+  } else if (const auto* update = std::get_if<update_claim>(&effect)) {
+    print.Add(update->version).Add(update->record);
+  } else if (const auto* send = std::get_if<send_request>(&effect)) {
+    print.Add(send->send_by);
+  } else if (const auto* wait = std::get_if<wait_for_claim>(&effect)) {
+    print.Add(wait->until);
+  }
+}
+
+template <claim_policy Policy>
+std::uint64_t Fingerprint(const world_state<Policy>& world) {
+  fingerprint print;
+  print.Add(world.now).Add(world.last_version).Add(world.faults);
+  print.Add(world.sends);
+  print.Add(world.closed_at);
+  print.Add(world.released).Add(world.claim.has_value());
+  if (world.claim) {
+    print.Add(world.claim->version).Add(world.claim->record);
+  }
+  print.Add(world.late.size());
+  for (const late_write& write : world.late) {
+    print.Add(write.version).Add(write.record);
+  }
+  for (const auto& attempt : world.attempts) {
+    print.Add(attempt.crashed).Add(attempt.awaiting).Add(attempt.sent);
+    print.Add(attempt.run_pending).Add(attempt.ran).Add(attempt.told_not_run);
+    print.Add(attempt.machine.has_value()).Add(attempt.next.has_value());
+    // What an attempt that has ended holds no longer matters.
+    if (attempt.machine && (attempt.next || attempt.awaiting)) {
+      AddProgress(print, attempt.machine->progress());
+    }
+    if (attempt.next) {
+      AddEffect(print, *attempt.next);
+    }
+  }
+  return print.hash();
+}
+
+// Walks the reachable states depth first, until the first violation.
+template <claim_policy Policy>
+class explorer {
+ public:
+  explicit explorer(const exploration& limits) : limits_(limits) {}
+
+  findings Run() {
+    world start;
+    start.attempts.resize(limits_.patience.size());
+    start.faults = limits_.faults;
+    Visit(std::move(start));
+    while (!open_.empty() && found_.first == violation::kNone) {
+      const world state = std::move(open_.back());
+      open_.pop_back();
+      Expand(state);
+    }
+    found_.states = seen_.size();
+    return found_;
+  }
+
+ private:
+  using world = world_state<Policy>;
+  using written = claim_write_outcome;
+
+  void Visit(world state) {
+    const bool wanted =
+        limits_.wanted == violation::kNone || limits_.wanted == state.found;
+    if (found_.first == violation::kNone && wanted) {
+      found_.first = state.found;
+    }
+    if (seen_.insert(Fingerprint(state)).second) {
+      open_.push_back(std::move(state));
+    }
+  }
+
+  void Expand(const world& state) {
+    if (state.now < limits_.last_tick) {
+      world next = state;
+      ++next.now;
+      Visit(std::move(next));
+    }
+    for (std::size_t i = 0; i < state.late.size(); ++i) {
+      world next = state;
+      const late_write write = state.late[i];
+      next.late.erase(next.late.begin() + static_cast<std::ptrdiff_t>(i));
+      Apply(next, write);
+      Visit(std::move(next));
+    }
+    CleanUp(state);
+    for (std::size_t i = 0; i < state.attempts.size(); ++i) {
+      ExpandUpstream(state, i);
+      if (!state.attempts[i].crashed) {
+        ExpandAttempt(state, i);
+      }
+    }
+  }
+
+  void CleanUp(const world& state) {
+    const bool closed =
+        state.claim && state.claim->record.state != claim_state::kOpen;
+    if (limits_.retention > 0 && closed &&
+        state.now >= state.closed_at + limits_.retention) {
+      world next = state;
+      next.claim.reset();
+      // The key is free again: a later call is another operation.
+      next.sends = 0;
+      Visit(std::move(next));
+    }
+  }
+
+  void ExpandUpstream(const world& state, std::size_t i) {
+    if (state.attempts[i].run_pending) {
+      world next = state;
+      next.attempts[i].run_pending = false;
+      next.attempts[i].ran = true;
+      Visit(std::move(next));
+    }
+  }
+
+  void ExpandAttempt(const world& state, std::size_t i) {
+    const auto& attempt = state.attempts[i];
+    if (attempt.machine && state.faults > 0 &&
+        (attempt.next || attempt.awaiting)) {
+      world next = state;
+      --next.faults;
+      next.attempts[i].crashed = true;
+      next.attempts[i].next.reset();
+      next.attempts[i].awaiting = false;
+      Visit(std::move(next));
+    }
+    if (!attempt.machine) {
+      if (state.now > (i == 0 ? 0 : limits_.last_start)) {
+        return;
+      }
+      world next = state;
+      auto& started = next.attempts[i];
+      started.machine.emplace(
+          claim_identity{std::string(1, static_cast<char>('a' + i)), "owner",
+                         "digest"},
+          Terms(),
+          deadline::After(At(state.now), duration(limits_.patience[i])));
+      Continue(next, i, started.machine->Start(At(state.now)));
+    } else if (attempt.awaiting) {
+      ExpandAwaiting(state, i);
+    } else if (attempt.next) {
+      Perform(state, i, *attempt.next);
+    }
+  }
+
+  void ExpandAwaiting(const world& state, std::size_t i) {
+    if (state.attempts[i].ran) {
+      world next = state;
+      next.attempts[i].awaiting = false;
+      claim_answer answer;
+      answer.status = 200;
+      answer.body = std::string(1, static_cast<char>('a' + i));
+      Continue(next, i,
+               next.attempts[i].machine->OnAnswer(At(state.now), answer));
+    }
+    if (state.faults > 0) {
+      world next = state;
+      --next.faults;
+      next.attempts[i].awaiting = false;
+      Continue(next, i,
+               next.attempts[i].machine->OnSendFailed(
+                   At(state.now), true, refusal_code::kUpstreamFailed));
+    }
+  }
+
+  void Perform(const world& state, std::size_t i, const claim_effect& effect) {
+    if (const auto* create = std::get_if<create_claim>(&effect)) {
+      Write(state, i, {0, create->record});
+    } else if (const auto* update = std::get_if<update_claim>(&effect)) {
+      Write(state, i, {update->version, update->record});
+    } else if (const auto* send = std::get_if<send_request>(&effect)) {
+      Send(state, i, send->send_by);
+    } else if (const auto* wait = std::get_if<wait_for_claim>(&effect)) {
+      if (wait->until.Expired(At(state.now))) {
+        world next = state;
+        Continue(next, i, next.attempts[i].machine->OnWaited(At(state.now)));
+      }
+    } else {
+      Read(state, i);
+    }
+  }
+
+  void Read(const world& state, std::size_t i) {
+    world next = state;
+    claim_reading reading = claim_absent{};
+    if (state.claim) {
+      reading = seen_claim{state.claim->version, state.claim->record};
+    }
+    Continue(next, i, next.attempts[i].machine->OnRead(At(state.now), reading));
+    if (state.faults > 0) {
+      world failed = state;
+      --failed.faults;
+      Continue(failed, i,
+               failed.attempts[i].machine->OnRead(At(state.now),
+                                                  claim_unreadable{}));
+    }
+  }
+
+  void Write(const world& state, std::size_t i, const late_write& write) {
+    world next = state;
+    const claim_write_result result = Apply(next, write);
+    Written(next, i, result);
+    if (state.faults == 0) {
+      return;
+    }
+    world refused = state;
+    --refused.faults;
+    Written(refused, i, {written::kNotApplied});
+    world lost = state;
+    --lost.faults;
+    Written(lost, i, {written::kAmbiguous});
+    world applied = state;
+    --applied.faults;
+    Apply(applied, write);
+    Written(applied, i, {written::kAmbiguous});
+    world late = state;
+    --late.faults;
+    late.late.push_back(write);
+    Written(late, i, {written::kAmbiguous});
+  }
+
+  void Written(world& next, std::size_t i, const claim_write_result& result) {
+    Continue(next, i,
+             next.attempts[i].machine->OnWritten(At(next.now), result));
+  }
+
+  void Send(const world& state, std::size_t i, deadline send_by) {
+    if (send_by.Expired(At(state.now))) {
+      world late = state;
+      SendFailed(late, i, refusal_code::kDeadlineExceeded);
+      return;
+    }
+    if (state.faults > 0) {
+      world refused = state;
+      --refused.faults;
+      SendFailed(refused, i, refusal_code::kUpstreamFailed);
+    }
+    world next = state;
+    auto& attempt = next.attempts[i];
+    attempt.sent = true;
+    attempt.awaiting = true;
+    attempt.run_pending = true;
+    attempt.next.reset();
+    ++next.sends;
+    found_.ran_after_not_run = found_.ran_after_not_run || state.released;
+    if (next.sends > 1) {
+      next.found = violation::kSecondSend;
+    } else if (!HoldsClaim(state, i)) {
+      next.found = violation::kSendWithoutClaim;
+    }
+    Check(next);
+    Visit(std::move(next));
+  }
+
+  static bool HoldsClaim(const world& state, std::size_t i) {
+    return state.claim && state.claim->record.state == claim_state::kOpen &&
+           state.claim->record.attempt.at(0) == static_cast<char>('a' + i);
+  }
+
+  void SendFailed(world& next, std::size_t i, refusal_code code) {
+    Continue(next, i,
+             next.attempts[i].machine->OnSendFailed(At(next.now), false, code));
+  }
+
+  // Takes the next effect of an attempt; what it tells is checked at once.
+  void Continue(world& next, std::size_t i, claim_effect effect) {
+    auto& attempt = next.attempts[i];
+    attempt.next.reset();
+    if (const auto* answer = std::get_if<tell_answer>(&effect)) {
+      CheckAnswer(next, answer->answer);
+      found_.duplicate_got_answer =
+          found_.duplicate_got_answer || !attempt.sent;
+    } else if (const auto* refused = std::get_if<tell_refusal>(&effect)) {
+      attempt.told_not_run =
+          attempt.told_not_run || refused->why.ran == outcome::kNotRun;
+      found_.told_not_run = found_.told_not_run || attempt.told_not_run;
+      found_.told_unknown =
+          found_.told_unknown || refused->why.ran == outcome::kUnknown;
+    } else {
+      attempt.next = std::move(effect);
+    }
+    if (!attempt.next) {
+      attempt.next = attempt.machine->FollowUp(At(next.now));
+    }
+    Check(next);
+    Visit(std::move(next));
+  }
+
+  // An answer names the attempt that was sent; that one must have run.
+  void CheckAnswer(world& next, const claim_answer& answer) {
+    const auto runner = static_cast<std::size_t>(answer.body.at(0) - 'a');
+    if (!next.attempts[runner].ran) {
+      next.found = violation::kWrongAnswer;
+    }
+  }
+
+  void Check(world& next) {
+    for (const auto& attempt : next.attempts) {
+      if (attempt.told_not_run && attempt.sent) {
+        next.found = violation::kFalseNotRun;
+      }
+    }
+  }
+
+  claim_write_result Apply(world& next, const late_write& write) {
+    const bool create = write.version == 0 && limits_.conditional_create;
+    if (create && next.claim) {
+      return {written::kConflict};
+    }
+    if (write.version != 0 && !next.claim) {
+      return {written::kMissing};
+    }
+    if (write.version != 0 && limits_.conditional_update &&
+        next.claim->version != write.version) {
+      return {written::kConflict};
+    }
+    NoteTransition(next, write.record);
+    next.claim = held_claim{++next.last_version, write.record};
+    return {written::kApplied, next.last_version};
+  }
+
+  void NoteTransition(world& next, const claim_record& record) {
+    const claim_state before =
+        next.claim ? next.claim->record.state : claim_state::kOpen;
+    if (before == claim_state::kDone && record.state != claim_state::kDone) {
+      next.found = violation::kLostResult;
+    }
+    if (record.state == claim_state::kDone) {
+      CheckAnswer(next, record.answer);
+      found_.unknown_became_done =
+          found_.unknown_became_done || before == claim_state::kUnknown;
+    }
+    next.released = record.state == claim_state::kNotRun || next.released;
+    next.closed_at = limits_.retention > 0 ? next.now : 0;
+  }
+
+  exploration limits_;
+  findings found_;
+  std::vector<world> open_;
+  std::unordered_set<std::uint64_t> seen_;
+};
+
+template <claim_policy Policy>
+findings Explore(std::string_view name, const exploration& limits) {
+  const findings found = explorer<Policy>(limits).Run();
+  std::cout << name << ": " << found.states
+            << " states, first violation: " << Name(found.first) << '\n';
+  return found;
+}
+
+exploration TwoAttempts() {
+  exploration limits;
+  limits.patience = {1, 6};
+  return limits;
+}
+
+// The first attempt can be paused past its lease while the second closes its
+// claim, the claim is cleaned up and the third starts anew.
+exploration ThreeAttempts() {
+  exploration limits;
+  limits.patience = {1, 5, 1};
+  limits.last_start = 5;
+  limits.faults = 0;
+  limits.retention = 1;
+  return limits;
+}
+
+}  // namespace
+
+SCENARIO("No interleaving of attempts sends an operation twice",
+         "[claim_interleavings]") {
+  GIVEN("two attempts and two faults of store, upstream or instance") {
+    const findings found =
+        Explore<full_claim_policy>("two attempts", TwoAttempts());
+
+    THEN("every state is right, and every kind of end is reached") {
+      CHECK(Name(found.first) == "none");
+      CHECK(found.duplicate_got_answer);
+      CHECK(found.told_unknown);
+      CHECK(found.told_not_run);
+      CHECK(found.ran_after_not_run);
+      CHECK(found.unknown_became_done);
+    }
+  }
+
+  GIVEN("three attempts with pauses past the lease and clean-up") {
+    const findings found =
+        Explore<full_claim_policy>("three attempts", ThreeAttempts());
+
+    THEN("every state is right") {
+      CHECK(Name(found.first) == "none");
+      CHECK(found.duplicate_got_answer);
+      CHECK(found.told_unknown);
+    }
+  }
+
+  GIVEN("three attempts with one fault") {
+    exploration limits = ThreeAttempts();
+    limits.last_tick = 4;
+    limits.last_start = 0;
+    limits.faults = 1;
+    limits.retention = 0;
+    const findings found =
+        Explore<full_claim_policy>("three attempts, one fault", limits);
+
+    THEN("every state is right") {
+      CHECK(Name(found.first) == "none");
+    }
+  }
+}
+
+SCENARIO("Each mechanism of the claim protocol is needed",
+         "[claim_interleavings]") {
+  exploration limits = TwoAttempts();
+
+  WHEN("the owner ignores its send deadline") {
+    THEN("it sends after an observer has closed the claim") {
+      limits.wanted = violation::kSendWithoutClaim;
+      CHECK(Explore<no_send_deadline>("no send deadline", limits).first ==
+            violation::kSendWithoutClaim);
+    }
+    THEN("it sends although the key was cleaned up and used again") {
+      limits = ThreeAttempts();
+      limits.wanted = violation::kSecondSend;
+      CHECK(Explore<no_send_deadline>("no send deadline, clean-up", limits)
+                .first == violation::kSecondSend);
+    }
+  }
+  WHEN("an ambiguous create counts as applied") {
+    limits.wanted = violation::kSecondSend;
+    THEN("two attempts send") {
+      CHECK(Explore<no_read_back>("no read-back", limits).first ==
+            violation::kSecondSend);
+    }
+  }
+  WHEN("a claim that is read back counts as one's own without the token") {
+    limits.wanted = violation::kSecondSend;
+    THEN("two attempts send") {
+      CHECK(Explore<no_attempt_token>("no attempt token", limits).first ==
+            violation::kSecondSend);
+    }
+  }
+  WHEN("an observer takes over an abandoned claim") {
+    limits.wanted = violation::kSecondSend;
+    THEN("two attempts send") {
+      CHECK(Explore<no_final_unknown>("unknown is not final", limits).first ==
+            violation::kSecondSend);
+    }
+  }
+  WHEN("a failure after the first byte is told as not run") {
+    limits.wanted = violation::kFalseNotRun;
+    THEN("the caller is told what is not true") {
+      CHECK(Explore<not_run_after_send>("not run after a send", limits).first ==
+            violation::kFalseNotRun);
+    }
+  }
+  WHEN("the store ignores that an object to be created exists") {
+    limits.conditional_create = false;
+    limits.wanted = violation::kSecondSend;
+    THEN("two attempts send") {
+      CHECK(Explore<full_claim_policy>("unconditional create", limits).first ==
+            violation::kSecondSend);
+    }
+  }
+  WHEN("the store ignores the version of an update") {
+    limits.conditional_update = false;
+    limits.wanted = violation::kLostResult;
+    THEN("a stored result is overwritten") {
+      CHECK(Explore<full_claim_policy>("unconditional update", limits).first ==
+            violation::kLostResult);
+    }
+  }
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/test/error/claim_faults_test.cc
@@ -0,0 +1,401 @@
+// Guards deposits against running twice and callers against untrue answers,
+// with separate processes and faults of the store, the upstream and the entry
+// instances.
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdint>
+#include <future>
+#include <map>
+#include <string>
+#include <string_view>
+#include <thread>
+
+#include "test/support/local_system.h"
+#include "wire/json_text.h"
+
+namespace anvilloom {
+
+namespace {
+
+using http_verb = boost::beast::http::verb;
+
+constexpr std::string_view kPath = "/s/deposit/hold";
+constexpr std::string_view kBody = R"({"amount":100})";
+constexpr std::string_view kKey = "key-1";
+constexpr std::chrono::milliseconds kWholeLease{10'000};
+
+// Two entry instances in front of one service that counts its runs.
+class deposit_system {
+ public:
+  deposit_system() {
+    objects_ = system_.Start("objects", "standins/standin_objects");
+    service_ = system_.Start("service", "standins/standin_service");
+    entry_a_ = system_.StartEntry("entry-a", "zone-a");
+    entry_b_ = system_.StartEntry("entry-b", "zone-b");
+    system_.WriteConfiguration("10-all.json",
+                               TestConfiguration({}, {service_}));
+    REQUIRE(system_.PublishConfiguration() == 0);
+    REQUIRE(system_.AwaitReady("entry-a"));
+    REQUIRE(system_.AwaitReady("entry-b"));
+  }
+
+  local_system& processes() { return system_; }
+  std::uint16_t entry_a() const { return entry_a_; }
+  std::uint16_t entry_b() const { return entry_b_; }
+
+  void FaultStore(std::string_view rule) const { Fault(objects_, rule); }
+  void FaultService(std::string_view rule) const { Fault(service_, rule); }
+  void EndFaults() const {
+    Call(objects_, http_verb::delete_, "/faults");
+    Call(service_, http_verb::delete_, "/faults");
+  }
+
+  // How often the operation with this key ran at the service.
+  std::uint64_t Runs(std::string_view key = kKey) const {
+    const auto counts = ParseJson(Call(service_, http_verb::get, "/runs").body);
+    REQUIRE(counts);
+    return UnsignedMember(*counts, key).value_or(0);
+  }
+
+  // Whether a claim in this state is stored.
+  bool HasClaim(std::string_view state) const {
+    const std::string claims =
+        Call(objects_, http_verb::get, "/objects/claims").body;
+    return claims.find("\"state\":\"" + std::string(state) + "\"") !=
+           std::string::npos;
+  }
+
+ private:
+  static void Fault(std::uint16_t port, std::string_view rule) {
+    REQUIRE(Call(port, http_verb::post, "/faults", rule).status == 200);
+  }
+
+  local_system system_;
+  std::uint16_t objects_ = 0;
+  std::uint16_t service_ = 0;
+  std::uint16_t entry_a_ = 0;
+  std::uint16_t entry_b_ = 0;
+};
+
+caller_answer Deposit(std::uint16_t entry,
+                      std::uint32_t deadline_ms,
+                      std::string_view body = kBody,
+                      std::string_view key = kKey) {
+  return Call(entry, http_verb::post, kPath, body,
+              {{"Idempotency-Key", std::string(key)},
+               {"X-Deadline-Ms", std::to_string(deadline_ms)}});
+}
+
+std::future<caller_answer> DepositLater(std::uint16_t entry,
+                                        std::uint32_t deadline_ms) {
+  return std::async(std::launch::async,
+                    [=] { return Deposit(entry, deadline_ms); });
+}
+
+// What the caller was told: "ran", "unknown", "not_run" or "nothing".
+std::string Told(const caller_answer& answer) {
+  if (answer.status == 0) {
+    return "nothing";
+  }
+  if (answer.status == 200) {
+    return "ran";
+  }
+  const auto parsed = ParseJson(answer.body);
+  const auto* error = parsed ? FindMember(*parsed, "error") : nullptr;
+  REQUIRE(error != nullptr);
+  return std::string(StringMember(*error, "outcome").value_or(""));
+}
+
+std::string Code(const caller_answer& answer) {
+  const auto parsed = ParseJson(answer.body);
+  const auto* error = parsed ? FindMember(*parsed, "error") : nullptr;
+  return error == nullptr
+             ? std::string()
+             : std::string(StringMember(*error, "code").value_or(""));
+}
+
+// Whether what was told is true of the number of runs.
+bool IsTrue(const std::string& told, std::uint64_t runs) {
+  if (told == "ran") {
+    return runs == 1;
+  }
+  return told == "not_run" ? runs == 0 : runs <= 1;
+}
+
+// One scripted fault and what the owner's caller must be told.
+struct fault_case {
+  std::string name;
+  std::string store_rule;
+  std::string service_rule;
+  std::string told;
+  std::string code;
+  std::uint64_t runs;
+  // What a later call with the same key is told once the faults are over.
+  std::string told_later;
+  std::uint64_t runs_later;
+};
+
+}  // namespace
+
+SCENARIO("A scripted fault neither repeats a deposit nor misleads a caller",
+         "[claim_faults]") {
+  const auto tried = GENERATE(values<fault_case>({
+      {"store down",
+       R"({"action":"refuse","path":"/objects/claims",)"
+       R"("count":1000})",
+       "", "not_run", "store_unavailable", 0, "ran", 1},
+      {"store hangs",
+       R"({"action":"hang","delay_ms":20000,"path":"/objects/claims",)"
+       R"("count":1000})",
+       "", "not_run", "store_unavailable", 0, "ran", 1},
+      {"store slow",
+       R"({"action":"delay","delay_ms":200,"path":"/objects/claims",)"
+       R"("count":1000})",
+       "", "ran", "", 1, "ran", 1},
+      {"create lost",
+       R"({"action":"drop_before","method":"POST","path":"/objects/claims"})",
+       "", "ran", "", 1, "ran", 1},
+      {"answer of the create lost",
+       R"({"action":"drop_after","method":"POST","path":"/objects/claims"})",
+       "", "ran", "", 1, "ran", 1},
+      {"answer of the create lost, then store down for reads",
+       R"({"action":"drop_after","method":"POST","path":"/objects/claims"})",
+       "", "not_run", "store_unavailable", 0, "ran", 1},
+      {"update lost",
+       R"({"action":"drop_before","method":"PUT","path":"/objects/claims"})",
+       "", "ran", "", 1, "ran", 1},
+      {"answer of the update lost",
+       R"({"action":"drop_after","method":"PUT","path":"/objects/claims"})", "",
+       "ran", "", 1, "ran", 1},
+      {"no update succeeds",
+       R"({"action":"drop_before","method":"PUT","path":"/objects/claims",)"
+       R"("count":1000})",
+       "", "ran", "", 1, "ran", 1},
+      {"upstream drops before it runs", "",
+       R"({"action":"drop_before","path":"/hold"})", "unknown",
+       "upstream_failed", 0, "unknown", 0},
+      {"upstream drops after it ran", "",
+       R"({"action":"drop_after","path":"/hold"})", "unknown",
+       "upstream_failed", 1, "unknown", 1},
+      {"upstream is late", "",
+       R"({"action":"delay","delay_ms":4000,"path":"/hold"})", "unknown",
+       "upstream_failed", 0, "unknown", 1},
+  }));
+
+  GIVEN("two entry instances and the fault: " + tried.name) {
+    deposit_system system;
+    if (!tried.store_rule.empty()) {
+      system.FaultStore(tried.store_rule);
+    }
+    if (tried.name.ends_with("down for reads")) {
+      system.FaultStore(
+          R"({"action":"refuse","method":"GET","path":"/objects/claims",)"
+          R"("count":1000})");
+    }
+    if (!tried.service_rule.empty()) {
+      system.FaultService(tried.service_rule);
+    }
+
+    WHEN("a caller makes a deposit") {
+      const auto begun = std::chrono::steady_clock::now();
+      const caller_answer answer = Deposit(system.entry_a(), 3000);
+      const auto took = std::chrono::steady_clock::now() - begun;
+
+      THEN("it is told the truth, and so is a later caller elsewhere") {
+        CHECK(Told(answer) == tried.told);
+        CHECK(Code(answer) == tried.code);
+        CHECK(system.Runs() == tried.runs);
+        // A recorded result may take claim_terms::record_limit longer.
+        CHECK(took < std::chrono::milliseconds(5500));
+        system.EndFaults();
+        const caller_answer later = Deposit(system.entry_b(), 15'000);
+        CHECK(Told(later) == tried.told_later);
+        // The upstream may run a request late, after its sender gave up.
+        CHECK(Eventually([&] { return system.Runs() == tried.runs_later; },
+                         std::chrono::seconds(5)));
+        CHECK(IsTrue(Told(later), system.Runs()));
+        if (tried.told == "ran" && tried.told_later == "ran") {
+          CHECK(later.body == answer.body);
+        }
+      }
+    }
+  }
+}
+
+SCENARIO("Duplicates of a deposit share one run", "[claim_faults]") {
+  GIVEN("two entry instances and a service that takes its time") {
+    deposit_system system;
+    system.FaultService(
+        R"({"action":"delay","delay_ms":700,"path":"/hold","count":1000})");
+
+    WHEN("the same deposit arrives at both at once") {
+      auto first = DepositLater(system.entry_a(), 8000);
+      auto second = DepositLater(system.entry_b(), 8000);
+      const caller_answer one = first.get();
+      const caller_answer two = second.get();
+
+      THEN("both get the answer of the one run") {
+        CHECK(one.status == 200);
+        CHECK(two.status == 200);
+        CHECK(one.body == two.body);
+        CHECK(system.Runs() == 1);
+      }
+    }
+
+    WHEN("a used key comes with another body") {
+      REQUIRE(Deposit(system.entry_a(), 8000).status == 200);
+      const caller_answer other =
+          Deposit(system.entry_b(), 8000, R"({"amount":200})");
+
+      THEN("it is refused as not run") {
+        CHECK(Code(other) == "idempotency_key_reused");
+        CHECK(Told(other) == "not_run");
+        CHECK(system.Runs() == 1);
+      }
+    }
+
+    WHEN("deposits without a key name the same artist and date") {
+      const std::string body =
+          R"({"artist":"Amaya","date":"2027-05-01","amount":100})";
+      const std::map<std::string, std::string> none;
+      const caller_answer one =
+          Call(system.entry_a(), http_verb::post, kPath, body, none);
+      const caller_answer two =
+          Call(system.entry_b(), http_verb::post, kPath, body, none);
+      const caller_answer rival =
+          Call(system.entry_b(), http_verb::post, kPath,
+               R"({"artist":"Amaya","date":"2027-05-01","amount":90})", none);
+
+      THEN("they are one operation, and a rival deposit is refused") {
+        CHECK(one.status == 200);
+        CHECK(two.body == one.body);
+        CHECK(Code(rival) == "idempotency_key_reused");
+      }
+    }
+
+    WHEN("a deposit has neither a key nor the identity fields") {
+      const caller_answer answer =
+          Call(system.entry_a(), http_verb::post, kPath, kBody);
+
+      THEN("it is refused as not run") {
+        CHECK(Code(answer) == "missing_idempotency_key");
+        CHECK(Told(answer) == "not_run");
+      }
+    }
+  }
+}
+
+SCENARIO("A deposit survives the loss or pause of its owner",
+         "[claim_faults]") {
+  GIVEN("two entry instances") {
+    deposit_system system;
+    local_system& processes = system.processes();
+
+    WHEN("the owner dies between the create and the send") {
+      // Holds the answer of the create back, after it has taken effect.
+      system.FaultStore(
+          R"({"action":"drop_after","method":"POST","path":"/objects/claims"})");
+      system.FaultStore(R"({"action":"hang","delay_ms":20000,"method":"GET",)"
+                        R"("path":"/objects/claims/"})");
+      auto lost = DepositLater(system.entry_a(), 3000);
+      REQUIRE(Eventually([&] { return system.HasClaim("open"); }, kWholeLease));
+      processes.process("entry-a").Kill();
+      const caller_answer later = Deposit(system.entry_b(), 12'000);
+
+      THEN("the duplicate is told unknown, and nothing ever runs") {
+        CHECK(Told(lost.get()) == "nothing");
+        CHECK(Told(later) == "unknown");
+        CHECK(Code(later) == "outcome_unknown");
+        CHECK(system.HasClaim("unknown"));
+        CHECK(system.Runs() == 0);
+      }
+    }
+
+    WHEN("the owner dies after the send") {
+      system.FaultService(
+          R"({"action":"delay","delay_ms":1500,"path":"/hold"})");
+      auto lost = DepositLater(system.entry_a(), 3000);
+      REQUIRE(Eventually([&] { return system.HasClaim("open"); }, kWholeLease));
+      std::this_thread::sleep_for(std::chrono::milliseconds(500));
+      processes.process("entry-a").Kill();
+      const caller_answer later = Deposit(system.entry_b(), 12'000);
+
+      THEN("the duplicate is told unknown, and it ran once") {
+        CHECK(Told(lost.get()) == "nothing");
+        CHECK(Told(later) == "unknown");
+        CHECK(system.Runs() == 1);
+        CHECK(Told(Deposit(system.entry_b(), 3000)) == "unknown");
+        CHECK(system.Runs() == 1);
+      }
+    }
+
+    WHEN("the owner is paused across its lease before the send") {
+      // The create takes effect, but its answer arrives only after the pause.
+      system.FaultStore(
+          R"({"action":"drop_after","method":"POST","path":"/objects/claims"})");
+      system.FaultStore(R"({"action":"delay","delay_ms":800,"method":"GET",)"
+                        R"("path":"/objects/claims/"})");
+      auto paused = DepositLater(system.entry_a(), 2000);
+      REQUIRE(Eventually([&] { return system.HasClaim("open"); }, kWholeLease));
+      processes.process("entry-a").Pause();
+      const caller_answer duplicate = Deposit(system.entry_b(), 12'000);
+      const bool closed = system.HasClaim("unknown");
+      processes.process("entry-a").Continue();
+      const caller_answer owner = paused.get();
+
+      THEN("it finds its claim closed, does not send and frees the key") {
+        CHECK(closed);
+        CHECK(Told(duplicate) == "unknown");
+        CHECK(Told(owner) == "not_run");
+        CHECK(system.Runs() == 0);
+        CHECK(Eventually([&] { return system.HasClaim("not_run"); },
+                         std::chrono::seconds(5)));
+        CHECK(Told(Deposit(system.entry_b(), 3000)) == "ran");
+        CHECK(system.Runs() == 1);
+      }
+    }
+
+    WHEN("the owner is paused across its lease after the send") {
+      system.FaultService(
+          R"({"action":"delay","delay_ms":1000,"path":"/hold"})");
+      auto paused = DepositLater(system.entry_a(), 2000);
+      REQUIRE(Eventually([&] { return system.HasClaim("open"); }, kWholeLease));
+      std::this_thread::sleep_for(std::chrono::milliseconds(400));
+      processes.process("entry-a").Pause();
+      const caller_answer duplicate = Deposit(system.entry_b(), 12'000);
+      processes.process("entry-a").Continue();
+      const caller_answer owner = paused.get();
+
+      THEN("the duplicate is told unknown, and it ran once") {
+        CHECK(Told(duplicate) == "unknown");
+        CHECK(IsTrue(Told(owner), system.Runs()));
+        CHECK(system.Runs() == 1);
+        CHECK(Told(Deposit(system.entry_b(), 3000)) != "not_run");
+        CHECK(system.Runs() == 1);
+      }
+    }
+
+    WHEN("no connection to the upstream can be opened") {
+      processes.process("service").Kill();
+      const caller_answer refused = Deposit(system.entry_a(), 3000);
+
+      THEN("it is not run, and the key is free again") {
+        CHECK(Told(refused) == "not_run");
+        CHECK(system.HasClaim("not_run"));
+        const std::uint16_t port =
+            processes.Start("service-2", "standins/standin_service");
+        processes.WriteConfiguration("10-all.json",
+                                     TestConfiguration({}, {port}));
+        REQUIRE(processes.PublishConfiguration() == 0);
+        CHECK(Eventually(
+            [&] { return Told(Deposit(system.entry_b(), 3000)) == "ran"; },
+            std::chrono::seconds(10)));
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
--- a/wire/http_client.cc
+++ b/wire/http_client.cc
@@ -203,18 +203,22 @@
 http_client::SendAndReadHeader(std::string_view address,
                                http_request& request,
                                deadline until,
-                               connection_use use) {
+                               connection_use use,
+                               deadline send_by) {
   std::unique_ptr<internal::http_connection> connection;
   if (use == connection_use::kPooled) {
     connection = pool_->Take(address);
   }
   if (!connection) {
-    auto connected = co_await Connect(address, until);
+    auto connected = co_await Connect(address, until.Earlier(send_by));
     if (!connected) {
       co_return connected.error();
     }
     connection = std::move(*connected);
   }
+  if (send_by.Expired(steady_source().Now())) {
+    co_return transfer_failure{transfer_error::kTimedOut, false};
+  }
   connection->StartAnswer(limits_.answer_bytes);
   connection->stream().expires_at(ToSteady(until));
   auto [write_error, written] =
@@ -236,7 +240,7 @@
                      failure.error == transfer_error::kClosed;
   if (stale) {
     co_return co_await SendAndReadHeader(address, request, until,
-                                         connection_use::kFresh);
+                                         connection_use::kFresh, send_by);
   }
   co_return failure;
 }
@@ -257,8 +261,10 @@
     std::string_view address,
     http_request request,
     deadline until,
-    connection_use use) {
-  auto connection = co_await SendAndReadHeader(address, request, until, use);
+    connection_use use,
+    deadline send_by) {
+  auto connection =
+      co_await SendAndReadHeader(address, request, until, use, send_by);
   if (!connection) {
     co_return connection.error();
   }
--- a/wire/http_client.h
+++ b/wire/http_client.h
@@ -66,12 +66,14 @@
 
   // Sends `request` to `address` and reads the whole answer. With kPooled, a
   // request whose reused connection closes before any byte of an answer is
-  // sent once more on a fresh one.
+  // sent once more on a fresh one. If the first byte has not left before
+  // `send_by`, nothing is sent and the call fails with `sent` false.
   awaitable<transfer_result<http_response>> Exchange(
       std::string_view address,
       http_request request,
       deadline until,
-      connection_use use = connection_use::kPooled);
+      connection_use use = connection_use::kPooled,
+      deadline send_by = deadline::Never());
 
   // Sends `request` and returns once the header of the answer has arrived.
   awaitable<transfer_result<std::unique_ptr<http_answer_stream>>> Open(
@@ -87,7 +89,8 @@
   SendAndReadHeader(std::string_view address,
                     http_request& request,
                     deadline until,
-                    connection_use use);
+                    connection_use use,
+                    deadline send_by = deadline::Never());
 
   boost::asio::any_io_executor executor_;
   http_client_limits limits_;
