--- a/common/log.h
+++ b/common/log.h
@@ -30,6 +30,16 @@
   kClaimNotRecorded = 402,
   kClaimReleased = 403,
   kClaimsSwept = 404,
+  kStreamMoved = 304,
+  kReclaimNotice = 305,
+  kUpstreamLeaving = 306,
+  kUpstreamQuarantined = 307,
+  kUpstreamOnProbation = 308,
+  kUpstreamReadmitted = 309,
+  kInstanceApiUnavailable = 310,
+  kCacheMoveFailed = 311,
+  kRequestsRefused = 600,
+  kLimitShareChanged = 601,
 };
 
 enum class log_level { kInfo, kWarning, kError };
--- a/links/link.cc
+++ b/links/link.cc
@@ -15,19 +15,33 @@
   average.store(next, std::memory_order_relaxed);
 }
 
+void UpdateAverage(std::atomic<float>& average, float value) {
+  const float old = average.load(std::memory_order_relaxed);
+  const float next =
+      old == 0 ? value
+               : old + (value - old) / static_cast<float>(kAverageDivisor);
+  average.store(next, std::memory_order_relaxed);
+}
+
 }  // namespace
 
 link::link(std::string_view upstream_name)
     : upstream_name_(upstream_name),
       reclaim_at_(time_point::max().time_since_epoch().count()) {}
 
-void link::Begin(std::uint32_t tokens) {
+void link::Begin(std::uint32_t tokens, priority rank) {
+  if (rank == priority::kBatch) {
+    outstanding_batch_.fetch_add(1, kRelaxed);
+  }
   outstanding_requests_.fetch_add(1, kRelaxed);
   outstanding_tokens_.fetch_add(tokens, kRelaxed);
   sent_since_report_.fetch_add(1, kRelaxed);
 }
 
-void link::End(std::uint32_t tokens) {
+void link::End(std::uint32_t tokens, priority rank) {
+  if (rank == priority::kBatch) {
+    outstanding_batch_.fetch_sub(1, kRelaxed);
+  }
   outstanding_requests_.fetch_sub(1, kRelaxed);
   outstanding_tokens_.fetch_sub(tokens, kRelaxed);
 }
@@ -36,6 +50,7 @@
   running_.store(report.running, kRelaxed);
   waiting_.store(report.waiting, kRelaxed);
   cache_permille_.store(report.cache_permille, kRelaxed);
+  own_at_report_.store(outstanding_requests_.load(kRelaxed), kRelaxed);
   sent_since_report_.store(0, kRelaxed);
   reported_at_.store(now.time_since_epoch().count(), kRelaxed);
 }
@@ -46,6 +61,22 @@
 
 void link::ObserveTokenInterval(duration interval) {
   UpdateAverage(token_interval_us_, interval);
+  token_intervals_.fetch_add(1, kRelaxed);
+  const auto batch =
+      static_cast<float>(std::max<std::uint32_t>(expected_requests(1), 1));
+  UpdateAverage(interval_alone_us_, static_cast<float>(interval.count()) /
+                                        (1 + kIntervalGrowth * (batch - 1)));
+}
+
+void link::ObservePrefill(std::uint32_t tokens, duration spent) {
+  if (tokens > 0) {
+    UpdateAverage(prefill_us_per_token_, static_cast<float>(spent.count()) /
+                                             static_cast<float>(tokens));
+  }
+}
+
+void link::DistrustCache(time_point now) {
+  cache_trusted_since_.store(now.time_since_epoch().count(), kRelaxed);
 }
 
 std::uint32_t link::Failed() {
@@ -56,6 +87,36 @@
   failures_in_a_row_.store(0, kRelaxed);
 }
 
+void link::RecordGoodAnswer() {
+  good_answers_.fetch_add(1, kRelaxed);
+}
+
+void link::RecordBadAnswer() {
+  bad_answers_.fetch_add(1, kRelaxed);
+}
+
+void link::ObserveVersion(std::uint64_t version) {
+  // Read first, so that the usual case writes nothing that threads share.
+  if (version_.load(kRelaxed) == version) {
+    return;
+  }
+  const std::uint64_t before = version_.exchange(version, kRelaxed);
+  if (before != 0 && before != version) {
+    prefixes_.Clear();
+    version_changes_.fetch_add(1, kRelaxed);
+  }
+}
+
+void link::SetLeaving(leaving_source source, bool leaving) {
+  const auto bit = static_cast<std::uint8_t>(source);
+  if (leaving) {
+    leaving_.fetch_or(bit, std::memory_order_acq_rel);
+  } else {
+    leaving_.fetch_and(static_cast<std::uint8_t>(~bit),
+                       std::memory_order_acq_rel);
+  }
+}
+
 void link::SetCondition(link_condition condition) {
   condition_.store(condition, std::memory_order_release);
 }
@@ -65,10 +126,6 @@
                     std::memory_order_release);
 }
 
-std::uint32_t link::outstanding_requests() const {
-  return outstanding_requests_.load(kRelaxed);
-}
-
 std::uint32_t link::outstanding_tokens() const {
   return outstanding_tokens_.load(kRelaxed);
 }
@@ -98,19 +155,32 @@
   return failures_in_a_row_.load(kRelaxed);
 }
 
-link_condition link::condition() const {
-  return condition_.load(std::memory_order_acquire);
+bool link::takes_new_work() const {
+  const link_condition current = condition();
+  return current == link_condition::kHealthy ||
+         (current == link_condition::kProbation &&
+          outstanding_requests() < kProbationRequests);
+}
+
+bool link::LeavingBy(leaving_source source) const {
+  return (leaving_.load(std::memory_order_acquire) &
+          static_cast<std::uint8_t>(source)) != 0;
 }
 
-deadline link::reclaim_at() const {
-  return deadline(
-      time_point(duration(reclaim_at_.load(std::memory_order_acquire))));
+health_reading link::health() const {
+  health_reading reading;
+  reading.failures_in_a_row = failures_in_a_row_.load(kRelaxed);
+  reading.good_answers = good_answers_.load(kRelaxed);
+  reading.bad_answers = bad_answers_.load(kRelaxed);
+  reading.version_changes = version_changes_.load(kRelaxed);
+  reading.token_intervals = token_intervals_.load(kRelaxed);
+  reading.outstanding_requests = outstanding_requests();
+  reading.token_interval = token_interval_average();
+  return reading;
 }
 
-bool link::takes_new_work() const {
-  const link_condition current = condition();
-  return current == link_condition::kHealthy ||
-         current == link_condition::kProbation;
+std::uint64_t link::version() const {
+  return version_.load(kRelaxed);
 }
 
 }  // namespace anvilloom
