Fit streams to cost routing, the retry budget and load reports

An export now asks the target's load report for its version first, so an engine that has not answered yet can take a cache and a patched one cannot. An attempt without a token is repeated at once only from the retry budget; otherwise the stream pauses, 20 ms doubling up to 8 s. Links count the rank of attempts. A quarantine or a return distrusts the cache. The stand-in's wrong_id fault now sends foreign text: a trial without the id check had passed the test before, because the foreign chunks carried the right words.

--- a/entry/cache_move.cc
+++ b/entry/cache_move.cc
@@ -14,7 +14,13 @@
                                                 const std::string& source,
                                                 const std::string& target,
                                                 std::string_view request_id,
+                                                std::string_view version,
                                                 deadline until) {
+  const auto load = co_await client.Exchange(
+      target, MakeRequest(http_verb::get, "/load"), until);
+  if (!load || DecodeEngineVersion(load->body()) != version) {
+    co_return std::nullopt;
+  }
   const auto exported = co_await client.Exchange(
       source,
       MakeRequest(http_verb::post, "/kv/export", EncodeKvExport(request_id)),
--- a/entry/cache_move.h
+++ b/entry/cache_move.h
@@ -12,7 +12,9 @@
 
 namespace anvilloom {
 
-// Exports the cache of `request_id` at `source` and imports it at `target`.
+// Exports the cache of `request_id` at `source` and imports it at `target`, if
+// the target reports the model version `version`: not every engine has answered
+// this entry instance before, and one may have been patched since.
 // The handle for the resumed request; nothing if either engine refuses, as a
 // target of another model version does, or `until` passes. The generation at
 // the source runs on meanwhile.
@@ -20,6 +22,7 @@
                                                 const std::string& source,
                                                 const std::string& target,
                                                 std::string_view request_id,
+                                                std::string_view version,
                                                 deadline until);
 
 }  // namespace anvilloom
--- a/entry/chosen_upstream.cc
+++ b/entry/chosen_upstream.cc
@@ -113,6 +113,11 @@
   return wanted && !world.UpstreamsOf(*wanted).empty();
 }
 
+std::uint32_t RetryPermille(process_state& process) {
+  const rcu_read_guard guard;
+  return process.world.Read(guard).limits().retry_permille;
+}
+
 std::optional<planned_move> ChooseMove(process_state& process,
                                        const stream_session& session,
                                        const link& source,
@@ -131,8 +136,8 @@
   for (const upstream_index where : world.UpstreamsOf(*wanted)) {
     link& path = world.link_at(where);
     if (&path != &source && MayTake(world, request, where)) {
-      targets.push_back({where, path.version() == version,
-                         CachedTokens(session, path),
+      const bool may_match = path.version() == 0 || path.version() == version;
+      targets.push_back({where, may_match, CachedTokens(session, path),
                          path.outstanding_requests()});
     }
   }
--- a/entry/chosen_upstream.h
+++ b/entry/chosen_upstream.h
@@ -31,6 +31,9 @@
 // Whether any upstream is declared for the stream's service.
 bool HasUpstreams(process_state& process, const stream_session& session);
 
+// Repeats that a request earns, in thousandths of one.
+std::uint32_t RetryPermille(process_state& process);
+
 // A planned move, and where it goes.
 struct planned_move {
   reclaim_choice choice;
--- a/entry/health_reviewer.cc
+++ b/entry/health_reviewer.cc
@@ -109,6 +109,7 @@
     } else {
       held.health.BeginProbation(path.health());
       path.prefixes().Clear();
+      path.DistrustCache(now);
     }
   }
   const link_condition before = held.health.condition();
@@ -118,6 +119,7 @@
   if (next != before) {
     if (next == link_condition::kQuarantined) {
       path.prefixes().Clear();
+      path.DistrustCache(now);
     }
     LogChange(path.upstream_name(), next, held.health.cause());
   }
--- a/entry/stream_attempt.cc
+++ b/entry/stream_attempt.cc
@@ -21,16 +21,18 @@
 // Counts an attempt on its link for as long as it runs.
 class link_use {
  public:
-  link_use(link& path, std::uint32_t tokens) : path_(path), tokens_(tokens) {
-    path_.Begin(tokens_);
+  link_use(link& path, std::uint32_t tokens, priority rank)
+      : path_(path), tokens_(tokens), rank_(rank) {
+    path_.Begin(tokens_, rank_);
   }
-  ~link_use() { path_.End(tokens_); }
+  ~link_use() { path_.End(tokens_, rank_); }
   link_use(const link_use&) = delete;
   link_use& operator=(const link_use&) = delete;
 
  private:
   link& path_;
   std::uint32_t tokens_;
+  priority rank_;
 };
 
 http_request EncodeAttempt(const stream_session& session,
@@ -93,7 +95,8 @@
 awaitable<void> stream_attempt::Run(std::shared_ptr<stream_attempt> keep_alive,
                                     std::string cache_handle) {
   const std::shared_ptr<link> path = chosen_.path;
-  const link_use use(*path, session_->order().request.max_tokens);
+  const stream_order& order = session_->order();
+  const link_use use(*path, order.request.max_tokens, order.target.terms.rank);
   Finish(co_await ReadAnswer(std::move(cache_handle)));
   keep_alive->answer_.reset();
 }
--- a/entry/stream_attempt.h
+++ b/entry/stream_attempt.h
@@ -53,6 +53,8 @@
   std::string_view id() const { return id_; }
   const std::string& address() const { return chosen_.address; }
   const std::shared_ptr<link>& path() const { return chosen_.path; }
+  // Whether the attempt delivered a token.
+  bool made_progress() const { return first_seen_; }
   // Tokens that this attempt computed although an earlier one had.
   std::uint32_t recomputed_tokens() const;
 
--- a/entry/stream_runner.cc
+++ b/entry/stream_runner.cc
@@ -21,9 +21,14 @@
 
 // How long a finished stream is kept for a caller that reconnects.
 constexpr duration kKeepFinished = std::chrono::seconds(30);
-// Pause when no upstream takes the stream; doubles up to the longest.
+// Pause when no upstream takes the stream, or when the retry budget is spent;
+// doubles up to the longest, so that an outage of a minute costs a stream about
+// fifteen attempts.
 constexpr duration kFirstPause = std::chrono::milliseconds(20);
-constexpr duration kLongestPause = std::chrono::milliseconds(500);
+constexpr duration kLongestPause = std::chrono::seconds(8);
+// Longest pause while no upstream is eligible: nothing is sent meanwhile, so
+// that asking again soon costs no upstream anything.
+constexpr duration kLongestIdlePause = std::chrono::milliseconds(500);
 // How often a stream that may end before the reclaim is planned again, since
 // it may turn out slower than expected.
 constexpr duration kReplanInterval = std::chrono::milliseconds(100);
@@ -35,6 +40,7 @@
       : self_(self), session_(std::move(session)) {}
 
   awaitable<void> Run() {
+    self_.process().retries.Request(RetryPermille(self_.process()));
     while (session_->phase() == stream_phase::kRunning) {
       if (Late()) {
         Fail(refusal_code::kDeadlineExceeded);
@@ -64,7 +70,19 @@
   }
 
   awaitable<void> BeginAttempt() {
+    const bool paused = std::exchange(must_pause_, false);
+    if (paused) {
+      co_await Pause(kLongestPause);
+      if (Late()) {
+        co_return;
+      }
+    }
     auto chosen = ChooseUpstream(self_.process(), *session_, excluded_);
+    if (!chosen && paused && !excluded_.empty()) {
+      // The pause was long enough to try an upstream that failed before.
+      excluded_.clear();
+      chosen = ChooseUpstream(self_.process(), *session_, excluded_);
+    }
     if (chosen) {
       StartAt(std::move(*chosen), {});
       co_return;
@@ -76,7 +94,12 @@
     // Every upstream has failed this stream, is leaving or is quarantined. An
     // accepted stream waits for one rather than fail.
     excluded_.clear();
-    const deadline wake = deadline::After(Now(), pause_);
+    co_await Pause(kLongestIdlePause);
+  }
+
+  // Waits, longer each time, but not past the deadline of the answer.
+  awaitable<void> Pause(duration longest) {
+    const deadline wake = deadline::After(Now(), std::min(pause_, longest));
     pause_ = std::min(pause_ * 2, kLongestPause);
     while (!wake.Expired(Now()) && !Late()) {
       co_await session_->AwaitWake(wake.Earlier(order().answer_by));
@@ -134,6 +157,13 @@
         break;
     }
     excluded_.push_back(ended->path());
+    if (ended->made_progress()) {
+      // The stream got further: the next attempt continues it, and is not the
+      // repeat of one that gave nothing.
+      pause_ = kFirstPause;
+    } else {
+      must_pause_ = !self_.process().retries.Take();
+    }
     ++self_.metrics().retries;
     Log(log_level::kWarning, log_event::kUpstreamFailed,
         {{"stream", order().stream_id},
@@ -154,9 +184,11 @@
     if (planned->choice.action == reclaim_action::kExport) {
       const deadline until =
           attempt_->path()->reclaim_at().Earlier(order().answer_by);
-      auto moved =
-          co_await MoveCache(self_.client(), attempt_->address(),
-                             planned->target->address, attempt_->id(), until);
+      // Copied: the session's version changes if the attempt's does.
+      const std::string version(session_->model_version());
+      auto moved = co_await MoveCache(self_.client(), attempt_->address(),
+                                      planned->target->address, attempt_->id(),
+                                      version, until);
       if (attempt_->end() != attempt_end::kRunning) {
         co_return;  // It ended or broke while the cache travelled.
       }
@@ -206,6 +238,7 @@
   // Upstreams that failed the stream since it last waited.
   shared_links excluded_;
   duration pause_ = kFirstPause;
+  bool must_pause_ = false;
   bool may_export_ = true;
   bool sent_ = false;
 };
--- a/links/reclaim_plan.h
+++ b/links/reclaim_plan.h
@@ -28,7 +28,8 @@
 // An upstream that could take the stream.
 struct move_target {
   upstream_index where{};
-  // Whether it is known to run the same model version.
+  // False if it is known to run another model version. The version of an
+  // upstream that has not answered yet is asked for before the export.
   bool same_version = false;
   // Tokens at the start of the prompt that it has probably cached.
   std::uint32_t cached_tokens = 0;
--- a/standins/model_engine.cc
+++ b/standins/model_engine.cc
@@ -22,6 +22,8 @@
 
 constexpr std::string_view kJsonType = "application/json";
 constexpr std::uint32_t kDefaultTokens = 64;
+// Text of another request's answer; no generated token is equal to it.
+constexpr std::string_view kForeignToken = "foreign ";
 // Size of the KV cache of one token.
 constexpr std::uint64_t kKvBytesPerToken = std::uint64_t{128} * 1024;
 
@@ -351,7 +353,9 @@
                 behaviour_.version) +
       R"(,"token_index":)" + std::to_string(index) +
       R"(,"choices":[{"index":0,"delta":{"content":")" +
-      EngineToken(work.messages, index) + "\"},\"finish_reason\":null}]}\n\n";
+      (wrong_id ? std::string(kForeignToken)
+                : EngineToken(work.messages, index)) +
+      "\"},\"finish_reason\":null}]}\n\n";
   if (Strikes(fault, fault_action::kDuplicate, index) &&
       !co_await exchange.WriteChunk(event)) {
     co_return false;
--- a/wire/kv_codec.cc
+++ b/wire/kv_codec.cc
@@ -11,6 +11,15 @@
       boost::json::value{{"request_id", std::string(request_id)}});
 }
 
+std::optional<std::string> DecodeEngineVersion(std::string_view body) {
+  const auto parsed = ParseJson(body);
+  const auto version = parsed ? StringMember(*parsed, "version") : std::nullopt;
+  if (!version) {
+    return std::nullopt;
+  }
+  return std::string(*version);
+}
+
 std::optional<std::string> DecodeKvHandle(std::string_view body) {
   const auto parsed = ParseJson(body);
   const auto handle = parsed ? StringMember(*parsed, "handle") : std::nullopt;
--- a/wire/kv_codec.h
+++ b/wire/kv_codec.h
@@ -11,6 +11,9 @@
 // The body of POST /kv/export for one running request.
 std::string EncodeKvExport(std::string_view request_id);
 
+// The model version in a load report of an engine.
+std::optional<std::string> DecodeEngineVersion(std::string_view body);
+
 // The handle in the answer to an export. The whole answer is the body of
 // POST /kv/import.
 std::optional<std::string> DecodeKvHandle(std::string_view body);
