Bound what clients of the HTTP front may send

Cause: a header could trickle in for the idle limit, a refusal could be lost in a connection reset, an exception of a handler ended the process, an answer to HEAD carried a body, the client waited for a body after HEAD, and a stop waited for idle connections.

Change: one limit for a whole request, lingering close after a refusal, 405 for methods that nothing serves, 400 for targets that are no path, 100-continue, answers to HEAD without a body, 500 instead of an escaping exception, and idle connections are closed by a stop. The limits are settings. A request id that is not printable is not echoed.

--- a/entry/caller.cc
+++ b/entry/caller.cc
@@ -19,6 +19,12 @@
 
 }  // namespace
 
+std::string UsableRequestId(const http_exchange& exchange) {
+  const std::string_view id = exchange.Header("X-Request-Id");
+  const bool usable = id.size() <= kMaxRequestIdBytes && IsPrintable(id);
+  return usable ? std::string(id) : std::string();
+}
+
 std::optional<caller> IdentifyCaller(const process_state& process,
                                      const http_exchange& exchange) {
   const std::string_view authorization = exchange.Header("Authorization");
@@ -26,15 +32,13 @@
     return std::nullopt;
   }
   const std::string digest = Sha256Hex(authorization.substr(kBearer.size()));
-  const std::string_view id = exchange.Header("X-Request-Id");
-  const bool usable = id.size() <= kMaxRequestIdBytes && IsPrintable(id);
   const rcu_read_guard guard;
   const topology& world = process.world.Read(guard);
   const auto found = world.FindWorkspace(digest);
   if (!found) {
     return std::nullopt;
   }
-  return caller{world.at(*found), usable ? std::string(id) : std::string()};
+  return caller{world.at(*found), UsableRequestId(exchange)};
 }
 
 std::optional<deadline> AnswerDeadline(const http_exchange& exchange,
--- a/entry/caller.h
+++ b/entry/caller.h
@@ -19,6 +19,10 @@
   std::string request_id;
 };
 
+// The X-Request-Id header; empty if it is absent, too long or not printable
+// ASCII, because it is written into answers and logs.
+std::string UsableRequestId(const http_exchange& exchange);
+
 // Nothing if the bearer credential is missing or not known.
 std::optional<caller> IdentifyCaller(const process_state& process,
                                      const http_exchange& exchange);
--- a/entry/configuration_follower.cc
+++ b/entry/configuration_follower.cc
@@ -166,12 +166,15 @@
     next = builder.Build();
   }
   process_.world.Publish(std::move(next));
-  process_.revision_in_force.store(accepted.revision,
-                                   std::memory_order_release);
+  const std::uint64_t before = process_.revision_in_force.exchange(
+      accepted.revision, std::memory_order_acq_rel);
   Log(log_level::kInfo, log_event::kConfigurationInForce,
       {{"revision", std::to_string(accepted.revision)},
        {"services", std::to_string(accepted.services.size())},
        {"upstreams", std::to_string(accepted.upstreams.size())}});
+  if (before == 0) {
+    Log(log_level::kInfo, log_event::kReady);
+  }
 }
 
 awaitable<void> configuration_follower::Pause() {
--- a/entry/entry_instance.cc
+++ b/entry/entry_instance.cc
@@ -33,7 +33,7 @@
       request_handler_(workers_),
       admin_handler_(process_, workers_),
       follower_(process_, control_pool_.context(0).get_executor()) {
-  const http_server_limits limits;
+  const http_server_limits& limits = process_.settings.limits;
   callers_ = std::make_unique<http_server>(
       request_pool_, process_.settings.listen, limits, request_handler_);
   admin_ = std::make_unique<http_server>(
--- a/entry/request_handler.cc
+++ b/entry/request_handler.cc
@@ -33,8 +33,7 @@
   if (!from) {
     ++self.metrics().refused;
     co_await RespondRefusal(exchange, {refusal_code::kUnauthenticated},
-                            exchange.Header("X-Request-Id"),
-                            process.clock.Now());
+                            UsableRequestId(exchange), process.clock.Now());
     co_return;
   }
   const http_verb method = exchange.request().method();
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -16,12 +16,46 @@
 namespace json = boost::json;
 namespace leaf = boost::leaf;
 
-constexpr std::array<std::string_view, 7> kKeys = {
-    "name",         "failure_domain",     "listen",
-    "admin_listen", "admin_token_sha256", "object_api",
-    "threads"};
+constexpr std::array<std::string_view, 8> kKeys = {"name",
+                                                   "failure_domain",
+                                                   "listen",
+                                                   "admin_listen",
+                                                   "admin_token_sha256",
+                                                   "object_api",
+                                                   "threads",
+                                                   "limits"};
 constexpr std::size_t kMaxThreads = 64;
 
+constexpr std::string_view kLimits = "limits";
+
+// A key of "limits" that counts bytes or connections.
+struct size_limit {
+  std::string_view name;
+  std::size_t http_server_limits::*member;
+  std::size_t least;
+  std::size_t most;
+};
+
+// A key of "limits" in milliseconds.
+struct time_limit {
+  std::string_view name;
+  duration http_server_limits::*member;
+};
+
+constexpr std::array<size_limit, 3> kSizeLimits = {{
+    {"header_bytes", &http_server_limits::header_bytes, 1024, 1024 * 1024},
+    {"body_bytes", &http_server_limits::body_bytes, 1024, 64 * 1024 * 1024},
+    {"connections", &http_server_limits::connections, 1, 65'536},
+}};
+constexpr std::array<time_limit, 3> kTimeLimits = {{
+    {"idle_limit_ms", &http_server_limits::idle_limit},
+    {"read_limit_ms", &http_server_limits::read_limit},
+    {"write_limit_ms", &http_server_limits::write_limit},
+}};
+// Shorter limits would cut off clients on a busy machine.
+constexpr std::size_t kLeastTimeLimitMs = 50;
+constexpr std::size_t kMostTimeLimitMs = 3'600'000;
+
 // Collects the first fault while members are read.
 class member_reader {
  public:
@@ -51,12 +85,15 @@
     }
   }
 
-  void Count(std::string_view key, std::size_t most, std::size_t& into) {
+  void Count(std::string_view key,
+             std::size_t least,
+             std::size_t most,
+             std::size_t& into) {
     if (FindMember(settings_, key) == nullptr) {
       return;
     }
     const auto number = UnsignedMember(settings_, key);
-    if (!number || *number == 0 || *number > most) {
+    if (!number || *number < least || *number > most) {
       Fail(settings_fault_kind::kWrongType, key);
       return;
     }
@@ -80,6 +117,50 @@
   settings_fault fault_{settings_fault_kind::kNotJson, "", ""};
 };
 
+bool IsLimitKey(std::string_view key) {
+  return std::ranges::find(kSizeLimits, key, &size_limit::name) !=
+             kSizeLimits.end() ||
+         std::ranges::find(kTimeLimits, key, &time_limit::name) !=
+             kTimeLimits.end();
+}
+
+// Reads the member "limits"; faults name the key as "limits/<key>".
+void ReadLimits(member_reader& reader,
+                const json::value& settings,
+                std::string_view file,
+                http_server_limits& into) {
+  const json::value* limits = FindMember(settings, kLimits);
+  if (limits == nullptr) {
+    return;
+  }
+  if (!limits->is_object()) {
+    reader.Fail(settings_fault_kind::kWrongType, kLimits);
+    return;
+  }
+  member_reader inner(*limits, file);
+  for (const auto& member : limits->get_object()) {
+    const std::string_view key(member.key().data(), member.key().size());
+    if (!IsLimitKey(key)) {
+      inner.Fail(settings_fault_kind::kUnknownKey, key);
+    }
+  }
+  for (const size_limit& known : kSizeLimits) {
+    inner.Count(known.name, known.least, known.most, into.*known.member);
+  }
+  for (const time_limit& known : kTimeLimits) {
+    std::size_t milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(into.*
+                                                              known.member)
+            .count();
+    inner.Count(known.name, kLeastTimeLimitMs, kMostTimeLimitMs, milliseconds);
+    into.*known.member = std::chrono::milliseconds(milliseconds);
+  }
+  if (inner.failed()) {
+    reader.Fail(inner.fault().kind,
+                std::string(kLimits) + "/" + inner.fault().key);
+  }
+}
+
 bool IsName(std::string_view text) {
   const auto allowed = [](char c) {
     return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
@@ -122,6 +203,18 @@
   return place + " is not valid.";
 }
 
+std::vector<std::string> KnownSettingsKeys() {
+  std::vector<std::string> keys(kKeys.begin(), kKeys.end());
+  const std::string prefix = std::string(kLimits) + "/";
+  for (const size_limit& known : kSizeLimits) {
+    keys.push_back(prefix + std::string(known.name));
+  }
+  for (const time_limit& known : kTimeLimits) {
+    keys.push_back(prefix + std::string(known.name));
+  }
+  return keys;
+}
+
 leaf::result<entry_settings> ParseSettings(std::string_view text,
                                            std::string_view file) {
   const auto parsed = ParseJsonWithComments(text);
@@ -143,7 +236,8 @@
   reader.Address("admin_listen", false, settings.admin_listen);
   reader.Text("admin_token_sha256", false, settings.admin_token_sha256);
   reader.Address("object_api", true, settings.object_api);
-  reader.Count("threads", kMaxThreads, settings.threads);
+  reader.Count("threads", 1, kMaxThreads, settings.threads);
+  ReadLimits(reader, *parsed, file, settings.limits);
   if (!IsName(settings.name)) {
     reader.Fail(settings_fault_kind::kBadName, "name");
   }
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -7,6 +7,9 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <vector>
+
+#include "wire/http_exchange.h"
 
 namespace anvilloom {
 
@@ -22,6 +25,8 @@
   std::string admin_token_sha256;
   std::string object_api;
   std::size_t threads = 2;
+  // What the instance accepts from clients, on both ports.
+  http_server_limits limits;
 };
 
 // What is wrong with a settings file.
@@ -46,6 +51,9 @@
 // A full sentence that names the file, the key and what was expected.
 std::string Sentence(const settings_fault& fault);
 
+// All known keys; those of "limits" as "limits/<key>".
+std::vector<std::string> KnownSettingsKeys();
+
 // Fails with a settings_fault.
 boost::leaf::result<entry_settings> LoadSettings(std::string_view path);
 // As LoadSettings, for text that was read already. `file` is for messages.
--- /dev/null
+++ b/test/support/raw_connection.h
@@ -0,0 +1,43 @@
+// Defines raw_connection, a blocking TCP connection through which a test sends
+// bytes that no HTTP client would send.
+#ifndef TEST_SUPPORT_RAW_CONNECTION_H_
+#define TEST_SUPPORT_RAW_CONNECTION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "common/time.h"
+
+namespace anvilloom {
+
+class raw_connection {
+ public:
+  // Connects to loopback. Throws boost::system::system_error if that fails.
+  explicit raw_connection(std::uint16_t port);
+
+  // False once the peer has closed the connection.
+  bool Send(std::string_view bytes);
+  // Says that nothing more will be sent.
+  void EndSending();
+  // What arrives until the peer closes or `limit` passes.
+  std::string ReadAll(duration limit);
+  // As ReadAll, and ends as soon as `text` has arrived.
+  std::string ReadUntil(std::string_view text, duration limit);
+  // Whether the peer has closed the connection, as ReadAll found out.
+  bool closed() const { return closed_; }
+
+ private:
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::socket socket_;
+  bool closed_ = false;
+};
+
+// The status of the first answer in `bytes`, or 0.
+unsigned FirstStatus(std::string_view bytes);
+
+}  // namespace anvilloom
+
+#endif  // TEST_SUPPORT_RAW_CONNECTION_H_
--- a/wire/http_client.cc
+++ b/wire/http_client.cc
@@ -67,10 +67,12 @@
   bool reused() const { return reused_; }
   void MarkReused() { reused_ = true; }
 
-  void StartAnswer(std::size_t body_limit) {
+  void StartAnswer(http::verb method, std::size_t body_limit) {
     parser_.emplace();
     parser_->header_limit(kHeaderLimitBytes);
     parser_->body_limit(body_limit);
+    // The answer to HEAD announces a body that does not follow.
+    parser_->skip(method == http::verb::head);
   }
 
   bool AnswerEnded() const { return parser_ && parser_->is_done(); }
@@ -78,24 +80,24 @@
   bool Reusable() const { return AnswerEnded() && parser_->get().keep_alive(); }
 
   awaitable<transfer_result<std::string_view>> ReadSome(deadline until) {
-    if (AnswerEnded()) {
-      co_return std::string_view{};
+    // A read may bring no body, for example only the header of a chunk.
+    while (!AnswerEnded()) {
+      auto& body = parser_->get().body();
+      body.data = piece_.data();
+      body.size = piece_.size();
+      body.more = true;
+      stream_.expires_at(ToSteady(until));
+      const auto [error, bytes] = co_await http::async_read_some(
+          stream_, buffer_, *parser_, kAwaitTuple);
+      const std::size_t filled = piece_.size() - body.size;
+      if (error && error != http::error::need_buffer) {
+        co_return transfer_failure{ErrorKind(error), true};
+      }
+      if (filled > 0) {
+        co_return std::string_view(piece_.data(), filled);
+      }
     }
-    auto& body = parser_->get().body();
-    body.data = piece_.data();
-    body.size = piece_.size();
-    body.more = true;
-    stream_.expires_at(ToSteady(until));
-    const auto [error, bytes] =
-        co_await http::async_read_some(stream_, buffer_, *parser_, kAwaitTuple);
-    const std::size_t filled = piece_.size() - body.size;
-    if (error && error != http::error::need_buffer) {
-      co_return transfer_failure{ErrorKind(error), true};
-    }
-    if (filled == 0) {
-      co_return co_await ReadSome(until);
-    }
-    co_return std::string_view(piece_.data(), filled);
+    co_return std::string_view{};
   }
 
  private:
@@ -217,7 +219,7 @@
     }
     connection = std::move(*connected);
   }
-  connection->StartAnswer(limits_.answer_bytes);
+  connection->StartAnswer(request.method(), limits_.answer_bytes);
   connection->stream().expires_at(ToSteady(until));
   auto [write_error, written] =
       co_await http::async_write(connection->stream(), request, kAwaitTuple);
--- a/wire/http_exchange.cc
+++ b/wire/http_exchange.cc
@@ -83,6 +83,12 @@
   response.body() = body;
   response.prepare_payload();
   stream_.expires_after(limits_.write_limit);
+  if (request_.method() == http::verb::head) {
+    http::response_serializer<http::string_body> serializer(response);
+    const auto [error, bytes] =
+        co_await http::async_write_header(stream_, serializer, kAwaitTuple);
+    co_return Note(!error);
+  }
   const auto [error, bytes] =
       co_await http::async_write(stream_, response, kAwaitTuple);
   co_return Note(!error);
@@ -106,6 +112,9 @@
 }
 
 awaitable<bool> http_exchange::WriteChunk(std::string_view bytes) {
+  if (bytes.empty()) {
+    co_return !broken_;  // An empty chunk would end the stream.
+  }
   stream_.expires_after(limits_.write_limit);
   const auto [error, written] = co_await net::async_write(
       stream_, http::make_chunk(net::buffer(bytes)), kAwaitTuple);
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -1,15 +1,20 @@
 #include "wire/http_server.h"
 
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <exception>
+#include <optional>
 #include <utility>
 
 #include "wire/endpoint.h"
@@ -28,6 +33,20 @@
 // not keep the thread busy.
 constexpr std::chrono::milliseconds kAcceptPause{50};
 
+// What is read and dropped after a refusal, so that the client can read the
+// refusal before the connection is reset.
+constexpr std::chrono::seconds kLingerLimit{1};
+constexpr std::size_t kLingerBytes = std::size_t{256} * 1024;
+
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+constexpr std::string_view kUnreadable =
+    R"({"error":{"code":"malformed_request","outcome":"not_run",)"
+    R"("message":"The request could not be read."}})";
+constexpr std::string_view kFailed =
+    R"({"error":{"code":"internal_error","outcome":"unknown",)"
+    R"("message":"The request failed inside the instance."}})";
+
 tcp::endpoint EndpointOrThrow(std::string_view address) {
   const auto endpoint = ParseEndpoint(address);
   if (!endpoint) {
@@ -58,6 +77,23 @@
   return http_status::bad_request;
 }
 
+// Ends the sending side and drops what still arrives, within bounds.
+awaitable<void> Linger(boost::beast::tcp_stream& stream) {
+  boost::system::error_code ignored;
+  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  stream.expires_after(kLingerLimit);
+  std::array<char, 4096> dropped;
+  std::size_t total = 0;
+  while (total < kLingerBytes) {
+    const auto [error, bytes] =
+        co_await stream.async_read_some(net::buffer(dropped), kAwaitTuple);
+    if (error) {
+      co_return;
+    }
+    total += bytes;
+  }
+}
+
 awaitable<void> RefuseRequest(boost::beast::tcp_stream& stream,
                               const boost::system::error_code& error,
                               const http_server_limits& limits) {
@@ -68,10 +104,38 @@
   http_exchange exchange(stream, http_request(http::verb::get, "/", 11),
                          limits);
   exchange.CloseAfter();
-  co_await exchange.Respond(
-      *status, "application/json",
-      R"({"error":{"code":"malformed_request","outcome":"not_run",)"
-      R"("message":"The request could not be read."}})");
+  co_await exchange.Respond(*status, "application/json", kUnreadable);
+  co_await Linger(stream);
+}
+
+// The status for a request that is well-formed but that no handler takes, or
+// nothing.
+std::optional<http_status> StatusFor(const http_request& request) {
+  switch (request.method()) {
+    case http::verb::get:
+    case http::verb::head:
+    case http::verb::post:
+    case http::verb::put:
+    case http::verb::patch:
+    case http::verb::delete_:
+    case http::verb::options:
+      break;
+    default:
+      return http_status::method_not_allowed;
+  }
+  const bool path = !request.target().empty() && request.target()[0] == '/';
+  return path ? std::nullopt : std::optional(http_status::bad_request);
+}
+
+// Tells a client that waits for it to send the body.
+awaitable<bool> SendContinue(boost::beast::tcp_stream& stream) {
+  const auto [error, bytes] = co_await net::async_write(
+      stream, net::buffer(kContinue.data(), kContinue.size()), kAwaitTuple);
+  co_return !error;
+}
+
+bool ExpectsContinue(const http::request_header<>& header) {
+  return boost::beast::iequals(header[http::field::expect], "100-continue");
 }
 
 }  // namespace
@@ -84,7 +148,8 @@
       limits_(limits),
       handler_(std::move(handler)),
       acceptor_(pool.context(0), EndpointOrThrow(address)),
-      port_(acceptor_.local_endpoint().port()) {
+      port_(acceptor_.local_endpoint().port()),
+      idle_(pool.size()) {
   net::co_spawn(pool.context(0), Accept(), net::detached);
 }
 
@@ -94,6 +159,15 @@
     boost::system::error_code ignored;
     acceptor_.close(ignored);
   });
+  for (std::size_t thread = 0; thread < pool_.size(); ++thread) {
+    net::post(pool_.context(thread), [this, thread] { CloseIdle(thread); });
+  }
+}
+
+void http_server::CloseIdle(std::size_t thread) {
+  for (boost::beast::tcp_stream* stream : idle_[thread]) {
+    stream->cancel();
+  }
 }
 
 awaitable<void> http_server::Accept() {
@@ -132,34 +206,86 @@
   open_.fetch_sub(1, std::memory_order_relaxed);
 }
 
+awaitable<bool> http_server::AwaitRequest(boost::beast::tcp_stream& stream,
+                                          boost::beast::flat_buffer& buffer,
+                                          std::size_t thread) {
+  if (buffer.size() > 0) {
+    co_return true;  // The client sent this request with the one before.
+  }
+  idle_[thread].insert(&stream);
+  if (closing_.load(std::memory_order_relaxed)) {
+    idle_[thread].erase(&stream);
+    co_return false;
+  }
+  constexpr std::size_t kFirstPiece = 4096;
+  stream.expires_after(limits_.idle_limit);
+  const auto [error, bytes] =
+      co_await stream.async_read_some(buffer.prepare(kFirstPiece), kAwaitTuple);
+  idle_[thread].erase(&stream);
+  buffer.commit(bytes);
+  co_return !error;
+}
+
 awaitable<bool> http_server::ServeOne(boost::beast::tcp_stream& stream,
                                       boost::beast::flat_buffer& buffer,
                                       std::size_t thread) {
+  if (!co_await AwaitRequest(stream, buffer, thread)) {
+    co_return false;
+  }
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
   parser.body_limit(limits_.body_bytes);
-  stream.expires_after(limits_.idle_limit);
-  auto [header_error, header_bytes] =
+  // One bound for header and body, so that a client can't keep a connection by
+  // sending one byte at a time.
+  stream.expires_after(limits_.read_limit);
+  auto [error, header_bytes] =
       co_await http::async_read_header(stream, buffer, parser, kAwaitTuple);
-  if (header_error) {
-    co_await RefuseRequest(stream, header_error, limits_);
+  if (!error && ExpectsContinue(parser.get()) && !parser.is_done() &&
+      !co_await SendContinue(stream)) {
     co_return false;
   }
-  stream.expires_after(limits_.read_limit);
-  auto [body_error, body_bytes] =
-      co_await http::async_read(stream, buffer, parser, kAwaitTuple);
-  if (body_error) {
-    co_await RefuseRequest(stream, body_error, limits_);
+  if (!error) {
+    auto [body_error, body_bytes] =
+        co_await http::async_read(stream, buffer, parser, kAwaitTuple);
+    error = body_error;
+  }
+  if (error) {
+    co_await RefuseRequest(stream, error, limits_);
     co_return false;
   }
   http_exchange exchange(stream, parser.release(), limits_);
   stream.expires_never();
-  co_await handler_(exchange, thread);
-  if (!exchange.responded()) {
+  if (closing_.load(std::memory_order_relaxed)) {
+    exchange.CloseAfter();
+  }
+  co_await Answer(exchange, thread);
+  co_return exchange.reusable();
+}
+
+awaitable<void> http_server::Answer(http_exchange& exchange,
+                                    std::size_t thread) {
+  if (const auto refused = StatusFor(exchange.request())) {
+    co_await exchange.Respond(*refused, "application/json", kUnreadable);
+    co_return;
+  }
+  // An exception that left the coroutine would end the process, and with it
+  // every other request.
+  bool failed = false;
+  try {
+    co_await handler_(exchange, thread);
+  } catch (const std::exception&) {
+    failed = true;
+  }
+  if (failed && exchange.responded()) {
+    exchange.Abort();
+  } else if (failed) {
+    exchange.CloseAfter();
+    co_await exchange.Respond(http_status::internal_server_error,
+                              "application/json", kFailed);
+  } else if (!exchange.responded()) {
     co_await exchange.Respond(http_status::not_found, "text/plain",
                               "Nothing is served at this path.\n");
   }
-  co_return exchange.reusable();
 }
 
 }  // namespace anvilloom
--- a/wire/http_server.h
+++ b/wire/http_server.h
@@ -9,7 +9,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string_view>
+#include <vector>
 
 #include "wire/http_exchange.h"
 #include "wire/io_pool.h"
@@ -58,7 +60,8 @@
     return open_.load(std::memory_order_relaxed);
   }
 
-  // Accepts no more connections; open ones end with their current request.
+  // Accepts no more connections. Idle ones are closed; the others end with
+  // their current request.
   void Close();
 
  private:
@@ -73,6 +76,12 @@
   awaitable<bool> ServeOne(boost::beast::tcp_stream& stream,
                            boost::beast::flat_buffer& buffer,
                            std::size_t thread);
+  // Waits for the first byte of a request; false if there is none.
+  awaitable<bool> AwaitRequest(boost::beast::tcp_stream& stream,
+                               boost::beast::flat_buffer& buffer,
+                               std::size_t thread);
+  awaitable<void> Answer(http_exchange& exchange, std::size_t thread);
+  void CloseIdle(std::size_t thread);
 
   io_pool& pool_;
   http_server_limits limits_;
@@ -81,6 +90,9 @@
   std::uint16_t port_;
   std::atomic<std::size_t> open_{0};
   std::atomic<bool> closing_{false};
+  // Connections that wait for a request, by thread. Each set is touched only on
+  // its own thread.
+  std::vector<std::set<boost::beast::tcp_stream*>> idle_;
 };
 
 }  // namespace anvilloom
