--- a/test/correctness/claim_storage_test.cc
+++ b/test/correctness/claim_storage_test.cc
@@ -20,7 +20,8 @@
 
 constexpr std::int64_t kNow = 1'800'000'000;
 constexpr std::chrono::hours kRetention{24};
-constexpr std::int64_t kOld = kNow - 2 * 24 * 3600;
+constexpr std::int64_t kTwoDaysInSeconds = 172'800;
+constexpr std::int64_t kOld = kNow - kTwoDaysInSeconds;
 
 claim_record Claim(claim_state state, std::int64_t written_at_s) {
   claim_record record;
