Count only running exports against a notice

When the two engines with the most streams were reclaimed with 2 s of notice, the plan prefilled most streams: each one assumed that all streams of its engine export at once, so that either all fitted or none did.

A link now counts the exports that run, and a stream fits its own on top of them. The wave test reclaims the engines with the most streams; with fixed ones, routing could leave them empty and the test measured nothing.

--- a/entry/chosen_upstream.cc
+++ b/entry/chosen_upstream.cc
@@ -60,7 +60,9 @@
       seen > duration::zero()
           ? seen
           : session.order().target.terms.token_interval_target;
-  moving.moving_at_once = source.outstanding_requests();
+  // Exports that run already, and this one. Counting all streams instead would
+  // refuse every export when only some of them fit the notice.
+  moving.moving_at_once = source.exporting() + 1;
   // A stream without a token has no cache worth moving.
   moving.may_export = may_export && session.tokens() > 0;
   return moving;
--- a/entry/stream_runner.cc
+++ b/entry/stream_runner.cc
@@ -186,9 +186,12 @@
           attempt_->path()->reclaim_at().Earlier(order().answer_by);
       // Copied: the session's version changes if the attempt's does.
       const std::string version(session_->model_version());
+      const std::shared_ptr<link> source = attempt_->path();
+      source->BeginExport();
       auto moved = co_await MoveCache(self_.client(), attempt_->address(),
                                       planned->target->address, attempt_->id(),
                                       version, until);
+      source->EndExport();
       if (attempt_->end() != attempt_end::kRunning) {
         co_return;  // It ended or broke while the cache travelled.
       }
--- a/links/link.h
+++ b/links/link.h
@@ -105,6 +105,11 @@
 
   void SetCondition(link_condition condition);
   void SetLeaving(leaving_source source, bool leaving);
+  // Counts a KV cache export that shares the upstream's network.
+  void BeginExport() { exporting_.fetch_add(1, kRelaxed); }
+  void EndExport() { exporting_.fetch_sub(1, kRelaxed); }
+  std::uint32_t exporting() const { return exporting_.load(kRelaxed); }
+
   // Sets the time after which the upstream is gone. Source: a notice.
   void SetReclaim(deadline reclaim_at);
 
@@ -205,6 +210,7 @@
   std::atomic<std::uint32_t> version_changes_{0};
   std::atomic<std::uint32_t> token_intervals_{0};
   std::atomic<std::uint64_t> version_{0};
+  std::atomic<std::uint32_t> exporting_{0};
   prefix_memory prefixes_;
 };
 
--- a/links/reclaim_plan.h
+++ b/links/reclaim_plan.h
@@ -19,7 +19,7 @@
   std::uint32_t generated = 0;
   std::uint32_t remaining = 0;
   duration token_interval{};
-  // Streams that leave the same upstream now and share its network.
+  // Exports from the same upstream that share its network, this one included.
   std::uint32_t moving_at_once = 1;
   // False when the KV cache can't be exported, for example because it failed.
   bool may_export = true;
--- a/test/performance/reclaim_wave_test.cc
+++ b/test/performance/reclaim_wave_test.cc
@@ -48,11 +48,17 @@
   }
   world.AwaitTokens(50);
   const double before = world.Metric("recomputed_tokens_total");
-  for (const std::size_t leaving : {1, 2}) {
+  // Those with the most streams, wherever routing put them.
+  std::vector<std::size_t> numbers = {1, 2, 3, 4};
+  std::ranges::sort(numbers, std::ranges::greater{}, [&](std::size_t number) {
+    return world.Outstanding(number);
+  });
+  numbers.resize(2);
+  for (const std::size_t leaving : numbers) {
     world.GiveNotice(leaving, kNoticeMs);
   }
   std::this_thread::sleep_for(std::chrono::milliseconds(kNoticeMs));
-  for (const std::size_t leaving : {1, 2}) {
+  for (const std::size_t leaving : numbers) {
     world.engine(leaving).Kill();
   }
   wave_cost cost;
