--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -40,8 +40,10 @@
 };
 
 constexpr std::array<size_limit, 3> kSizeLimits = {{
-    {"header_bytes", &http_server_limits::header_bytes, 1024, 1024 * 1024},
-    {"body_bytes", &http_server_limits::body_bytes, 1024, 64 * 1024 * 1024},
+    {"header_bytes", &http_server_limits::header_bytes, 1024,
+     std::size_t{1024} * 1024},
+    {"body_bytes", &http_server_limits::body_bytes, 1024,
+     std::size_t{64} * 1024 * 1024},
     {"connections", &http_server_limits::connections, 1, 65'536},
 }};
 constexpr std::array<time_limit, 3> kTimeLimits = {{
--- /dev/null
+++ b/test/error/decoder_mutations_test.cc
@@ -0,0 +1,188 @@
+// Guards against bytes that make a decoder crash or accept an impossible value:
+// valid inputs are mutated by a seeded generator and decoded.
+
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "entry/settings.h"
+#include "test/support/local_system.h"
+#include "wire/chat_codec.h"
+#include "wire/configuration_json.h"
+#include "wire/json_text.h"
+#include "wire/line_splitter.h"
+
+namespace anvilloom {
+
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr std::uint64_t kSeed = 20'261'204;
+constexpr int kMutants = 3000;
+
+// Pieces that parsers often stumble over.
+const std::vector<std::string> kPieces = {
+    "{",       "}",       "[",    "]",     "\"",       "\\",
+    "\\u0000", "\\ud800", "null", "1e999", "-1",       "18446744073709551616",
+    "0.5",     "//",      "/*",   "\xff",  "\xc0\x80", std::string(1, '\0'),
+    "\r",      "\n",      "true", ",",     ":",        std::string(100, '[')};
+
+// Changes one to four places of a text.
+class mutator {
+ public:
+  std::string Mutate(std::string text) {
+    const int changes = Below(4) + 1;
+    for (int i = 0; i < changes; ++i) {
+      Change(text);
+    }
+    return text;
+  }
+
+ private:
+  int Below(std::size_t bound) {
+    return static_cast<int>(
+        std::uniform_int_distribution<std::size_t>(0, bound - 1)(random_));
+  }
+
+  void Change(std::string& text) {
+    const std::size_t at = Below(text.size() + 1);
+    switch (Below(5)) {
+      case 0:
+        text.erase(at, Below(20));
+        break;
+      case 1:
+        text.insert(at, kPieces[Below(kPieces.size())]);
+        break;
+      case 2:
+        text.resize(at);
+        break;
+      case 3:
+        text.insert(at, text.substr(Below(text.size() + 1), Below(40)));
+        break;
+      default:
+        if (at < text.size()) {
+          text[at] = static_cast<char>(Below(256));
+        }
+    }
+  }
+
+  std::mt19937_64 random_{kSeed};
+};
+
+// A decoder, and a valid input for it. `decode` returns whether it accepted.
+struct decoder_case {
+  std::string name;
+  std::string valid;
+  std::function<bool(std::string_view)> decode;
+};
+
+bool DecodeChat(std::string_view text) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_AUTO(request, DecodeChatRequest(text));
+        // What is accepted must be usable: it is encoded for an engine.
+        EncodeEngineRequest(request, "m", "r", priority::kNormal, {});
+        return ParseJson(request.messages).has_value();
+      },
+      [] { return false; });
+}
+
+bool DecodeFiles(std::string_view text) {
+  const std::vector<configuration_file> files = {
+      {"10-a.json", std::string(text)}};
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_AUTO(decoded, DecodeConfiguration(files, 1));
+        for (const upstream_declaration& target : decoded.upstreams) {
+          if (target.slots == 0 || target.address.empty()) {
+            throw std::logic_error("An upstream out of range was accepted.");
+          }
+        }
+        return true;
+      },
+      [](const configuration_faults& found) {
+        if (found.faults.empty()) {
+          throw std::logic_error("A refusal names no fault.");
+        }
+        for (const configuration_fault& fault : found.faults) {
+          Sentence(fault);
+        }
+        return false;
+      },
+      [] { return false; });
+}
+
+bool DecodeSettings(std::string_view text) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_AUTO(settings, ParseSettings(text, "a.json"));
+        return settings.threads > 0;
+      },
+      [] { return false; });
+}
+
+bool DecodeLines(std::string_view text) {
+  line_splitter lines;
+  bool any = false;
+  // Pieces of 7 bytes put line ends at every place of a piece.
+  for (std::size_t at = 0; at < text.size(); at += 7) {
+    lines.Append(text.substr(at, 7));
+    while (const auto line = lines.NextLine()) {
+      any = ParseJson(*line).has_value() || any;
+    }
+  }
+  return any;
+}
+
+std::vector<decoder_case> Decoders() {
+  return {
+      {"chat", ChatBody("a plan", 20, true), DecodeChat},
+      {"configuration", TestConfiguration({9101, 9102}, {9201}), DecodeFiles},
+      {"settings",
+       R"({"name":"a","failure_domain":"za","object_api":"127.0.0.1:9000",
+           "threads":3,"limits":{"body_bytes":4096,"idle_limit_ms":100}})",
+       DecodeSettings},
+      {"manifest",
+       R"({"revision":7,"attempt":"x","files":[{"name":"a","digest":"b"}]})",
+       [](std::string_view text) { return DecodeManifest(text).has_value(); }},
+      {"watch lines",
+       "{\"type\":\"put\",\"version\":4,\"object\":{\"name\":\"a\","
+       "\"version\":4,\"value\":{}}}\n{\"type\":\"bookmark\",\"version\":4}\n",
+       DecodeLines},
+      {"engine chunk",
+       R"({"id":"r1","system_fingerprint":"v1","token_index":3,"choices":[{)"
+       R"("delta":{"content":"x"},"finish_reason":null}]})",
+       [](std::string_view text) {
+         chunk_decoder decoder;
+         return decoder.Decode(text).has_value();
+       }},
+  };
+}
+
+}  // namespace
+
+SCENARIO("Mutated input is refused or decoded, never fatal", "[mutations]") {
+  for (const decoder_case& one : Decoders()) {
+    GIVEN("the decoder of " + one.name) {
+      REQUIRE(one.decode(one.valid));
+
+      WHEN("valid input is mutated") {
+        mutator mutate;
+        int refused = 0;
+        for (int i = 0; i < kMutants; ++i) {
+          refused += one.decode(mutate.Mutate(one.valid)) ? 0 : 1;
+        }
+
+        THEN("some mutants are refused, and the process lives") {
+          REQUIRE(refused > 0);
+        }
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
--- a/test/error/http_edges_test.cc
+++ b/test/error/http_edges_test.cc
@@ -353,6 +353,7 @@
 
     WHEN("more clients connect than it takes") {
       std::vector<std::unique_ptr<raw_connection>> crowd;
+      crowd.reserve(80);
       for (int i = 0; i < 80; ++i) {
         crowd.push_back(std::make_unique<raw_connection>(edge.port));
       }
