--- a/test/correctness/upstream_health_test.cc
+++ b/test/correctness/upstream_health_test.cc
@@ -129,6 +129,8 @@
 
       THEN("that is no fault") {
         REQUIRE(upstream.path().condition() == link_condition::kHealthy);
+        // A quarantine meanwhile would have ended by now.
+        REQUIRE(upstream.health().cause() == health_cause::kNone);
       }
     }
 
