--- a/common/log.cc
+++ b/common/log.cc
@@ -67,6 +67,30 @@
       return "stream_failed";
     case log_event::kAnswerRejected:
       return "answer_rejected";
+    case log_event::kMemberJoined:
+      return "member_joined";
+    case log_event::kMemberSuspected:
+      return "member_suspected";
+    case log_event::kMemberRecovered:
+      return "member_recovered";
+    case log_event::kMemberFailed:
+      return "member_failed";
+    case log_event::kMemberLeft:
+      return "member_left";
+    case log_event::kSelfRefuted:
+      return "self_refuted";
+    case log_event::kSelfResumed:
+      return "self_resumed";
+    case log_event::kStreamHandedOver:
+      return "stream_handed_over";
+    case log_event::kStreamTakenOver:
+      return "stream_taken_over";
+    case log_event::kHandoverRefused:
+      return "handover_refused";
+    case log_event::kConfigurationRelayed:
+      return "configuration_relayed";
+    case log_event::kConfigurationRelayFailed:
+      return "configuration_relay_failed";
     case log_event::kRequestsRefused:
       return "requests_refused";
     case log_event::kLimitShareChanged:
--- a/entry/admin_handler.cc
+++ b/entry/admin_handler.cc
@@ -56,6 +56,21 @@
   return streams;
 }
 
+json::array DumpMembers(const process_state& process) {
+  json::array members;
+  const rcu_read_guard guard;
+  for (const live_member& each : process.members.Read(guard).live) {
+    members.push_back({{"name", each.profile.name},
+                       {"peer_address", each.profile.peer_address},
+                       {"http_address", each.profile.http_address},
+                       {"failure_domain", each.profile.domain},
+                       {"epoch", each.profile.epoch},
+                       {"leaving", each.profile.leaving},
+                       {"suspect", each.suspect}});
+  }
+  return members;
+}
+
 // Runs `read` on the thread of `holder` and returns its value.
 template <typename Read>
 auto OnThreadOf(worker& holder, Read read)
@@ -89,7 +104,14 @@
                               "The admin token is missing or wrong.\n");
     co_return;
   }
-  if (path == "/metrics") {
+  if (path == "/drain" &&
+      exchange.request().method() == boost::beast::http::verb::post) {
+    process_.drain.Request(deadline::After(
+        process_.clock.Now(),
+        std::chrono::milliseconds(process_.settings.drain_limit_ms)));
+    co_await exchange.Respond(http_status::accepted, "text/plain",
+                              "draining\n");
+  } else if (path == "/metrics") {
     const std::string body = co_await Metrics();
     co_await exchange.Respond(http_status::ok, "text/plain; version=0.0.4",
                               body);
@@ -136,6 +158,7 @@
     streams.insert(streams.end(), part.begin(), part.end());
   }
   dump["streams"] = std::move(streams);
+  dump["members"] = DumpMembers(process_);
   json::array links;
   {
     const rcu_read_guard guard;
--- a/entry/chat_handler.cc
+++ b/entry/chat_handler.cc
@@ -13,6 +13,7 @@
 #include "common/hash.h"
 #include "entry/admission_gate.h"
 #include "entry/refusal_reply.h"
+#include "entry/stream_handover.h"
 #include "entry/stream_runner.h"
 #include "wire/chat_codec.h"
 
@@ -25,6 +26,11 @@
 
 // Bytes of the prompt that decide its placement by prefix.
 constexpr std::size_t kPrefixBytes = 512;
+constexpr std::string_view kStreamsPath = "/v1/streams/";
+// Longest time for which a resumed stream is passed on.
+constexpr duration kResumeLimit = std::chrono::minutes(10);
+// Time kept to tell a caller where its answer can be fetched.
+constexpr duration kReferMargin = std::chrono::milliseconds(300);
 
 // A decoded body, or what is wrong with it.
 struct decoded_body {
@@ -65,7 +71,7 @@
                   const stream_session& session,
                   std::uint32_t& next) {
   const answer_identity identity = IdentityOf(session);
-  while (next < session.tokens()) {
+  while (next < session.visible_tokens()) {
     AppendTokenEvent(out, session.order().stream_id, identity, next,
                      session.token(next));
     ++next;
@@ -99,16 +105,22 @@
     out.clear();
     AppendTokens(out, *session, next);
     const bool ended = session->phase() != stream_phase::kRunning;
-    if (ended) {
+    const bool handed_over = session->phase() == stream_phase::kHandedOver;
+    if (ended && !handed_over) {
       AppendEnd(out, *session);
     }
     if (!out.empty()) {
       open = co_await exchange.WriteChunk(out);
     }
+    if (handed_over) {
+      // Without an end marker the caller knows that it has to come back.
+      exchange.Abort();
+      co_return;
+    }
     if (ended) {
       break;
     }
-    if (open && next == session->tokens() &&
+    if (open && next >= session->visible_tokens() &&
         session->phase() == stream_phase::kRunning) {
       co_await session->Changed();
     }
@@ -160,7 +172,8 @@
   if (complete) {
     ticket.Settle(EstimatePromptTokens(session->order().request) +
                   session->tokens());
-  } else if (session->failure()->code == refusal_code::kNoUpstream &&
+  } else if (session->failure() &&
+             session->failure()->code == refusal_code::kNoUpstream &&
              session->tokens() == 0) {
     ticket.Settle(0);
   }
@@ -235,6 +248,40 @@
   return session;
 }
 
+// Answers a caller that did not ask for a stream, once the stream has ended.
+awaitable<void> WriteWholeAtEnd(http_exchange& exchange,
+                                std::shared_ptr<stream_session> session) {
+  co_await AwaitEnd(session);
+  if (session->phase() == stream_phase::kComplete) {
+    co_await WriteWhole(exchange, *session);
+  } else if (session->phase() == stream_phase::kHandedOver) {
+    exchange.Abort();
+  } else {
+    co_await RespondRefusal(exchange, *session->failure(),
+                            session->order().request_id, steady_source().Now());
+  }
+}
+
+// Fetches a whole answer from the instance that a stream was handed over to.
+// If it does not come before this instance stops, the caller is told where to
+// fetch it.
+awaitable<void> FetchWhole(http_exchange& exchange,
+                           worker& self,
+                           std::shared_ptr<stream_session> session) {
+  const std::string target =
+      std::string(kStreamsPath) + session->order().stream_id + "?whole=1";
+  const deadline until =
+      self.process().drain.until().Earlier(session->order().answer_by);
+  const deadline fetch_until(until.at() - kReferMargin);
+  const proxy_end end = co_await ProxyStream(
+      exchange, self, std::string(session->holder()), target, fetch_until);
+  if (end == proxy_end::kNothingSent) {
+    const std::array<http_header, 1> headers = {{{"Location", target}}};
+    co_await exchange.Respond(http_status::see_other, "application/json", "{}",
+                              headers);
+  }
+}
+
 // The token after the one that Last-Event-ID ("<stream>:<n>") names.
 std::uint32_t NextIndex(std::string_view last_event_id) {
   const std::size_t colon = last_event_id.rfind(':');
@@ -267,6 +314,10 @@
   } else {
     co_await AwaitEnd(session);
   }
+  if (session->phase() == stream_phase::kHandedOver && !wants_stream) {
+    co_await FetchWhole(exchange, self, session);
+    co_return;
+  }
   const bool failed_whole = session->phase() == stream_phase::kFailed &&
                             (!wants_stream || session->tokens() == 0);
   if (failed_whole) {
@@ -280,11 +331,35 @@
   }
 }
 
+awaitable<bool> chat_handler::ResumeElsewhere(http_exchange& exchange,
+                                              worker& self,
+                                              std::string_view stream_id,
+                                              std::string holder) {
+  // A request that another entry instance has passed on is not passed on
+  // again, so that two instances that point at each other make no loop.
+  if (!exchange.Header(kProxiedHeader).empty()) {
+    co_return false;
+  }
+  const deadline until =
+      deadline::After(self.process().clock.Now(), kResumeLimit);
+  if (holder.empty()) {
+    holder = (co_await LocateStream(self, std::string(stream_id))).value_or("");
+  }
+  if (holder.empty()) {
+    co_return false;
+  }
+  const proxy_end end = co_await ProxyStream(
+      exchange, self, std::move(holder), std::string(exchange.target()), until);
+  co_return end != proxy_end::kNothingSent;
+}
+
 awaitable<void> chat_handler::Resume(http_exchange& exchange,
                                      worker& self,
                                      const caller& from,
                                      std::string_view stream_id) {
   const std::uint32_t next = NextIndex(exchange.Header("Last-Event-ID"));
+  const bool whole = exchange.Query("whole") == "1";
+  std::string moved_to;
   for (const std::unique_ptr<worker>& holder : workers_) {
     // The session belongs to its worker's thread, so the events are written
     // from there while this coroutine waits.
@@ -295,7 +370,15 @@
           if (!session || session->order().workspace != from.customer.name) {
             co_return false;
           }
-          co_await WriteEvents(exchange, session, next);
+          if (session->phase() == stream_phase::kHandedOver) {
+            moved_to = session->holder();
+            co_return false;
+          }
+          if (whole) {
+            co_await WriteWholeAtEnd(exchange, session);
+          } else {
+            co_await WriteEvents(exchange, session, next);
+          }
           co_return true;
         },
         net::use_awaitable);
@@ -303,6 +386,9 @@
       co_return;
     }
   }
+  if (co_await ResumeElsewhere(exchange, self, stream_id, moved_to)) {
+    co_return;
+  }
   co_await RespondRefusal(exchange,
                           {refusal_code::kUnknownStream, outcome::kUnknown},
                           from.request_id, self.process().clock.Now());
--- a/entry/chat_handler.h
+++ b/entry/chat_handler.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <span>
+#include <string>
 #include <string_view>
 
 #include "entry/caller.h"
@@ -30,6 +31,13 @@
                          std::string_view stream_id);
 
  private:
+  // Passes a resumed stream on from the instance that holds it, `holder` if it
+  // is known. False if there is none; then nothing was written.
+  awaitable<bool> ResumeElsewhere(http_exchange& exchange,
+                                  worker& self,
+                                  std::string_view stream_id,
+                                  std::string holder);
+
   std::span<const std::unique_ptr<worker>> workers_;
 };
 
--- a/entry/configuration_follower.cc
+++ b/entry/configuration_follower.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -27,6 +30,13 @@
 // Pause after a failed call; short against the 10 s in which a change must be
 // in force.
 constexpr duration kRetryPause = std::chrono::milliseconds(500);
+// Time to an answer of a peer, which may be a file of 1 MB.
+constexpr duration kPeerLimit = std::chrono::seconds(2);
+// Two watchers, so that one may fail or be paused.
+constexpr std::size_t kWatchersPerDomain = 2;
+// How often an instance without a watch lists the manifest. Announcements are
+// much faster; this finds a revision that no announcement brought.
+constexpr duration kFallbackPoll = std::chrono::seconds(20);
 
 // Faults of one revision that are logged one by one.
 constexpr std::size_t kLoggedFaults = 20;
@@ -68,7 +78,7 @@
 awaitable<void> configuration_follower::Run() {
   for (;;) {
     co_await ListAndWatch();
-    co_await Pause();
+    co_await Pause(kRetryPause);
   }
 }
 
@@ -87,10 +97,14 @@
   }
   std::uint64_t version = list->version;
   for (;;) {
-    if (newest && !co_await Apply(std::move(*newest))) {
+    if (newest && !co_await Apply(std::move(*newest), {})) {
       co_return;
     }
     newest.reset();
+    if (!IsWatcher()) {
+      co_await Pause(kFallbackPoll);
+      co_return;
+    }
     const auto seen = co_await store_.Watch(
         kManifestKind, version,
         [&](const object_event& event) {
@@ -109,13 +123,32 @@
   }
 }
 
-awaitable<bool> configuration_follower::Apply(configuration_manifest manifest) {
+bool configuration_follower::IsWatcher() const {
+  if (process_.peers == nullptr) {
+    return true;
+  }
+  const std::string& self = process_.settings.name;
+  const std::uint64_t own_score = Hash64(self);
+  const rcu_read_guard guard;
+  std::size_t ahead = 0;
+  for (const live_member& each : process_.members.Read(guard).live) {
+    if (each.profile.domain == process_.settings.failure_domain &&
+        each.profile.name != self && !each.profile.leaving &&
+        Hash64(each.profile.name) > own_score) {
+      ++ahead;
+    }
+  }
+  return ahead < kWatchersPerDomain;
+}
+
+awaitable<bool> configuration_follower::Apply(configuration_manifest manifest,
+                                              std::string from_address) {
   const std::uint64_t in_force =
       process_.revision_in_force.load(std::memory_order_acquire);
   if (manifest.revision <= in_force) {
     co_return true;
   }
-  const auto files = co_await Fetch(manifest);
+  const auto files = co_await Fetch(manifest, from_address);
   if (!files) {
     co_return false;
   }
@@ -123,40 +156,137 @@
   if (!accepted) {
     co_return true;
   }
-  PutInForce(*accepted);
+  // A newer revision may have come from another source while the files were
+  // fetched; it must not revert.
+  if (manifest.revision >
+      process_.revision_in_force.load(std::memory_order_acquire)) {
+    PutInForce(*accepted, manifest);
+  }
   co_return true;
 }
 
 awaitable<std::optional<std::vector<configuration_file>>>
-configuration_follower::Fetch(const configuration_manifest& manifest) {
+configuration_follower::Fetch(const configuration_manifest& manifest,
+                              std::string_view from_address) {
   std::vector<configuration_file> files;
   std::map<std::string, std::string> texts;
   for (const manifest_entry& entry : manifest.files) {
     const auto held = texts_.find(entry.digest);
-    std::string text;
+    std::optional<std::string> text;
     if (held != texts_.end()) {
       text = held->second;
     } else {
-      const auto object = co_await store_.Get(
-          kFileKind, entry.digest,
-          deadline::After(process_.clock.Now(), kCallLimit));
-      const auto parsed = object ? ParseJson(object->value) : std::nullopt;
-      const auto body = parsed ? StringMember(*parsed, "text") : std::nullopt;
-      if (!body || Sha256Hex(*body) != entry.digest) {
-        Log(log_level::kWarning, log_event::kObjectApiUnavailable,
-            {{"file", entry.name}});
-        co_return std::nullopt;
-      }
-      text = *body;
+      text = co_await FetchFile(entry, from_address);
+    }
+    if (!text) {
+      co_return std::nullopt;
     }
-    texts[entry.digest] = text;
-    files.push_back({entry.name, std::move(text)});
+    texts[entry.digest] = *text;
+    files.push_back({entry.name, std::move(*text)});
   }
   texts_ = std::move(texts);
   co_return files;
 }
 
-void configuration_follower::PutInForce(const configuration& accepted) {
+awaitable<std::optional<std::string>> configuration_follower::FetchFile(
+    const manifest_entry& entry,
+    std::string_view from_address) {
+  if (!from_address.empty()) {
+    auto text = co_await AskPeer(from_address, entry.digest);
+    if (text && Sha256Hex(*text) == entry.digest) {
+      co_return text;
+    }
+    Log(log_level::kWarning, log_event::kConfigurationRelayFailed,
+        {{"file", entry.name}, {"from", std::string(from_address)}});
+    co_return std::nullopt;
+  }
+  const auto object =
+      co_await store_.Get(kFileKind, entry.digest,
+                          deadline::After(process_.clock.Now(), kCallLimit));
+  const auto parsed = object ? ParseJson(object->value) : std::nullopt;
+  const auto body = parsed ? StringMember(*parsed, "text") : std::nullopt;
+  if (!body || Sha256Hex(*body) != entry.digest) {
+    Log(log_level::kWarning, log_event::kObjectApiUnavailable,
+        {{"file", entry.name}});
+    co_return std::nullopt;
+  }
+  co_return std::string(*body);
+}
+
+awaitable<std::optional<std::string>> configuration_follower::AskPeer(
+    std::string_view from_address,
+    std::string_view digest) {
+  std::vector<std::string> addresses = {std::string(from_address)};
+  peer_body question = configuration_fetch{std::string(digest)};
+  auto answers = co_await process_.peers->Ask(
+      std::move(addresses), std::move(question),
+      deadline::After(process_.clock.Now(), kPeerLimit));
+  if (answers.empty()) {
+    co_return std::nullopt;
+  }
+  auto* answer = std::get_if<configuration_fetch_answer>(&answers.front());
+  if (answer == nullptr || !answer->found) {
+    co_return std::nullopt;
+  }
+  co_return std::move(answer->text);
+}
+
+awaitable<void> configuration_follower::TakeFromPeer(std::uint64_t revision,
+                                                     std::string from_address) {
+  if (taking_ ||
+      revision <= process_.revision_in_force.load(std::memory_order_acquire)) {
+    co_return;
+  }
+  taking_ = true;
+  const auto text = co_await AskPeer(from_address, {});
+  auto manifest = text ? DecodeManifest(*text) : std::nullopt;
+  const bool newer =
+      manifest && manifest->revision > process_.revision_in_force.load(
+                                           std::memory_order_acquire);
+  if (newer) {
+    const std::uint64_t taken = manifest->revision;
+    if (co_await Apply(std::move(*manifest), from_address)) {
+      Log(log_level::kInfo, log_event::kConfigurationRelayed,
+          {{"revision", std::to_string(taken)}, {"from", from_address}});
+    }
+  }
+  taking_ = false;
+}
+
+configuration_relay configuration_follower::Relay() {
+  return {[this](std::uint64_t revision, std::string from_address) {
+            net::post(executor_, [this, revision,
+                                  from = std::move(from_address)]() mutable {
+              net::co_spawn(executor_, TakeFromPeer(revision, std::move(from)),
+                            net::detached);
+            });
+          },
+          [this](const configuration_fetch& asked) { return Serve(asked); }};
+}
+
+configuration_fetch_answer configuration_follower::Serve(
+    const configuration_fetch& asked) {
+  std::shared_ptr<const served_revision> served;
+  {
+    const std::lock_guard lock(mutex_);
+    served = served_;
+  }
+  if (!served) {
+    return {};
+  }
+  if (asked.digest.empty()) {
+    return {true, served->manifest};
+  }
+  const auto found = served->texts.find(asked.digest);
+  if (found == served->texts.end()) {
+    return {};
+  }
+  return {true, found->second};
+}
+
+void configuration_follower::PutInForce(
+    const configuration& accepted,
+    const configuration_manifest& manifest) {
   topology_builder builder;
   builder.Configuration(accepted);
   std::unique_ptr<const topology> next;
@@ -168,15 +298,25 @@
   process_.world.Publish(std::move(next));
   process_.revision_in_force.store(accepted.revision,
                                    std::memory_order_release);
+  auto served = std::make_shared<served_revision>();
+  served->manifest = EncodeManifest(manifest);
+  served->texts = texts_;
+  {
+    const std::lock_guard lock(mutex_);
+    served_ = std::move(served);
+  }
+  if (process_.peers != nullptr) {
+    process_.peers->AnnounceRevision(accepted.revision);
+  }
   Log(log_level::kInfo, log_event::kConfigurationInForce,
       {{"revision", std::to_string(accepted.revision)},
        {"services", std::to_string(accepted.services.size())},
        {"upstreams", std::to_string(accepted.upstreams.size())}});
 }
 
-awaitable<void> configuration_follower::Pause() {
+awaitable<void> configuration_follower::Pause(duration span) {
   net::steady_timer timer(executor_);
-  timer.expires_after(kRetryPause);
+  timer.expires_after(span);
   co_await timer.async_wait(net::as_tuple(net::use_awaitable));
 }
 
--- a/entry/entry_instance.cc
+++ b/entry/entry_instance.cc
@@ -2,11 +2,18 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_future.hpp>
 #include <chrono>
+#include <csignal>
+#include <sstream>
+#include <string>
 #include <thread>
 #include <utility>
 
 #include "common/log.h"
+#include "entry/stream_handover.h"
+#include "wire/endpoint.h"
 
 namespace anvilloom {
 
@@ -23,6 +30,21 @@
   return workers;
 }
 
+// Where other instances reach the callers' port of this one. The peer address
+// stands in for a listen address that is not specific.
+std::string HttpAddress(const entry_settings& settings, std::uint16_t port) {
+  const auto listen = ParseEndpoint(settings.listen);
+  const auto peer = ParseEndpoint(settings.peer_listen);
+  boost::asio::ip::tcp::endpoint reached = *listen;
+  if (reached.address().is_unspecified()) {
+    reached.address(peer->address());
+  }
+  reached.port(port);
+  std::ostringstream text;
+  text << reached;
+  return text.str();
+}
+
 }  // namespace
 
 entry_instance::entry_instance(entry_settings settings)
@@ -32,35 +54,92 @@
       workers_(MakeWorkers(process_, request_pool_)),
       request_handler_(workers_),
       admin_handler_(process_, workers_),
-      follower_(process_, control_pool_.context(0).get_executor()) {
+      follower_(process_, control_pool_.context(0).get_executor()),
+      signals_(control_pool_.context(0), SIGINT, SIGTERM) {
   const http_server_limits limits;
   callers_ = std::make_unique<http_server>(
       request_pool_, process_.settings.listen, limits, request_handler_);
   admin_ = std::make_unique<http_server>(
       control_pool_, process_.settings.admin_listen, limits, admin_handler_);
+  if (!process_.settings.peer_listen.empty()) {
+    peers_ = std::make_unique<peer_service>(
+        process_, workers_, HttpAddress(process_.settings, port()));
+    process_.peers = peers_.get();
+  }
+  signals_.async_wait([this](const boost::system::error_code& error, int) {
+    if (!error) {
+      process_.drain.Request(deadline::After(
+          process_.clock.Now(),
+          std::chrono::milliseconds(process_.settings.drain_limit_ms)));
+    }
+  });
   boost::asio::co_spawn(control_pool_.context(0), follower_.Run(),
                         boost::asio::detached);
   request_pool_.Start();
   control_pool_.Start();
+  if (peers_) {
+    peers_->Start(follower_.Relay());
+  }
   Log(log_level::kInfo, log_event::kStarted,
       {{"name", process_.settings.name},
        {"port", std::to_string(port())},
-       {"admin_port", std::to_string(admin_port())}});
+       {"admin_port", std::to_string(admin_port())},
+       {"peer_address", peers_ ? peers_->address() : "-"}});
 }
 
 entry_instance::~entry_instance() {
+  if (peers_) {
+    peers_->Stop();
+  }
   request_pool_.Stop();
   control_pool_.Stop();
 }
 
-void entry_instance::Drain(deadline until) {
+void entry_instance::AwaitDrain() {
+  process_.drain.Await();
+}
+
+void entry_instance::Drain() {
   process_.draining.store(true, std::memory_order_release);
   Log(log_level::kInfo, log_event::kDraining);
-  callers_->Close();
-  while (callers_->open_connections() > 0 &&
-         !until.Expired(process_.clock.Now())) {
+  if (peers_) {
+    peers_->StartLeaving();
+  }
+  const deadline grace =
+      deadline::After(
+          process_.clock.Now(),
+          std::chrono::milliseconds(process_.settings.drain_grace_ms))
+          .Earlier(process_.drain.until());
+  bool accepting = true;
+  for (;;) {
+    const time_point now = process_.clock.Now();
+    // A notice that arrives during the stop may bring its deadline forward.
+    const deadline until = process_.drain.until();
+    if (accepting && grace.Expired(now)) {
+      accepting = false;
+      callers_->Close();
+    }
+    const std::size_t running = HandOver(until);
+    const bool idle =
+        !accepting && running == 0 &&
+        process_.requests_in_flight.load(std::memory_order_acquire) == 0;
+    if (idle || until.Expired(now)) {
+      return;
+    }
     std::this_thread::sleep_for(kDrainCheckInterval);
   }
 }
 
+std::size_t entry_instance::HandOver(deadline until) {
+  std::size_t running = 0;
+  for (const std::unique_ptr<worker>& holder : workers_) {
+    running +=
+        boost::asio::post(holder->context(), boost::asio::use_future([&] {
+                            return HandOverStreams(*holder, until);
+                          }))
+            .get();
+  }
+  return running;
+}
+
 }  // namespace anvilloom
--- a/entry/entry_instance.h
+++ b/entry/entry_instance.h
@@ -2,12 +2,15 @@
 #ifndef ENTRY_ENTRY_INSTANCE_H_
 #define ENTRY_ENTRY_INSTANCE_H_
 
+#include <boost/asio/signal_set.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <vector>
 
 #include "entry/admin_handler.h"
 #include "entry/configuration_follower.h"
+#include "entry/peer_service.h"
 #include "entry/process_state.h"
 #include "entry/request_handler.h"
 #include "entry/worker.h"
@@ -26,11 +29,17 @@
   std::uint16_t port() const { return callers_->port(); }
   std::uint16_t admin_port() const { return admin_->port(); }
 
-  // Stops accepting requests, waits until the open ones have ended or
-  // `until`, then returns.
-  void Drain(deadline until);
+  // Returns once SIGTERM, SIGINT, an operator or a notice asks for a stop.
+  void AwaitDrain();
+  // Withdraws readiness, stops accepting requests, and waits until every
+  // request has ended or was handed over, or until the deadline of the stop.
+  void Drain();
 
  private:
+  // Lets the streams that will not end in time go to peers. Returns how many
+  // streams still run here.
+  std::size_t HandOver(deadline until);
+
   process_state process_;
   io_pool request_pool_;
   io_pool control_pool_;
@@ -40,6 +49,8 @@
   configuration_follower follower_;
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> admin_;
+  std::unique_ptr<peer_service> peers_;
+  boost::asio::signal_set signals_;
 };
 
 }  // namespace anvilloom
--- a/entry/main.cc
+++ b/entry/main.cc
@@ -1,11 +1,10 @@
 // The entry instance: serves callers in front of upstreams.
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/program_options.hpp>
 #include <iostream>
 #include <string>
+#include <zmq.hpp>
 
 #include "common/log.h"
 #include "entry/entry_instance.h"
@@ -18,21 +17,17 @@
 
 constexpr int kExitUsage = 2;
 constexpr int kExitFailed = 1;
-constexpr std::chrono::seconds kDrainLimit{60};
-
-void AwaitStopSignal() {
-  boost::asio::io_context context(1);
-  boost::asio::signal_set signals(context, SIGINT, SIGTERM);
-  signals.async_wait([](auto, auto) {});
-  context.run();
-}
 
 int Serve(anvilloom::entry_settings settings) {
   try {
     anvilloom::entry_instance instance(std::move(settings));
-    AwaitStopSignal();
-    instance.Drain(anvilloom::deadline::After(anvilloom::steady_source().Now(),
-                                              kDrainLimit));
+    instance.AwaitDrain();
+    instance.Drain();
+  } catch (const zmq::error_t& failure) {
+    anvilloom::Log(anvilloom::log_level::kError,
+                   anvilloom::log_event::kStartFailed,
+                   {{"cause", failure.what()}});
+    return kExitFailed;
   } catch (const boost::system::system_error& failure) {
     anvilloom::Log(anvilloom::log_level::kError,
                    anvilloom::log_event::kStartFailed,
--- /dev/null
+++ b/entry/peer_service.h
@@ -0,0 +1,98 @@
+// Defines peer_service, what this entry instance does together with the
+// others: membership, questions and answers, and the dispatch of messages.
+#ifndef ENTRY_PEER_SERVICE_H_
+#define ENTRY_PEER_SERVICE_H_
+
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "entry/process_state.h"
+#include "entry/worker.h"
+#include "instances/membership.h"
+#include "wire/peer_transport.h"
+#include "wire/transfer.h"
+
+namespace anvilloom {
+
+// What the configuration follower does with messages. Both are called on the
+// peer thread.
+struct configuration_relay {
+  // A peer has this revision in force, and this instance an older one.
+  std::function<void(std::uint64_t revision, std::string from_address)>
+      on_newer;
+  std::function<configuration_fetch_answer(const configuration_fetch&)> answer;
+};
+
+// Runs the membership on the peer thread. Ask() and Send() are thread-safe.
+class peer_service {
+ public:
+  // Throws zmq::error_t if the peer address can't be bound.
+  peer_service(process_state& process,
+               std::span<const std::unique_ptr<worker>> workers,
+               std::string_view http_address);
+
+  const std::string& address() const { return transport_.address(); }
+  const peer_transport& transport() const { return transport_; }
+
+  void Start(configuration_relay relay);
+  // Tells the others that this instance takes over no work any more.
+  void StartLeaving();
+  // Tells the others that this instance is gone, and ends the peer thread.
+  void Stop();
+
+  // Asks all `addresses` and returns the answers that came by `until`.
+  awaitable<std::vector<peer_body>> Ask(std::vector<std::string> addresses,
+                                        peer_body question,
+                                        deadline until);
+  // Tells a few members, chosen at random, that a revision is in force here.
+  void AnnounceRevision(std::uint64_t revision);
+
+ private:
+  // A question that waits for its answers.
+  struct pending_call {
+    explicit pending_call(const boost::asio::any_io_executor& executor)
+        : timer(executor) {}
+    boost::asio::steady_timer timer;
+    std::size_t wanted = 0;
+    std::vector<peer_body> answers;
+  };
+
+  void OnTick();
+  void OnMessage(peer_message&& message);
+  void Perform(const membership_effects& effects);
+  void PublishMembers();
+  void ObserveRevision(std::uint64_t revision, std::string_view from_address);
+  void TakeAnswer(std::uint64_t call, peer_body&& answer);
+  void Reply(const peer_message& question, peer_body answer);
+  void AnswerLocate(peer_message question);
+  void AnswerHandover(peer_message question);
+
+  process_state& process_;
+  std::span<const std::unique_ptr<worker>> workers_;
+  std::string http_address_;
+  peer_transport transport_;
+  membership membership_;
+  configuration_relay relay_;
+  std::mt19937_64 random_;
+  std::uint64_t published_version_ = 0;
+  deadline next_observation_{time_point()};
+  std::atomic<bool> leaving_{false};
+  bool told_leaving_ = false;
+  std::atomic<std::uint64_t> next_call_{1};
+  std::mutex mutex_;
+  std::map<std::uint64_t, std::shared_ptr<pending_call>> pending_;
+};
+
+}  // namespace anvilloom
+
+#endif  // ENTRY_PEER_SERVICE_H_
--- a/entry/process_state.cc
+++ b/entry/process_state.cc
@@ -22,7 +22,8 @@
 process_state::process_state(entry_settings from)
     : settings(std::move(from)),
       epoch(RandomEpoch()),
-      world(topology_builder().Build()) {}
+      world(topology_builder().Build()),
+      members(std::make_unique<const membership_snapshot>()) {}
 
 bool process_state::ready() const {
   return revision_in_force.load(std::memory_order_acquire) > 0 &&
--- a/entry/process_state.h
+++ b/entry/process_state.h
@@ -9,7 +9,9 @@
 
 #include "common/rcu.h"
 #include "contracts/limit_share.h"
+#include "entry/drain_gate.h"
 #include "entry/settings.h"
+#include "instances/membership.h"
 #include "links/least_cost.h"
 #include "links/retry_budget.h"
 #include "links/topology.h"
@@ -17,6 +19,8 @@
 
 namespace anvilloom {
 
+class peer_service;
+
 // The routing policy of the entry instance.
 using entry_policy = least_cost;
 
@@ -44,6 +48,13 @@
   refusal_log refusals;
   std::atomic<std::uint64_t> revision_in_force{0};
   std::atomic<bool> draining{false};
+  // Who is alive, as this instance sees it. Written by the peer thread.
+  rcu_cell<membership_snapshot> members;
+  // Null if this instance works alone.
+  peer_service* peers = nullptr;
+  drain_gate drain;
+  // Requests that have arrived and have not been answered to the end.
+  std::atomic<std::uint32_t> requests_in_flight{0};
 
   // Whether the balancer may send new requests here.
   bool ready() const;
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -16,11 +16,13 @@
 namespace json = boost::json;
 namespace leaf = boost::leaf;
 
-constexpr std::array<std::string_view, 7> kKeys = {
-    "name",         "failure_domain",     "listen",
-    "admin_listen", "admin_token_sha256", "object_api",
-    "threads"};
+constexpr std::array<std::string_view, 11> kKeys = {
+    "name",           "failure_domain",     "listen",
+    "admin_listen",   "admin_token_sha256", "object_api",
+    "threads",        "peer_listen",        "seeds",
+    "drain_limit_ms", "drain_grace_ms"};
 constexpr std::size_t kMaxThreads = 64;
+constexpr std::size_t kMaxDrainMs = 600'000;
 
 // Collects the first fault while members are read.
 class member_reader {
@@ -63,6 +65,24 @@
     into = *number;
   }
 
+  void Addresses(std::string_view key, std::vector<std::string>& into) {
+    const json::value* member = FindMember(settings_, key);
+    if (member == nullptr) {
+      return;
+    }
+    if (!member->is_array()) {
+      Fail(settings_fault_kind::kWrongType, key);
+      return;
+    }
+    for (const json::value& each : member->get_array()) {
+      if (!each.is_string() || !ParseEndpoint(each.get_string())) {
+        Fail(settings_fault_kind::kBadAddress, key);
+        return;
+      }
+      into.emplace_back(each.get_string());
+    }
+  }
+
   void Fail(settings_fault_kind kind, std::string_view key) {
     if (!failed_) {
       fault_ = {kind, std::string(file_), std::string(key)};
@@ -144,6 +164,10 @@
   reader.Text("admin_token_sha256", false, settings.admin_token_sha256);
   reader.Address("object_api", true, settings.object_api);
   reader.Count("threads", kMaxThreads, settings.threads);
+  reader.Address("peer_listen", false, settings.peer_listen);
+  reader.Addresses("seeds", settings.seeds);
+  reader.Count("drain_limit_ms", kMaxDrainMs, settings.drain_limit_ms);
+  reader.Count("drain_grace_ms", kMaxDrainMs, settings.drain_grace_ms);
   if (!IsName(settings.name)) {
     reader.Fail(settings_fault_kind::kBadName, "name");
   }
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace anvilloom {
 
@@ -22,6 +23,15 @@
   std::string admin_token_sha256;
   std::string object_api;
   std::size_t threads = 2;
+  // Where other entry instances connect; empty if this one works alone. The IP
+  // address must be one that the others can reach.
+  std::string peer_listen;
+  // Peer addresses of other entry instances, to join them.
+  std::vector<std::string> seeds;
+  // Longest time of a planned stop, and the part of it in which the balancer
+  // still sends requests because it has not seen the readiness withdrawn yet.
+  std::size_t drain_limit_ms = 30'000;
+  std::size_t drain_grace_ms = 500;
 };
 
 // What is wrong with a settings file.
--- a/entry/stream_runner.cc
+++ b/entry/stream_runner.cc
@@ -106,8 +106,12 @@
         last_token_at_(self.process().clock.Now()),
         started_at_(last_token_at_) {}
 
-  // Takes the next bytes of the answer. False if the answer is unusable.
+  // Takes the next bytes of the answer. False if the answer is unusable, or
+  // another instance generates the rest.
   bool Take(std::string_view piece) {
+    if (session_.phase() != stream_phase::kRunning) {
+      return false;
+    }
     lines_.Append(piece);
     while (const auto line = lines_.NextLine()) {
       if (line->starts_with(kEventData) &&
@@ -259,6 +263,9 @@
       session.Complete();
       co_return;
     }
+    if (session.phase() == stream_phase::kHandedOver) {
+      co_return;
+    }
     chosen->path->Failed();
     failed.push_back(chosen->index);
     Log(log_level::kWarning, log_event::kUpstreamFailed,
--- a/entry/stream_session.cc
+++ b/entry/stream_session.cc
@@ -27,12 +27,46 @@
   model_version_ = version;
 }
 
+void stream_session::Restore(std::string_view text,
+                             std::span<const std::uint32_t> ends,
+                             std::uint32_t transfer) {
+  text_ = text;
+  ends_.assign(ends.begin(), ends.end());
+  transfer_ = transfer;
+}
+
+void stream_session::Freeze() {
+  frozen_at_ = tokens();
+}
+
+void stream_session::Unfreeze() {
+  frozen_at_.reset();
+  Notify();
+}
+
+void stream_session::HandOver(std::string_view holder_address) {
+  if (phase_ != stream_phase::kRunning) {
+    return;
+  }
+  holder_ = holder_address;
+  phase_ = stream_phase::kHandedOver;
+  Notify();
+}
+
 void stream_session::Complete() {
+  if (phase_ != stream_phase::kRunning) {
+    return;
+  }
+  frozen_at_.reset();
   phase_ = stream_phase::kComplete;
   Notify();
 }
 
 void stream_session::Fail(const refusal& why) {
+  if (phase_ != stream_phase::kRunning) {
+    return;
+  }
+  frozen_at_.reset();
   phase_ = stream_phase::kFailed;
   failure_ = why;
   Notify();
--- a/entry/stream_session.h
+++ b/entry/stream_session.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,7 +20,12 @@
 
 namespace anvilloom {
 
-enum class stream_phase { kRunning, kComplete, kFailed };
+enum class stream_phase {
+  kRunning,
+  kComplete,
+  kFailed,
+  kHandedOver,  // Another entry instance generates the rest.
+};
 
 // What a stream was accepted with.
 struct stream_order {
@@ -46,13 +52,38 @@
     return static_cast<std::uint32_t>(ends_.size());
   }
   std::string_view text() const { return text_; }
+  // The end of each token in text().
+  std::span<const std::uint32_t> ends() const { return ends_; }
   std::string_view token(std::uint32_t index) const;
   std::string_view model_version() const { return model_version_; }
+  // Tokens that callers may see. Smaller than tokens() while a hand-over is
+  // being agreed: the receiver generates on from here, and may give other
+  // tokens than this instance does meanwhile.
+  std::uint32_t visible_tokens() const { return frozen_at_.value_or(tokens()); }
+  // Whether a hand-over is being agreed or was refused just now.
+  bool offered() const { return offered_; }
+  void SetOffered(bool offered) { offered_ = offered; }
+  // Number of hand-overs so far.
+  std::uint32_t transfer() const { return transfer_; }
+  // Where callers reach the holder. Set when the phase is kHandedOver.
+  std::string_view holder() const { return holder_; }
   // Set when the phase is kFailed.
   const std::optional<refusal>& failure() const { return failure_; }
 
   void Append(std::string_view token);
   void SetModelVersion(std::string_view version);
+  // Continues a stream that another instance has begun. `ends` holds the end of
+  // each token in `text`.
+  void Restore(std::string_view text,
+               std::span<const std::uint32_t> ends,
+               std::uint32_t transfer);
+  // Holds new tokens back from callers until the hand-over is decided.
+  void Freeze();
+  void Unfreeze();
+  // Counts one more instance to which the stream is offered.
+  std::uint32_t NextTransfer() { return ++transfer_; }
+  // Ends the stream here; does nothing unless it is running.
+  void HandOver(std::string_view holder_address);
   void Complete();
   void Fail(const refusal& why);
 
@@ -67,6 +98,10 @@
   std::string text_;
   // End of each token in text_.
   std::vector<std::uint32_t> ends_;
+  std::optional<std::uint32_t> frozen_at_;
+  bool offered_ = false;
+  std::uint32_t transfer_ = 0;
+  std::string holder_;
   std::string model_version_;
   std::optional<refusal> failure_;
   // Never expires; cancelled to wake the readers.
--- /dev/null
+++ b/test/error/handover_test.cc
@@ -0,0 +1,232 @@
+// Guards the planned stop of an entry instance: no running stream is cut short,
+// whoever the caller comes back to.
+
+#include <signal.h>
+
+#include <boost/json/parse.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+#include <iostream>
+#include <thread>
+
+#include "test/support/local_system.h"
+#include "test/support/stream_reader.h"
+
+namespace anvilloom {
+
+namespace {
+
+using http_verb = boost::beast::http::verb;
+
+// 150 tokens at 20 ms take 3 s, longer than the stops of these tests.
+constexpr std::uint32_t kTokens = 150;
+
+std::string AnswerText(const caller_answer& answer) {
+  const auto parsed = boost::json::parse(answer.body);
+  return std::string(
+      parsed.at("choices").at(0).at("message").at("content").as_string());
+}
+
+// Three entry instances that know each other; "entry-a" stops within `limit`.
+class three_entries {
+ public:
+  explicit three_entries(std::string_view limit) {
+    system_.Start("objects", "standins/standin_objects");
+    const auto engine_1 = system_.Start("e1", "standins/standin_engine");
+    const auto engine_2 = system_.Start("e2", "standins/standin_engine");
+    const std::string peers =
+        R"(,"peer_listen":"127.0.0.1:0","drain_grace_ms":100)";
+    a_ = system_.StartEntry(
+        "entry-a", "zone-a",
+        peers + R"(,"drain_limit_ms":)" + std::string(limit));
+    const std::string seeds = R"(,"seeds":["127.0.0.1:)" +
+                              std::to_string(system_.peer_port("entry-a")) +
+                              "\"]";
+    b_ = system_.StartEntry("entry-b", "zone-b", peers + seeds);
+    c_ = system_.StartEntry("entry-c", "zone-b", peers + seeds);
+    system_.WriteConfiguration("10-all.json",
+                               TestConfiguration({engine_1, engine_2}, {}));
+    REQUIRE(system_.PublishConfiguration() == 0);
+    for (const std::string_view name : {"entry-a", "entry-b", "entry-c"}) {
+      REQUIRE(system_.AwaitReady(name));
+      REQUIRE(Eventually([&] { return MembersSeen(name) == 3; },
+                         std::chrono::seconds(20)));
+    }
+  }
+
+  local_system& system() { return system_; }
+  std::uint16_t a() const { return a_; }
+  std::uint16_t b() const { return b_; }
+  std::uint16_t c() const { return c_; }
+
+  std::size_t MembersSeen(std::string_view name) const {
+    const caller_answer dump =
+        Call(system_.admin_port(name), http_verb::get, "/dump");
+    return dump.status == 200
+               ? boost::json::parse(dump.body).at("members").as_array().size()
+               : 0;
+  }
+
+  std::future<followed_stream> Follow(const std::vector<std::uint16_t>& ports,
+                                      const std::string& prompt) const {
+    return std::async(std::launch::async, [ports, prompt] {
+      return FollowStream(ports, prompt, kTokens);
+    });
+  }
+
+ private:
+  local_system system_;
+  std::uint16_t a_ = 0;
+  std::uint16_t b_ = 0;
+  std::uint16_t c_ = 0;
+};
+
+void LetTokensArrive() {
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+}
+
+}  // namespace
+
+SCENARIO("An entry instance stops while long streams run", "[handover]") {
+  GIVEN("three entry instances and streams at one that stops in 1.5 s") {
+    three_entries entries("1500");
+    auto to_b = entries.Follow({entries.a(), entries.b()}, "to b");
+    auto to_c = entries.Follow({entries.a(), entries.c()}, "to c");
+    auto to_a_first =
+        entries.Follow({entries.a(), entries.a(), entries.b()}, "to a");
+    LetTokensArrive();
+
+    WHEN("it is told to stop") {
+      const bool by_operator = GENERATE(false, true);
+      const auto begin = std::chrono::steady_clock::now();
+      if (by_operator) {
+        REQUIRE(Call(entries.system().admin_port("entry-a"), http_verb::post,
+                     "/drain")
+                    .status == 202);
+      } else {
+        entries.system().process("entry-a").Signal(SIGTERM);
+      }
+      const int exit_code = entries.system().process("entry-a").Wait();
+      const double stop_s = std::chrono::duration<double>(
+                                std::chrono::steady_clock::now() - begin)
+                                .count();
+
+      THEN("each caller gets the whole answer from wherever it comes back to") {
+        const followed_stream b = to_b.get();
+        const followed_stream c = to_c.get();
+        const followed_stream a = to_a_first.get();
+        std::cout << "stop_s=" << stop_s << " reconnects=" << b.reconnects
+                  << ',' << c.reconnects << ',' << a.reconnects << '\n';
+        REQUIRE(exit_code == 0);
+        REQUIRE(b.ended);
+        REQUIRE(b.text == ExpectedAnswer("to b", kTokens));
+        REQUIRE(c.ended);
+        REQUIRE(c.text == ExpectedAnswer("to c", kTokens));
+        REQUIRE(a.ended);
+        REQUIRE(a.text == ExpectedAnswer("to a", kTokens));
+        REQUIRE(b.misplaced + c.misplaced + a.misplaced == 0);
+        // The hand-over really took place.
+        REQUIRE(b.reconnects >= 1);
+      }
+    }
+  }
+}
+
+SCENARIO("A peer does not answer an offered stream", "[handover]") {
+  GIVEN("a stream at an instance that stops, and a paused peer") {
+    three_entries entries("5000");
+    const std::string_view paused = GENERATE("entry-b", "entry-c");
+    const std::uint16_t other = paused == "entry-b" ? entries.c() : entries.b();
+    auto followed = std::async(std::launch::async, [&entries, other] {
+      const std::vector<std::uint16_t> ports = {entries.a(), other};
+      return FollowStream(ports, "paused peer", 400);
+    });
+    LetTokensArrive();
+
+    WHEN("the instance is told to stop") {
+      entries.system().process(paused).Pause();
+      entries.system().process("entry-a").Signal(SIGTERM);
+      const int exit_code = entries.system().process("entry-a").Wait();
+
+      THEN("the other peer takes the stream, and nothing is lost") {
+        const followed_stream stream = followed.get();
+        REQUIRE(exit_code == 0);
+        REQUIRE(stream.ended);
+        REQUIRE(stream.text == ExpectedAnswer("paused peer", 400));
+        REQUIRE(stream.misplaced == 0);
+      }
+    }
+  }
+}
+
+SCENARIO("A whole answer is awaited during a stop", "[handover]") {
+  GIVEN("a caller that did not ask for a stream") {
+    const auto [limit, status] =
+        GENERATE(table<std::string, unsigned>({{"8000", 200}, {"1500", 303}}));
+    three_entries entries(limit);
+    auto answer = std::async(std::launch::async, [&entries] {
+      return Call(entries.a(), http_verb::post, "/v1/chat/completions",
+                  ChatBody("whole", kTokens, false));
+    });
+    LetTokensArrive();
+    std::string stream;
+    const caller_answer dump =
+        Call(entries.system().admin_port("entry-a"), http_verb::get, "/dump");
+    stream = boost::json::parse(dump.body)
+                 .at("streams")
+                 .at(0)
+                 .at("stream")
+                 .as_string();
+
+    WHEN("the instance stops within " << limit << " ms") {
+      entries.system().process("entry-a").Signal(SIGTERM);
+      const caller_answer received = answer.get();
+
+      THEN("the caller gets the answer, or is told where to fetch it") {
+        REQUIRE(received.status == status);
+        if (status == 200) {
+          REQUIRE(AnswerText(received) == ExpectedAnswer("whole", kTokens));
+        } else {
+          const caller_answer fetched =
+              Call(entries.c(), http_verb::get,
+                   "/v1/streams/" + stream + "?whole=1");
+          REQUIRE(fetched.status == 200);
+          REQUIRE(AnswerText(fetched) == ExpectedAnswer("whole", kTokens));
+        }
+        REQUIRE(entries.system().process("entry-a").Wait() == 0);
+      }
+    }
+  }
+}
+
+SCENARIO("A stream is bound to its workspace", "[handover]") {
+  GIVEN("a stream at one instance and a caller of another workspace") {
+    three_entries entries("1500");
+    auto followed = entries.Follow({entries.a()}, "mine");
+    LetTokensArrive();
+    const caller_answer dump =
+        Call(entries.system().admin_port("entry-a"), http_verb::get, "/dump");
+    const std::string stream(boost::json::parse(dump.body)
+                                 .at("streams")
+                                 .at(0)
+                                 .at("stream")
+                                 .as_string());
+
+    WHEN("it is asked for without the workspace's credential") {
+      const caller_answer refused =
+          Call(entries.b(), http_verb::get, "/v1/streams/" + stream, {},
+               {{"Authorization", "Bearer other"}});
+
+      THEN("it is not given, while its own caller gets it anywhere") {
+        REQUIRE(refused.status == 401);
+        const caller_answer own =
+            Call(entries.b(), http_verb::get, "/v1/streams/" + stream);
+        REQUIRE(own.status == 200);
+        REQUIRE(own.body.ends_with("data: [DONE]\n\n"));
+        REQUIRE(followed.get().text == ExpectedAnswer("mine", kTokens));
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/test/error/membership_faults_test.cc
@@ -0,0 +1,91 @@
+// Guards membership against pauses and cuts: a stopped process or a cut-off
+// failure domain is dropped, and everyone finds together again afterwards.
+
+#include <catch2/catch.hpp>
+#include <iostream>
+
+#include "test/support/membership_fleet.h"
+
+namespace anvilloom {
+
+namespace {
+
+constexpr duration kSecond = std::chrono::seconds(1);
+
+double Seconds(duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+}  // namespace
+
+SCENARIO("A paused member rejoins", "[membership]") {
+  const auto [members, paused_s, dropped] =
+      GENERATE(table<std::size_t, int, bool>(
+          {{7, 1, false}, {7, 3, false}, {7, 60, true}, {50, 60, true}}));
+  GIVEN("a fleet of " << members << " with a member paused for " << paused_s
+                      << " s") {
+    fleet_plan plan;
+    plan.members = members;
+    plan.seed = 11;
+    membership_fleet fleet(plan);
+    REQUIRE(fleet.RunUntil([&] { return fleet.Converged(); }, 60 * kSecond));
+    fleet.Run(20 * kSecond);
+    fleet.ResetCounts();
+    fleet.Pause(2);
+    fleet.Run(paused_s * kSecond);
+    const bool was_dropped = fleet.AllDropped(2);
+
+    WHEN("it goes on") {
+      fleet.Continue(2);
+      const auto back =
+          fleet.RunUntil([&] { return fleet.Converged(); }, 30 * kSecond);
+
+      THEN("it is alive for everyone, and it declares nobody failed") {
+        REQUIRE(back.has_value());
+        std::cout << "members=" << members << " paused_s=" << paused_s
+                  << " dropped=" << was_dropped
+                  << " rejoin_s=" << Seconds(*back) << '\n';
+        REQUIRE(fleet.false_failures() == 0);
+        REQUIRE(was_dropped == dropped);
+      }
+    }
+  }
+}
+
+SCENARIO("A failure domain is cut off and healed", "[membership]") {
+  const auto [members, domains, cut_s] =
+      GENERATE(table<std::size_t, std::size_t, int>({{7, 3, 60}, {50, 5, 60}}));
+  GIVEN("a fleet of " << members << " in " << domains << " domains") {
+    fleet_plan plan;
+    plan.members = members;
+    plan.domains = domains;
+    plan.loss_permille = 10;
+    plan.seed = 13;
+    membership_fleet fleet(plan);
+    REQUIRE(fleet.RunUntil([&] { return fleet.Converged(); }, 60 * kSecond));
+    fleet.Run(20 * kSecond);
+    fleet.ResetCounts();
+    fleet.CutDomain(1);
+    const auto split = fleet.RunUntil(
+        [&] { return fleet.at(0).live_count() <= members - members / domains; },
+        60 * kSecond);
+    fleet.Run(cut_s * kSecond);
+
+    WHEN("the cut heals") {
+      REQUIRE(split.has_value());
+      const std::size_t seen = fleet.at(0).live_count();
+      fleet.Heal();
+      const auto back =
+          fleet.RunUntil([&] { return fleet.Converged(); }, 120 * kSecond);
+
+      THEN("both sides know all members again") {
+        REQUIRE(back.has_value());
+        std::cout << "members=" << members << " split_s=" << Seconds(*split)
+                  << " seen_during_cut=" << seen << " heal_s=" << Seconds(*back)
+                  << " false_failures=" << fleet.false_failures() << '\n';
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
--- a/test/support/local_system.cc
+++ b/test/support/local_system.cc
@@ -136,7 +136,7 @@
       [&] {
         output = process->Output();
         return output.find("E100 ") != std::string::npos &&
-               output.find(" admin_port=") != std::string::npos;
+               output.find(" peer_address=") != std::string::npos;
       },
       kStartLimit);
   if (!started) {
@@ -146,6 +146,8 @@
   ports_.insert_or_assign(std::string(name), bound);
   ports_.insert_or_assign(std::string(name) + "/admin",
                           NumberAfter(output, " admin_port="));
+  ports_.insert_or_assign(std::string(name) + "/peer",
+                          NumberAfter(output, " peer_address=127.0.0.1:"));
   processes_.insert_or_assign(std::string(name), std::move(process));
   return bound;
 }
@@ -162,6 +164,10 @@
   return ports_.find(std::string(entry_name) + "/admin")->second;
 }
 
+std::uint16_t local_system::peer_port(std::string_view entry_name) const {
+  return ports_.find(std::string(entry_name) + "/peer")->second;
+}
+
 void local_system::WriteConfiguration(std::string_view file,
                                       std::string_view text) {
   const std::string path = folder_ + "/configuration/" + std::string(file);
--- a/test/support/local_system.h
+++ b/test/support/local_system.h
@@ -57,6 +57,8 @@
   // The port of a process started here.
   std::uint16_t port(std::string_view name) const;
   std::uint16_t admin_port(std::string_view entry_name) const;
+  // 0 if the entry instance works alone.
+  std::uint16_t peer_port(std::string_view entry_name) const;
 
   // Writes, replaces or, with empty text, removes a configuration file.
   void WriteConfiguration(std::string_view file, std::string_view text);
--- a/wire/io_pool.cc
+++ b/wire/io_pool.cc
@@ -30,6 +30,7 @@
   for (const auto& context : contexts_) {
     context->stop();
   }
+  threads_.clear();
 }
 
 }  // namespace anvilloom
--- /dev/null
+++ b/wire/peer_transport.h
@@ -0,0 +1,116 @@
+// Defines peer_transport, which carries messages between entry instances over
+// ZeroMQ: one thread, one listening socket, and one outgoing socket for each
+// peer that was written to lately.
+#ifndef WIRE_PEER_TRANSPORT_H_
+#define WIRE_PEER_TRANSPORT_H_
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <zmq.hpp>
+
+#include "common/time.h"
+#include "wire/peer_message.h"
+#include "wire/steady_clock.h"
+
+namespace anvilloom {
+
+// Bounds of a transport.
+struct peer_transport_limits {
+  // Time between two ticks, in microseconds.
+  duration tick = std::chrono::milliseconds(100);
+  // Messages and bytes that wait for the transport's thread.
+  std::size_t queued_messages = 4096;
+  std::size_t queued_bytes = std::size_t{16} * 1024 * 1024;
+  // Messages that wait for one peer's connection.
+  int peer_messages = 128;
+  std::int64_t message_bytes = std::int64_t{4} * 1024 * 1024;
+  // Outgoing sockets; the one unused for longest is closed for a new one.
+  std::size_t peers = 256;
+  // An outgoing socket that was unused for this long is closed.
+  duration idle_limit = std::chrono::seconds(30);
+};
+
+// What a transport does with messages and time. Both run on its thread.
+struct peer_callbacks {
+  std::function<void(peer_message&&)> on_message;
+  std::function<void()> on_tick;
+};
+
+// Messages may be lost, late or doubled; they are never cut short. Thread-safe
+// but for Start() and Stop().
+class peer_transport {
+ public:
+  // Throws zmq::error_t if the address can't be bound.
+  peer_transport(std::string_view listen_address,
+                 const peer_transport_limits& limits);
+  ~peer_transport();
+  peer_transport(const peer_transport&) = delete;
+  peer_transport& operator=(const peer_transport&) = delete;
+
+  // The address with the bound port, for other instances.
+  const std::string& address() const { return address_; }
+
+  void Start(peer_callbacks callbacks);
+  // Sends what is queued for at most `flush_limit`, then ends the thread.
+  void Stop(duration flush_limit);
+
+  // Queues a message; false if the queue is full, and the message is dropped.
+  bool Send(std::string_view to_address, const peer_message& message);
+
+  std::uint64_t sent_bytes() const { return sent_bytes_.load(kRelaxed); }
+  std::uint64_t received_bytes() const {
+    return received_bytes_.load(kRelaxed);
+  }
+  std::uint64_t dropped_messages() const { return dropped_.load(kRelaxed); }
+
+ private:
+  static constexpr std::memory_order kRelaxed = std::memory_order_relaxed;
+
+  struct queued_message {
+    std::string to_address;
+    std::string bytes;
+  };
+  struct outgoing_socket {
+    zmq::socket_t socket;
+    time_point used_at;
+  };
+
+  void Run();
+  void ReadWake();
+  void ReadIncoming();
+  void WriteQueued();
+  void Write(const queued_message& message);
+  outgoing_socket& SocketFor(const std::string& to_address);
+  void CloseIdle();
+
+  peer_transport_limits limits_;
+  steady_source clock_;
+  zmq::context_t context_;
+  zmq::socket_t incoming_;
+  zmq::socket_t wake_receiver_;
+  std::string address_;
+  peer_callbacks callbacks_;
+  std::map<std::string, outgoing_socket, std::less<>> outgoing_;
+  std::mutex mutex_;
+  // Guarded by mutex_, together with the queue.
+  zmq::socket_t wake_sender_;
+  std::deque<queued_message> queue_;
+  std::size_t queued_bytes_ = 0;
+  std::atomic<bool> stopping_{false};
+  std::atomic<std::uint64_t> sent_bytes_{0};
+  std::atomic<std::uint64_t> received_bytes_{0};
+  std::atomic<std::uint64_t> dropped_{0};
+  std::thread thread_;
+};
+
+}  // namespace anvilloom
+
+#endif  // WIRE_PEER_TRANSPORT_H_
