--- a/entry/entry_instance.cc
+++ b/entry/entry_instance.cc
@@ -55,6 +55,8 @@
       request_handler_(workers_),
       admin_handler_(process_, workers_),
       follower_(process_, control_pool_.context(0).get_executor()),
+      notices_(process_, workers_, control_pool_.context(0).get_executor()),
+      health_(process_, control_pool_.context(0).get_executor()),
       signals_(control_pool_.context(0), SIGINT, SIGTERM) {
   const http_server_limits limits;
   callers_ = std::make_unique<http_server>(
@@ -75,6 +77,9 @@
   });
   boost::asio::co_spawn(control_pool_.context(0), follower_.Run(),
                         boost::asio::detached);
+  notices_.Start();
+  boost::asio::co_spawn(control_pool_.context(0), health_.Run(),
+                        boost::asio::detached);
   request_pool_.Start();
   control_pool_.Start();
   if (peers_) {
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -16,11 +16,19 @@
 namespace json = boost::json;
 namespace leaf = boost::leaf;
 
-constexpr std::array<std::string_view, 11> kKeys = {
-    "name",           "failure_domain",     "listen",
-    "admin_listen",   "admin_token_sha256", "object_api",
-    "threads",        "peer_listen",        "seeds",
-    "drain_limit_ms", "drain_grace_ms"};
+constexpr std::array<std::string_view, 13> kKeys = {"name",
+                                                    "failure_domain",
+                                                    "listen",
+                                                    "admin_listen",
+                                                    "admin_token_sha256",
+                                                    "object_api",
+                                                    "threads",
+                                                    "instance_api",
+                                                    "reclaim_plan",
+                                                    "peer_listen",
+                                                    "seeds",
+                                                    "drain_limit_ms",
+                                                    "drain_grace_ms"};
 constexpr std::size_t kMaxThreads = 64;
 constexpr std::size_t kMaxDrainMs = 600'000;
 
@@ -83,6 +91,18 @@
     }
   }
 
+  void Flag(std::string_view key, bool& into) {
+    if (FindMember(settings_, key) == nullptr) {
+      return;
+    }
+    const auto flag = BoolMember(settings_, key);
+    if (!flag) {
+      Fail(settings_fault_kind::kWrongType, key);
+      return;
+    }
+    into = *flag;
+  }
+
   void Fail(settings_fault_kind kind, std::string_view key) {
     if (!failed_) {
       fault_ = {kind, std::string(file_), std::string(key)};
@@ -163,6 +183,8 @@
   reader.Address("admin_listen", false, settings.admin_listen);
   reader.Text("admin_token_sha256", false, settings.admin_token_sha256);
   reader.Address("object_api", true, settings.object_api);
+  reader.Address("instance_api", false, settings.instance_api);
+  reader.Flag("reclaim_plan", settings.reclaim_plan);
   reader.Count("threads", kMaxThreads, settings.threads);
   reader.Address("peer_listen", false, settings.peer_listen);
   reader.Addresses("seeds", settings.seeds);
