--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -16,12 +16,14 @@
 namespace json = boost::json;
 namespace leaf = boost::leaf;
 
-constexpr std::array<std::string_view, 10> kKeys = {
-    "name",         "failure_domain",     "listen",
-    "admin_listen", "admin_token_sha256", "object_api",
-    "threads",      "instance_api",       "reclaim_plan",
-    "limits"};
+constexpr std::array<std::string_view, 14> kKeys = {
+    "name",           "failure_domain",     "listen",
+    "admin_listen",   "admin_token_sha256", "object_api",
+    "threads",        "instance_api",       "reclaim_plan",
+    "limits",         "peer_listen",        "seeds",
+    "drain_limit_ms", "drain_grace_ms"};
 constexpr std::size_t kMaxThreads = 64;
+constexpr std::size_t kMaxDrainMs = 600'000;
 
 constexpr std::string_view kLimits = "limits";
 
@@ -99,6 +101,24 @@
     into = *number;
   }
 
+  void Addresses(std::string_view key, std::vector<std::string>& into) {
+    const json::value* member = FindMember(settings_, key);
+    if (member == nullptr) {
+      return;
+    }
+    if (!member->is_array()) {
+      Fail(settings_fault_kind::kWrongType, key);
+      return;
+    }
+    for (const json::value& each : member->get_array()) {
+      if (!each.is_string() || !ParseEndpoint(each.get_string())) {
+        Fail(settings_fault_kind::kBadAddress, key);
+        return;
+      }
+      into.emplace_back(each.get_string());
+    }
+  }
+
   void Flag(std::string_view key, bool& into) {
     if (FindMember(settings_, key) == nullptr) {
       return;
@@ -251,6 +271,10 @@
   reader.Flag("reclaim_plan", settings.reclaim_plan);
   reader.Count("threads", 1, kMaxThreads, settings.threads);
   ReadLimits(reader, *parsed, file, settings.limits);
+  reader.Address("peer_listen", false, settings.peer_listen);
+  reader.Addresses("seeds", settings.seeds);
+  reader.Count("drain_limit_ms", 1, kMaxDrainMs, settings.drain_limit_ms);
+  reader.Count("drain_grace_ms", 1, kMaxDrainMs, settings.drain_grace_ms);
   if (!IsName(settings.name)) {
     reader.Fail(settings_fault_kind::kBadName, "name");
   }
