Drive the reclaim plan in the experiment and admit at slow engines

Cause: the experiment moved streams by a simplified choice. An engine whose own token interval is the target had a usable batch of one, and requests were refused for a load that refusals can't lower. An entry instance said it was ready while its limits granted nothing.

Change: the experiment calls PlanMove, and has a row with queued exports. The load of an engine that is unknown, or that misses the target with a batch of one or two, counts by its slots.

--- a/entry/process_state.cc
+++ b/entry/process_state.cc
@@ -26,7 +26,8 @@
 
 bool process_state::ready() const {
   return revision_in_force.load(std::memory_order_acquire) > 0 &&
-         !draining.load(std::memory_order_acquire);
+         !draining.load(std::memory_order_acquire) &&
+         share.held_until().Expired(clock.Now());
 }
 
 void process_state::ObserveMembers(std::uint32_t live_members) {
--- a/entry/process_state.h
+++ b/entry/process_state.h
@@ -45,7 +45,8 @@
   std::atomic<std::uint64_t> revision_in_force{0};
   std::atomic<bool> draining{false};
 
-  // Whether the balancer may send new requests here.
+  // Whether the balancer may send new requests here. Not before the hold-down
+  // of the limits ends: callers of limited workspaces would be refused.
   bool ready() const;
 
   // Takes over the number of live entry instances, this one included. Called by
--- a/links/least_cost.cc
+++ b/links/least_cost.cc
@@ -37,8 +37,6 @@
 // and a sample are, which bounds the decision's time.
 constexpr std::size_t kScanAll = 32;
 constexpr std::size_t kSample = 12;
-// Requests in flight with which an upstream on probation is tried.
-constexpr std::uint32_t kProbationRequests = 2;
 
 // What one candidate would cost.
 struct candidate_cost {
@@ -120,13 +118,9 @@
 
  private:
   bool MayTakeWork(const route_candidate& candidate) const {
-    const link_condition condition = candidate.path->condition();
-    const bool open =
-        condition == link_condition::kHealthy ||
-        (condition == link_condition::kProbation &&
-         candidate.path->outstanding_requests() < kProbationRequests);
-    return open && std::ranges::find(request_.excluded, candidate.index) ==
-                       request_.excluded.end();
+    return candidate.path->takes_new_work() &&
+           std::ranges::find(request_.excluded, candidate.index) ==
+               request_.excluded.end();
   }
 
   void Consider(std::uint32_t position) {
@@ -139,7 +133,7 @@
     const double alone = IntervalAlone(path);
     const double usable = UsableBatch(candidate, alone);
     held_sum_ += held;
-    usable_sum_ += usable;
+    capacity_sum_ += Capacity(candidate, usable);
     const candidate_cost cost = Cost(candidate, position, held, usable, alone);
     const bool better =
         !best_ || (cost.lateness_us == best_cost_.lateness_us
@@ -178,7 +172,20 @@
     const double late = (candidate.path->late_share() - kLateShareFrom) /
                         (kLateShareAllowed - kLateShareFrom);
     const double kept = std::clamp(1 - late / 2, kSmallestBatchShare, 1.0);
-    return std::clamp(within, 1.0, static_cast<double>(candidate.slots)) * kept;
+    // At least one: an engine that had late tokens must be tried again, or its
+    // late share would never fall.
+    return std::max(1.0, std::min<double>(within, candidate.slots) * kept);
+  }
+
+  // Requests that count as full load. Where no batch would meet the target, or
+  // nothing is known yet, refusing requests does not speed up the others, and
+  // only the declared slots bound the batch.
+  double Capacity(const route_candidate& candidate, double usable) const {
+    const link& path = *candidate.path;
+    const bool unknown = path.interval_alone_us() == 0;
+    const bool out_of_reach =
+        path.small_batch_interval_us() > target_us_ * kIntervalMargin;
+    return unknown || out_of_reach ? candidate.slots : usable;
   }
 
   candidate_cost Cost(const route_candidate& candidate,
@@ -332,7 +339,7 @@
         duration(static_cast<monotonic::rep>(best_cost_.interval_us));
     estimate.meets_target = best_cost_.lateness_us <= 0;
     estimate.load_permille =
-        static_cast<std::uint32_t>(1000 * held_sum_ / usable_sum_);
+        static_cast<std::uint32_t>(1000 * held_sum_ / capacity_sum_);
     return estimate;
   }
 
@@ -349,7 +356,7 @@
   std::optional<std::uint32_t> best_;
   candidate_cost best_cost_;
   double held_sum_ = 0;
-  double usable_sum_ = 0;
+  double capacity_sum_ = 0;
 };
 
 std::optional<upstream_index> least_cost::Choose(const topology& world,
--- a/links/link.cc
+++ b/links/link.cc
@@ -6,6 +6,8 @@
 
 // Weight of a new observation in the moving averages: 1/8.
 constexpr monotonic::rep kAverageDivisor = 8;
+// Largest batch whose interval is taken for that of an engine without load.
+constexpr float kSmallBatch = 2;
 // Weight in the average of late tokens. Small, since the average must tell 3 in
 // 100 from 5 in 100: it remembers about 500 tokens.
 constexpr float kLateWeight = 1.0F / 512;
@@ -70,6 +72,10 @@
   token_intervals_.fetch_add(1, kRelaxed);
   const auto batch =
       static_cast<float>(std::max<std::uint32_t>(expected_requests(1), 1));
+  if (batch <= kSmallBatch) {
+    UpdateAverage(small_batch_interval_us_,
+                  static_cast<float>(interval.count()));
+  }
   UpdateAverage(interval_alone_us_, static_cast<float>(interval.count()) /
                                         (1 + kIntervalGrowth * (batch - 1)));
 }
--- a/links/link.h
+++ b/links/link.h
@@ -143,6 +143,11 @@
   // Token interval of a batch of one, in microseconds, computed from the
   // observed intervals; zero until first observed.
   float interval_alone_us() const { return interval_alone_us_.load(kRelaxed); }
+  // Token interval as observed with one or two requests in the batch, in
+  // microseconds; zero until first observed.
+  float small_batch_interval_us() const {
+    return small_batch_interval_us_.load(kRelaxed);
+  }
   // Share of token intervals above their target, as a moving average.
   float late_share() const { return late_share_.load(kRelaxed); }
   // Microseconds per prompt token; zero until first observed.
@@ -195,6 +200,7 @@
   std::atomic<float> interval_alone_us_{0};
   std::atomic<float> prefill_us_per_token_{0};
   std::atomic<float> late_share_{0};
+  std::atomic<float> small_batch_interval_us_{0};
   std::atomic<link_condition> condition_{link_condition::kHealthy};
   std::atomic<std::uint8_t> leaving_{0};
   std::atomic<monotonic::rep> reclaim_at_;
--- a/test/correctness/least_cost_test.cc
+++ b/test/correctness/least_cost_test.cc
@@ -63,6 +63,25 @@
       }
     }
 
+    WHEN("all tokens of the cheap one were late because of prefills") {
+      const service_index chat = ChatRequest().wanted;
+      const duration target = world->at(chat).terms.token_interval_target;
+      for (int i = 0; i < 600; ++i) {
+        world->link_at(kSecond).ObserveTokenInterval(target / 2, target / 4);
+      }
+
+      THEN("it is still tried with one request") {
+        REQUIRE(policy.Choose(*world, ChatRequest(), kNow) == kSecond);
+      }
+      AND_WHEN("it has a few") {
+        Fill(*world, kSecond, 4);
+
+        THEN("a larger batch is avoided") {
+          REQUIRE(policy.Choose(*world, ChatRequest(), kNow) == kFirst);
+        }
+      }
+    }
+
     WHEN("the cheap one has already failed the request") {
       const upstream_index failed[] = {kSecond};
       route_request request = ChatRequest();
@@ -127,6 +146,52 @@
   }
 }
 
+SCENARIO("An engine whose own interval is the target still takes work",
+         "[least_cost]") {
+  least_cost policy;
+
+  GIVEN("one engine of 4,096 slots") {
+    const auto world =
+        small_world().Upstream("a", 1'000'000, false, 4096).Build();
+    route_request request = ChatRequest();
+    const duration target =
+        world->at(request.wanted).terms.token_interval_target;
+
+    WHEN("140 streams come at once, before any token was seen") {
+      Fill(*world, kFirst, 140);
+
+      THEN("the load is measured by the slots") {
+        REQUIRE(policy.Estimate(*world, request, kNow)->load_permille < 50);
+      }
+    }
+
+    WHEN("its tokens took the whole target with one stream, and 140 follow") {
+      Fill(*world, kFirst, 1);
+      for (int i = 0; i < 20; ++i) {
+        world->link_at(kFirst).ObserveTokenInterval(target, target);
+      }
+      Fill(*world, kFirst, 139);
+      for (int i = 0; i < 20; ++i) {
+        world->link_at(kFirst).ObserveTokenInterval(target, target);
+      }
+
+      THEN("it is chosen, and the load is measured by the slots") {
+        const auto estimate = policy.Estimate(*world, request, kNow);
+        REQUIRE(estimate->chosen == kFirst);
+        REQUIRE_FALSE(estimate->meets_target);
+        REQUIRE(estimate->load_permille < 50);
+      }
+      AND_WHEN("its slots are taken") {
+        Fill(*world, kFirst, 4096);
+
+        THEN("the load is full") {
+          REQUIRE(policy.Estimate(*world, request, kNow)->load_permille > 1000);
+        }
+      }
+    }
+  }
+}
+
 SCENARIO("A prefix goes back to the upstream that caches it", "[least_cost]") {
   least_cost policy;
 
--- a/test/error/admission_gate_test.cc
+++ b/test/error/admission_gate_test.cc
@@ -8,6 +8,30 @@
 
 namespace anvilloom {
 
+SCENARIO("An entry instance that joins others is ready after its hold-down",
+         "[admission_gate]") {
+  GIVEN("a process with a configuration") {
+    process_state process{entry_settings{}};
+    process.revision_in_force.store(1);
+    REQUIRE(process.ready());
+
+    WHEN("it has joined just now") {
+      process.share.Join(process.clock.Now());
+
+      THEN("the balancer sends it no caller that its limits would refuse") {
+        REQUIRE_FALSE(process.ready());
+      }
+    }
+    WHEN("it joined a hold-down ago") {
+      process.share.Join(process.clock.Now() - limit_share::kDefaultHoldDown);
+
+      THEN("it is ready") {
+        REQUIRE(process.ready());
+      }
+    }
+  }
+}
+
 SCENARIO("Requests pass the limits before they run", "[admission_gate]") {
   GIVEN("a process with one engine and a workspace of 1,000 tokens a second") {
     process_state process{entry_settings{}};
--- a/tools/experiment.cc
+++ b/tools/experiment.cc
@@ -28,11 +28,11 @@
                                            const simulation_parts&,
                                            std::uint64_t);
 
-template <route_policy Policy, reclaim_choice Reclaim>
+template <route_policy Policy>
 experiment_result RunOnce(const experiment_setup& setup,
                           const simulation_parts& parts,
                           std::uint64_t seed) {
-  return simulation<Policy, Reclaim>(setup, parts, seed).Run();
+  return simulation<Policy>(setup, parts, seed).Run();
 }
 
 // One row of the table.
@@ -47,25 +47,29 @@
   const simulation_parts all;
   simulation_parts no_admission;
   no_admission.admission = false;
-  const run_function chosen = RunOnce<least_cost, fewest_recomputed>;
+  no_admission.reclaim_plan = false;
+  simulation_parts only_admission;
+  only_admission.reclaim_plan = false;
+  const run_function chosen = RunOnce<least_cost>;
   std::vector<experiment_variant> variants = {
-      {"round_robin", RunOnce<round_robin, no_reclaim_plan>, no_admission,
-       true},
-      {"least_outstanding", RunOnce<least_outstanding, no_reclaim_plan>,
-       no_admission, true},
-      {"prefix_hash", RunOnce<prefix_hash, no_reclaim_plan>, no_admission,
-       true},
-      {"least_outstanding+admission",
-       RunOnce<least_outstanding, no_reclaim_plan>, all, true},
+      {"round_robin", RunOnce<round_robin>, no_admission, true},
+      {"least_outstanding", RunOnce<least_outstanding>, no_admission, true},
+      {"prefix_hash", RunOnce<prefix_hash>, no_admission, true},
+      {"least_outstanding+admission", RunOnce<least_outstanding>,
+       only_admission, true},
+      {"  and reclaim plan", RunOnce<least_outstanding>, all},
       {"least_cost", chosen, all},
-      {"  without admission", chosen, no_admission},
-      {"  without reclaim plan", RunOnce<least_cost, no_reclaim_plan>, all},
   };
   const auto Without = [&](std::string_view name, auto switch_off) {
     simulation_parts parts;
     switch_off(parts);
     variants.push_back({name, chosen, parts});
   };
+  Without("  without admission", [](auto& parts) { parts.admission = false; });
+  Without("  without reclaim plan",
+          [](auto& parts) { parts.reclaim_plan = false; });
+  Without("  with queued exports",
+          [](auto& parts) { parts.queued_exports = true; });
   Without("  without price", [](auto& parts) { parts.cost.price = false; });
   Without("  without locality",
           [](auto& parts) { parts.cost.locality = false; });
--- a/tools/simulation.h
+++ b/tools/simulation.h
@@ -19,12 +19,12 @@
 #include "common/random.h"
 #include "contracts/admission.h"
 #include "links/least_cost.h"
+#include "links/reclaim_plan.h"
 #include "links/router.h"
 #include "links/topology.h"
 #include "tools/experiment_result.h"
 #include "tools/experiment_setup.h"
 #include "tools/fake_engine.h"
-#include "tools/reclaim_choice.h"
 
 namespace anvilloom {
 
@@ -33,12 +33,17 @@
   least_cost_parts cost;
   bool admission = true;
   bool cache_events = true;
+  // Moves streams by links/reclaim_plan; otherwise they run until the engine
+  // goes, and are computed again.
+  bool reclaim_plan = true;
+  // Exports one cache after the other, instead of all at once.
+  bool queued_exports = false;
 };
 
 // Where an entry instance's requests go. `Policy` is driven exactly as the
 // entry instance drives it: admission by least_cost's estimate, then Choose(),
 // then the link's counters and observations.
-template <route_policy Policy, reclaim_choice Reclaim>
+template <route_policy Policy>
 class simulation {
  public:
   simulation(const experiment_setup& setup,
@@ -252,9 +257,8 @@
     return !Admit(book, request.workspace, wanted, now_);
   }
 
-  // Routes a request, or the rest of one that moves. With `imported`, its KV
-  // cache comes along and nothing is prefilled.
-  void Send(std::uint32_t id, bool imported = false) {
+  // Routes a request, or the rest of one whose engine went.
+  void Send(std::uint32_t id) {
     request_state& request = requests_[id];
     node& entry = *nodes_[request.entry];
     route_request wish = request.wish;
@@ -265,16 +269,24 @@
       Account(request).End();
       return;
     }
-    request.engine = static_cast<std::uint32_t>(*chosen);
+    SendTo(id, *chosen, false);
+  }
+
+  // Sends the rest of a request. With `imported`, its KV cache has arrived and
+  // nothing is prefilled.
+  void SendTo(std::uint32_t id, upstream_index chosen, bool imported) {
+    request_state& request = requests_[id];
+    const route_request& wish = request.wish;
+    request.engine = static_cast<std::uint32_t>(chosen);
     request.sent_at = now_;
-    entry.world->link_at(*chosen).Begin(wish.prompt_tokens + wish.answer_tokens,
-                                        wish.rank);
+    LinkOf(request).Begin(wish.prompt_tokens + wish.answer_tokens, wish.rank);
     fake_sequence sequence;
     sequence.id = id;
     sequence.rank = wish.rank;
     sequence.prefix = wish.prefix_hash;
     sequence.prefix_tokens = wish.prefix_tokens;
-    sequence.context_tokens = imported ? 0 : wish.prompt_tokens;
+    sequence.context_tokens =
+        imported ? 0 : wish.prompt_tokens + request.delivered;
     sequence.tokens_left = request.answer - request.delivered;
     engine_state& state = engines_[request.engine];
     state.engine.Add(sequence);
@@ -450,38 +462,83 @@
     }
   }
 
+  // Decides on each stream as entry/stream_runner does.
   void MoveStreams(std::uint32_t index) {
-    // Tokens of KV cache that an engine exports a second.
-    constexpr double kExportTokensPerSecond = 20'000;
+    if (!parts_.reclaim_plan) {
+      return;
+    }
     engine_state& state = engines_[index];
+    const std::vector<fake_sequence> all = state.engine.All();
     duration exports{0};
-    for (const fake_sequence& sequence : state.engine.All()) {
+    for (const fake_sequence& sequence : all) {
       request_state& request = requests_[sequence.id];
-      reclaim_question question;
-      question.time_to_finish = duration(static_cast<monotonic::rep>(
-          (request.wish.answer_tokens - request.delivered) * 51'000.0));
-      question.notice = setup_.wave_notice;
-      question.export_time = duration(static_cast<monotonic::rep>(
-          (request.wish.prompt_tokens + request.delivered) /
-          kExportTokensPerSecond * 1e6));
-      question.exports_before = exports;
-      const reclaim_action action = Reclaim().Choose(question);
-      if (action == reclaim_action::kRunToEnd) {
+      moving_stream stream;
+      stream.prompt_tokens = request.wish.prompt_tokens;
+      stream.generated = request.delivered;
+      stream.remaining = request.wish.answer_tokens - request.delivered;
+      stream.token_interval = LinkOf(request).token_interval_average();
+      stream.moving_at_once =
+          parts_.queued_exports ? 1 : static_cast<std::uint32_t>(all.size());
+      stream.may_export = request.delivered > 0;
+      const std::vector<move_target> targets = MoveTargets(request);
+      const auto planned =
+          PlanMove(stream, targets,
+                   deadline::After(now_, setup_.wave_notice - exports), now_);
+      if (!planned || planned->action == reclaim_action::kRunToEnd) {
         continue;
       }
-      state.engine.Remove(sequence.id);
-      EndUse(request);
-      const bool exported =
-          action == reclaim_action::kExport && request.delivered > 0;
-      request.moved = request.delivered > 0;
-      if (exported) {
-        exports += question.export_time;
+      if (planned->action == reclaim_action::kReprefill) {
+        Move(index, sequence.id, *planned->target, false);
+        continue;
       }
-      At(now_ + (exported ? exports : duration(0)),
-         [this, id = sequence.id, exported] { Send(id, exported); });
+      // The stream goes on at the source while its cache travels.
+      const move_costs costs;
+      const duration travel = costs.export_overhead +
+                              costs.export_per_token *
+                                  (stream.prompt_tokens + stream.generated) *
+                                  stream.moving_at_once;
+      const duration left_at = exports + travel;
+      exports = parts_.queued_exports ? left_at : duration(0);
+      At(now_ + left_at, [this, index, id = sequence.id,
+                          from = stream.generated, to = *planned->target] {
+        request_state& moved = requests_[id];
+        // Tokens since the export are computed again.
+        if (warm() && moved.engine == index) {
+          result_.recomputed_tokens += moved.delivered - from;
+        }
+        Move(index, id, to, true);
+      });
     }
   }
 
+  std::vector<move_target> MoveTargets(const request_state& request) {
+    const topology& world = *nodes_[request.entry]->world;
+    std::vector<move_target> targets;
+    for (std::uint32_t i = 0; i < engines_.size(); ++i) {
+      const upstream_index where{i};
+      const bool serves = engines_[i].engine.spec().booking ==
+                          engines_[request.engine].engine.spec().booking;
+      const link& path = world.link_at(where);
+      if (serves && path.takes_new_work()) {
+        targets.push_back({where, true, 0, path.outstanding_requests()});
+      }
+    }
+    return targets;
+  }
+
+  void Move(std::uint32_t from,
+            std::uint32_t id,
+            upstream_index to,
+            bool imported) {
+    request_state& request = requests_[id];
+    if (engines_[from].gone || !engines_[from].engine.Remove(id)) {
+      return;  // It ended, or was computed again after the engine went.
+    }
+    EndUse(request);
+    request.moved = request.delivered > 0;
+    SendTo(id, to, imported);
+  }
+
   void KillEngine(std::uint32_t index) {
     engine_state& state = engines_[index];
     AddBusy(state);
