--- a/entry/process_state.h
+++ b/entry/process_state.h
@@ -56,7 +56,8 @@
   // Requests that have arrived and have not been answered to the end.
   std::atomic<std::uint32_t> requests_in_flight{0};
 
-  // Whether the balancer may send new requests here.
+  // Whether the balancer may send new requests here. Not before the hold-down
+  // of the limits ends: callers of limited workspaces would be refused.
   bool ready() const;
 
   // Takes over the number of live entry instances, this one included. Called by
