Export caches one after the other at their measured speed

PlanMove took every export to share the network with all others for its whole length, so that long contexts did not fit the notice and were prefilled.

Change: an entry instance exports one cache at a time from an upstream. A link learns how long exports take for each token; a stream waits while the rest of the running export and its own fit the notice.

--- a/entry/chosen_upstream.cc
+++ b/entry/chosen_upstream.cc
@@ -49,6 +49,7 @@
 
 moving_stream MakeMovingStream(const stream_session& session,
                                const link& source,
+                               time_point now,
                                bool may_export) {
   const chat_request& request = session.order().request;
   moving_stream moving;
@@ -60,9 +61,7 @@
       seen > duration::zero()
           ? seen
           : session.order().target.terms.token_interval_target;
-  // Exports that run already, and this one. Counting all streams instead would
-  // refuse every export when only some of them fit the notice.
-  moving.moving_at_once = source.exporting() + 1;
+  moving.until_free = source.until_export_ends(now);
   // A stream without a token has no cache worth moving.
   moving.may_export = may_export && session.tokens() > 0;
   return moving;
@@ -134,6 +133,7 @@
   const std::vector<upstream_index> positions = PositionsOf(world, excluded);
   const route_request request = MakeRouteRequest(session, *wanted, positions);
   const std::uint64_t version = Hash64(session.model_version());
+  const time_point now = process.clock.Now();
   std::vector<move_target> targets;
   for (const upstream_index where : world.UpstreamsOf(*wanted)) {
     link& path = world.link_at(where);
@@ -144,8 +144,8 @@
     }
   }
   const auto choice =
-      PlanMove(MakeMovingStream(session, source, may_export), targets,
-               source.reclaim_at(), process.clock.Now());
+      PlanMove(MakeMovingStream(session, source, now, may_export), targets,
+               source.reclaim_at(), now, source.export_costs());
   if (!choice) {
     return std::nullopt;
   }
--- a/entry/notice_follower.cc
+++ b/entry/notice_follower.cc
@@ -21,6 +21,8 @@
 constexpr duration kRetryPause = std::chrono::milliseconds(200);
 constexpr duration kListInterval = std::chrono::seconds(1);
 constexpr duration kListLimit = std::chrono::seconds(3);
+// A planned stop ends this long before the instance is taken back.
+constexpr duration kStopMargin = std::chrono::milliseconds(500);
 // The list may show a reclaimed instance as live for this long. After that, an
 // instance of the same name is a new one.
 constexpr duration kLongestListLag = std::chrono::seconds(30);
@@ -91,6 +93,9 @@
 void notice_follower::Take(const reclaim_notice& notice) {
   const deadline reclaim_at =
       deadline::After(process_.clock.Now(), notice.until_reclaim);
+  if (notice.instance == process_.settings.name) {
+    process_.drain.Request(deadline(reclaim_at.at() - kStopMargin));
+  }
   reclaims_.insert_or_assign(notice.instance, reclaim_at);
   Log(log_level::kWarning, log_event::kReclaimNotice,
       {{"upstream", notice.instance},
@@ -129,6 +134,10 @@
   const topology& world = process_.world.Read(guard);
   for (const auto& [name, reclaim_at] : reclaims_) {
     if (const auto found = world.FindUpstream(name)) {
+      if (!world.link_at(*found).LeavingBy(leaving_source::kNotice)) {
+        process_.policy.ObserveReclaim(world.at(*found).host.domain(),
+                                       process_.clock.Now());
+      }
       world.link_at(*found).SetReclaim(reclaim_at);
       world.link_at(*found).SetLeaving(leaving_source::kNotice, true);
     }
--- a/entry/peer_service.cc
+++ b/entry/peer_service.cc
@@ -76,6 +76,10 @@
                   process.clock.Now()),
       random_(std::random_device()()) {
   membership_.SetSeeds(process.settings.seeds);
+  if (!process.settings.seeds.empty()) {
+    // Others may be serving already and dividing the limits among themselves.
+    process.share.Join(process.clock.Now());
+  }
 }
 
 void peer_service::Start(configuration_relay relay) {
--- a/entry/stream_runner.cc
+++ b/entry/stream_runner.cc
@@ -32,6 +32,9 @@
 // How often a stream that may end before the reclaim is planned again, since
 // it may turn out slower than expected.
 constexpr duration kReplanInterval = std::chrono::milliseconds(100);
+// How often a stream that waits for another one's export is planned again. An
+// export of a short prompt takes about 30 ms.
+constexpr duration kExportWait = std::chrono::milliseconds(20);
 
 // Drives one stream over its attempts.
 class stream_driver {
@@ -176,22 +179,29 @@
     const auto planned = ChooseMove(self_.process(), *session_,
                                     *attempt_->path(), excluded_, may_export_);
     if (!planned || planned->choice.action == reclaim_action::kRunToEnd) {
-      co_await session_->AwaitWake(
-          deadline::After(Now(), kReplanInterval).Earlier(order().answer_by));
+      co_await AwaitReplan(kReplanInterval);
+      co_return;
+    }
+    const bool export_now =
+        planned->choice.action == reclaim_action::kExport &&
+        attempt_->path()->TryBeginExport(CacheTokens(), Now());
+    if (!export_now && planned->choice.action != reclaim_action::kReprefill) {
+      co_await AwaitReplan(kExportWait);
       co_return;
     }
     std::string handle;
-    if (planned->choice.action == reclaim_action::kExport) {
+    if (export_now) {
       const deadline until =
           attempt_->path()->reclaim_at().Earlier(order().answer_by);
       // Copied: the session's version changes if the attempt's does.
       const std::string version(session_->model_version());
       const std::shared_ptr<link> source = attempt_->path();
-      source->BeginExport();
+      const std::uint32_t tokens = CacheTokens();
+      const time_point begun = Now();
       auto moved = co_await MoveCache(self_.client(), attempt_->address(),
                                       planned->target->address, attempt_->id(),
                                       version, until);
-      source->EndExport();
+      source->EndExport(tokens, Now() - begun, moved.has_value());
       if (attempt_->end() != attempt_end::kRunning) {
         co_return;  // It ended or broke while the cache travelled.
       }
@@ -207,6 +217,16 @@
     MoveTo(*planned, std::move(handle));
   }
 
+  // Tokens whose KV cache the stream has.
+  std::uint32_t CacheTokens() const {
+    return EstimatePromptTokens(order().request) + session_->tokens();
+  }
+
+  awaitable<void> AwaitReplan(duration wait) {
+    co_await session_->AwaitWake(
+        deadline::After(Now(), wait).Earlier(order().answer_by));
+  }
+
   void MoveTo(const planned_move& planned, std::string handle) {
     ++(handle.empty() ? self_.metrics().moved_by_prefill
                       : self_.metrics().moved_by_export);
--- a/links/link.cc
+++ b/links/link.cc
@@ -167,6 +167,45 @@
   return failures_in_a_row_.load(kRelaxed);
 }
 
+bool link::TryBeginExport(std::uint32_t tokens, time_point now) {
+  const move_costs costs = export_costs();
+  const time_point end =
+      now + costs.export_overhead + costs.export_per_token * tokens;
+  monotonic::rep none = 0;
+  return export_ends_at_.compare_exchange_strong(
+      none, end.time_since_epoch().count(), kRelaxed);
+}
+
+void link::EndExport(std::uint32_t tokens, duration taken, bool finished) {
+  const duration carried = taken - move_costs{}.export_overhead;
+  if (finished && tokens > 0 && carried > duration::zero()) {
+    UpdateAverage(export_us_per_token_, static_cast<float>(carried.count()) /
+                                            static_cast<float>(tokens));
+  }
+  export_ends_at_.store(0, kRelaxed);
+}
+
+duration link::until_export_ends(time_point now) const {
+  const monotonic::rep end = export_ends_at_.load(kRelaxed);
+  if (end == 0) {
+    return duration::zero();
+  }
+  // One that takes longer than expected is taken to end soon.
+  return std::max<duration>(time_point(duration(end)) - now,
+                            move_costs{}.export_overhead);
+}
+
+move_costs link::export_costs() const {
+  move_costs costs;
+  const float measured = export_us_per_token_.load(kRelaxed);
+  if (measured > 0) {
+    // Rounded up, so that a fast network does not look free.
+    costs.export_per_token =
+        duration(static_cast<monotonic::rep>(measured) + 1);
+  }
+  return costs;
+}
+
 bool link::takes_new_work() const {
   const link_condition current = condition();
   return current == link_condition::kHealthy ||
--- a/links/link.h
+++ b/links/link.h
@@ -13,6 +13,7 @@
 #include "common/time.h"
 #include "contracts/contract.h"
 #include "links/prefix_memory.h"
+#include "links/reclaim_plan.h"
 
 namespace anvilloom {
 
@@ -107,10 +108,15 @@
 
   void SetCondition(link_condition condition);
   void SetLeaving(leaving_source source, bool leaving);
-  // Counts a KV cache export that shares the upstream's network.
-  void BeginExport() { exporting_.fetch_add(1, kRelaxed); }
-  void EndExport() { exporting_.fetch_sub(1, kRelaxed); }
-  std::uint32_t exporting() const { return exporting_.load(kRelaxed); }
+  // Begins the export of the KV cache of `tokens` tokens, unless one runs
+  // already: exports of this entry instance go one after the other.
+  bool TryBeginExport(std::uint32_t tokens, time_point now);
+  // Ends it; a finished one tells how fast the upstream's network is.
+  void EndExport(std::uint32_t tokens, duration taken, bool finished);
+  // Time until the running export is expected to end; zero if none runs.
+  duration until_export_ends(time_point now) const;
+  // What an export takes, by the latest ones.
+  move_costs export_costs() const;
 
   // Sets the time after which the upstream is gone. Source: a notice.
   void SetReclaim(deadline reclaim_at);
@@ -221,7 +227,9 @@
   std::atomic<std::uint32_t> version_changes_{0};
   std::atomic<std::uint32_t> token_intervals_{0};
   std::atomic<std::uint64_t> version_{0};
-  std::atomic<std::uint32_t> exporting_{0};
+  // When the running export is expected to end; zero if none runs.
+  std::atomic<monotonic::rep> export_ends_at_{0};
+  std::atomic<float> export_us_per_token_{0};
   prefix_memory prefixes_;
 };
 
--- a/links/reclaim_plan.cc
+++ b/links/reclaim_plan.cc
@@ -20,8 +20,7 @@
 
 duration ExportTime(const moving_stream& stream, const move_costs& costs) {
   const std::uint32_t tokens = stream.prompt_tokens + stream.generated;
-  return costs.export_overhead +
-         costs.export_per_token * tokens * std::max(stream.moving_at_once, 1U);
+  return costs.export_overhead + costs.export_per_token * tokens;
 }
 
 // Tokens that the source generates while its cache travels; the target
@@ -53,7 +52,11 @@
   }
   const duration export_time = ExportTime(stream, costs);
   const bool export_fits =
-      stream.may_export && Fits(export_time, reclaim_at, now, costs);
+      stream.may_export &&
+      Fits(stream.until_free + export_time, reclaim_at, now, costs);
+  const reclaim_action by_export = stream.until_free > duration::zero()
+                                       ? reclaim_action::kAwaitExport
+                                       : reclaim_action::kExport;
   std::optional<reclaim_choice> best;
   std::uint32_t best_outstanding = 0;
   const auto consider = [&](const reclaim_choice& choice,
@@ -67,8 +70,7 @@
   for (const move_target& target : targets) {
     consider(ByPrefill(stream, target), target.outstanding_requests);
     if (export_fits && target.same_version) {
-      consider({reclaim_action::kExport, target.where,
-                TokensDuring(export_time, stream)},
+      consider({by_export, target.where, TokensDuring(export_time, stream)},
                target.outstanding_requests);
     }
   }
--- a/links/reclaim_plan.h
+++ b/links/reclaim_plan.h
@@ -19,8 +19,9 @@
   std::uint32_t generated = 0;
   std::uint32_t remaining = 0;
   duration token_interval{};
-  // Exports from the same upstream that share its network, this one included.
-  std::uint32_t moving_at_once = 1;
+  // Time until the running export of another stream from the same upstream
+  // ends; zero if none runs.
+  duration until_free{};
   // False when the KV cache can't be exported, for example because it failed.
   bool may_export = true;
 };
@@ -40,17 +41,25 @@
 struct move_costs {
   // The export and import calls.
   duration export_overhead = std::chrono::milliseconds(20);
-  // 128 KB of KV cache for one token at 10 Gbit/s.
+  // 128 KB of KV cache for one token at 10 Gbit/s, until measured. Other entry
+  // instances may export at the same time and share the upstream's network.
   duration export_per_token = std::chrono::microseconds(105);
   // Left unused before the reclaim: estimates and clocks are not exact.
   duration margin = std::chrono::milliseconds(300);
 };
 
-enum class reclaim_action { kRunToEnd, kExport, kReprefill };
+enum class reclaim_action {
+  kRunToEnd,
+  kExport,
+  // Wait for the running export to end, and plan again. Exports go one after
+  // the other: side by side each takes longer, and fewer caches leave in time.
+  kAwaitExport,
+  kReprefill,
+};
 
 struct reclaim_choice {
   reclaim_action action = reclaim_action::kRunToEnd;
-  // Not set for kRunToEnd.
+  // Not set for kRunToEnd. For kAwaitExport, where the stream would go now.
   std::optional<upstream_index> target;
   // Tokens that the target computes although they were computed before.
   std::uint32_t recomputed_tokens = 0;
--- a/test/correctness/reclaim_plan_test.cc
+++ b/test/correctness/reclaim_plan_test.cc
@@ -91,17 +91,32 @@
       }
     }
 
-    WHEN("so many streams leave at once that they share the network") {
-      moving_stream crowded = stream;
-      crowded.moving_at_once = 20;
+    WHEN("twenty entry instances export at once and share the network") {
+      move_costs shared;
+      shared.export_per_token *= 20;
       const auto choice =
-          PlanMove(crowded, std::vector{same}, In(seconds(2)), kNow);
+          PlanMove(stream, std::vector{same}, In(seconds(2)), kNow, shared);
 
       THEN("the export does not fit and it is prefilled") {
         REQUIRE(choice->action == reclaim_action::kReprefill);
       }
     }
 
+    WHEN("another stream is being exported") {
+      moving_stream next = stream;
+      next.until_free = milliseconds(300);
+
+      THEN("it waits while the notice leaves time for both") {
+        REQUIRE(
+            PlanMove(next, std::vector{same}, In(seconds(2)), kNow)->action ==
+            reclaim_action::kAwaitExport);
+      }
+      THEN("it is prefilled once the notice does not") {
+        REQUIRE(PlanMove(next, std::vector{same}, In(milliseconds(500)), kNow)
+                    ->action == reclaim_action::kReprefill);
+      }
+    }
+
     WHEN("the export failed before") {
       moving_stream failed = stream;
       failed.may_export = false;
@@ -151,7 +166,9 @@
         stream.generated = below(4000);
         stream.remaining = below(4000);
         stream.token_interval = milliseconds(1 + below(100));
-        stream.moving_at_once = 1 + below(30);
+        stream.until_free = milliseconds(below(2) * below(3000));
+        move_costs costs;
+        costs.export_per_token *= 1 + below(30);
         std::vector<move_target> targets;
         const std::uint32_t count = below(6);
         for (std::uint32_t i = 0; i < count; ++i) {
@@ -159,7 +176,7 @@
               {upstream_index{i}, below(2) == 0, below(9000), below(40)});
         }
         const duration left = milliseconds(below(30'000));
-        const auto choice = PlanMove(stream, targets, In(left), kNow);
+        const auto choice = PlanMove(stream, targets, In(left), kNow, costs);
         if (!choice) {
           REQUIRE(targets.empty());
           continue;
@@ -169,7 +186,11 @@
           continue;
         }
         const auto chosen = static_cast<std::uint32_t>(*choice->target);
-        if (choice->action == reclaim_action::kExport) {
+        const bool by_export = choice->action == reclaim_action::kExport ||
+                               choice->action == reclaim_action::kAwaitExport;
+        if (by_export) {
+          REQUIRE((choice->action == reclaim_action::kAwaitExport) ==
+                  (stream.until_free > duration::zero()));
           REQUIRE(targets[chosen].same_version);
           REQUIRE(stream.token_interval * choice->recomputed_tokens <= left);
         }
--- a/test/error/membership_faults_test.cc
+++ b/test/error/membership_faults_test.cc
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <iostream>
+#include <tuple>
 
 #include "test/support/membership_fleet.h"
 
@@ -19,9 +20,11 @@
 }  // namespace
 
 SCENARIO("A paused member rejoins", "[membership]") {
-  const auto [members, paused_s, dropped] =
-      GENERATE(table<std::size_t, int, bool>(
-          {{7, 1, false}, {7, 3, false}, {7, 60, true}, {50, 60, true}}));
+  const auto row = GENERATE(table<std::size_t, int, bool>(
+      {{7, 1, false}, {7, 3, false}, {7, 60, true}, {50, 60, true}}));
+  const auto members = std::get<0>(row);
+  const auto paused_s = std::get<1>(row);
+  const auto dropped = std::get<2>(row);
   GIVEN("a fleet of " << members << " with a member paused for " << paused_s
                       << " s") {
     fleet_plan plan;
@@ -53,8 +56,11 @@
 }
 
 SCENARIO("A failure domain is cut off and healed", "[membership]") {
-  const auto [members, domains, cut_s] =
+  const auto row =
       GENERATE(table<std::size_t, std::size_t, int>({{7, 3, 60}, {50, 5, 60}}));
+  const auto members = std::get<0>(row);
+  const auto domains = std::get<1>(row);
+  const auto cut_s = std::get<2>(row);
   GIVEN("a fleet of " << members << " in " << domains << " domains") {
     fleet_plan plan;
     plan.members = members;
--- a/test/performance/membership_scale_test.cc
+++ b/test/performance/membership_scale_test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <iostream>
+#include <tuple>
 
 #include "test/support/membership_fleet.h"
 
@@ -20,11 +21,15 @@
 }  // namespace
 
 SCENARIO("A large fleet finds the members that fail", "[membership]") {
-  const auto [members, domains, loss, detect_limit_s] =
+  const auto row =
       GENERATE(table<std::size_t, std::size_t, std::uint32_t, int>({
           {200, 12, 20, 20},
           {400, 23, 20, 20},
       }));
+  const auto members = std::get<0>(row);
+  const auto domains = std::get<1>(row);
+  const auto loss = std::get<2>(row);
+  const auto detect_limit_s = std::get<3>(row);
   GIVEN("a fleet of " << members << " with " << loss << " permille loss") {
     fleet_plan plan;
     plan.members = members;
--- a/tools/experiment.cc
+++ b/tools/experiment.cc
@@ -68,8 +68,6 @@
   Without("  without admission", [](auto& parts) { parts.admission = false; });
   Without("  without reclaim plan",
           [](auto& parts) { parts.reclaim_plan = false; });
-  Without("  with queued exports",
-          [](auto& parts) { parts.queued_exports = true; });
   Without("  without price", [](auto& parts) { parts.cost.price = false; });
   Without("  without locality",
           [](auto& parts) { parts.cost.locality = false; });
--- a/tools/fake_engine.cc
+++ b/tools/fake_engine.cc
@@ -68,6 +68,11 @@
   return std::nullopt;
 }
 
+bool fake_engine::Holds(std::uint32_t id) const {
+  const std::vector<fake_sequence> all = All();
+  return std::ranges::find(all, id, &fake_sequence::id) != all.end();
+}
+
 std::vector<fake_sequence> fake_engine::All() const {
   std::vector<fake_sequence> all = running_;
   for (const auto& queue : waiting_) {
--- a/tools/fake_engine.h
+++ b/tools/fake_engine.h
@@ -72,6 +72,8 @@
   void EndStep();
   // Stops a sequence; nothing if it is not here.
   std::optional<fake_sequence> Remove(std::uint32_t id);
+  // Whether a sequence runs or waits here.
+  bool Holds(std::uint32_t id) const;
   // Every sequence, running or waiting.
   std::vector<fake_sequence> All() const;
 
--- a/tools/simulation.h
+++ b/tools/simulation.h
@@ -36,8 +36,6 @@
   // Moves streams by links/reclaim_plan; otherwise they run until the engine
   // goes, and are computed again.
   bool reclaim_plan = true;
-  // Exports one cache after the other, instead of all at once.
-  bool queued_exports = false;
 };
 
 // Where an entry instance's requests go. `Policy` is driven exactly as the
@@ -89,6 +87,9 @@
  private:
   static constexpr time_point kStart{std::chrono::seconds(1000)};
   static constexpr std::size_t kIntervalSample = 8;
+  // As in entry/stream_runner.
+  static constexpr duration kReplanInterval = std::chrono::milliseconds(100);
+  static constexpr duration kExportWait = std::chrono::milliseconds(20);
 
   struct node {
     node(const experiment_setup& setup, const simulation_parts& parts)
@@ -127,6 +128,7 @@
     time_point busy_since;
     double busy_us = 0;
     std::optional<time_point> gone_at;
+    std::uint32_t exporting = 0;
   };
 
   struct request_state {
@@ -199,7 +201,8 @@
     }
     const auto service = static_cast<std::uint64_t>(wish.wanted);
     wish.prefix_hash =
-        split_mix((workspace * 3 + service) * 1000 + prefix).Next();
+        split_mix((std::uint64_t{workspace} * 3 + service) * 1000 + prefix)
+            .Next();
     // Callers bound their answers loosely.
     wish.answer_tokens = made.answer + random_.NextBelow(made.answer);
     const contract& terms = setup_.declared.services[service].terms;
@@ -462,55 +465,69 @@
     }
   }
 
-  // Decides on each stream as entry/stream_runner does.
   void MoveStreams(std::uint32_t index) {
     if (!parts_.reclaim_plan) {
       return;
     }
-    engine_state& state = engines_[index];
-    const std::vector<fake_sequence> all = state.engine.All();
-    duration exports{0};
-    for (const fake_sequence& sequence : all) {
-      request_state& request = requests_[sequence.id];
-      moving_stream stream;
-      stream.prompt_tokens = request.wish.prompt_tokens;
-      stream.generated = request.delivered;
-      stream.remaining = request.wish.answer_tokens - request.delivered;
-      stream.token_interval = LinkOf(request).token_interval_average();
-      stream.moving_at_once =
-          parts_.queued_exports ? 1 : static_cast<std::uint32_t>(all.size());
-      stream.may_export = request.delivered > 0;
-      const std::vector<move_target> targets = MoveTargets(request);
-      const auto planned =
-          PlanMove(stream, targets,
-                   deadline::After(now_, setup_.wave_notice - exports), now_);
-      if (!planned || planned->action == reclaim_action::kRunToEnd) {
-        continue;
-      }
-      if (planned->action == reclaim_action::kReprefill) {
-        Move(index, sequence.id, *planned->target, false);
-        continue;
-      }
-      // The stream goes on at the source while its cache travels.
-      const move_costs costs;
-      const duration travel = costs.export_overhead +
-                              costs.export_per_token *
-                                  (stream.prompt_tokens + stream.generated) *
-                                  stream.moving_at_once;
-      const duration left_at = exports + travel;
-      exports = parts_.queued_exports ? left_at : duration(0);
-      At(now_ + left_at, [this, index, id = sequence.id,
-                          from = stream.generated, to = *planned->target] {
-        request_state& moved = requests_[id];
-        // Tokens since the export are computed again.
-        if (warm() && moved.engine == index) {
-          result_.recomputed_tokens += moved.delivered - from;
-        }
-        Move(index, id, to, true);
-      });
+    for (const fake_sequence& sequence : engines_[index].engine.All()) {
+      PlanStream(index, sequence.id);
+    }
+  }
+
+  // Decides on a stream as entry/stream_runner does, until it has left.
+  void PlanStream(std::uint32_t index, std::uint32_t id) {
+    request_state& request = requests_[id];
+    if (engines_[index].gone || request.engine != index ||
+        !engines_[index].engine.Holds(id)) {
+      return;
+    }
+    link& path = LinkOf(request);
+    moving_stream stream;
+    stream.prompt_tokens = request.wish.prompt_tokens;
+    stream.generated = request.delivered;
+    stream.remaining = request.wish.answer_tokens - request.delivered;
+    stream.token_interval = path.token_interval_average();
+    stream.until_free = path.until_export_ends(now_);
+    stream.may_export = request.delivered > 0;
+    const auto planned = PlanMove(stream, MoveTargets(request),
+                                  path.reclaim_at(), now_, path.export_costs());
+    if (!planned || planned->action == reclaim_action::kRunToEnd) {
+      At(now_ + kReplanInterval, [this, index, id] { PlanStream(index, id); });
+    } else if (planned->action == reclaim_action::kAwaitExport) {
+      At(now_ + kExportWait, [this, index, id] { PlanStream(index, id); });
+    } else if (planned->action == reclaim_action::kReprefill) {
+      Move(index, id, *planned->target, false);
+    } else {
+      Export(index, id, stream, *planned->target);
     }
   }
 
+  // The stream goes on at the source while its cache travels.
+  void Export(std::uint32_t index,
+              std::uint32_t id,
+              const moving_stream& stream,
+              upstream_index target) {
+    link& path = LinkOf(requests_[id]);
+    const std::uint32_t tokens = stream.prompt_tokens + stream.generated;
+    path.TryBeginExport(tokens, now_);
+    // Entry instances that export at the same time share the network.
+    const std::uint32_t sharing = ++engines_[index].exporting;
+    const move_costs costs;
+    const duration travel =
+        costs.export_overhead + costs.export_per_token * tokens * sharing;
+    At(now_ + travel, [this, index, id, target, tokens, travel, &path,
+                       from = stream.generated] {
+      --engines_[index].exporting;
+      path.EndExport(tokens, travel, true);
+      request_state& moved = requests_[id];
+      // Tokens since the export are computed again.
+      if (warm() && moved.engine == index) {
+        result_.recomputed_tokens += moved.delivered - from;
+      }
+      Move(index, id, target, true);
+    });
+  }
+
   std::vector<move_target> MoveTargets(const request_state& request) {
     const topology& world = *nodes_[request.entry]->world;
     std::vector<move_target> targets;
