Tell the truth about lookups that ran before a refused connection

Cause: a repeatable plain call that ran at one upstream, lost its answer, and then found the next upstream gone was told "not run". Its repeats were not taken from the retry budget, and failed upstreams were kept as positions in a topology that may change between attempts.

Change: once an attempt may have run, the outcome is "unknown". A repeat after a sent attempt takes from the budget; trying another upstream after a refused connection does not. Plain calls choose through entry/chosen_upstream.

Before: plain_calls_test fails with the old program, "not run" for a call that ran (70 of 71 assertions). After: 124 assertions pass.

--- a/entry/chosen_upstream.cc
+++ b/entry/chosen_upstream.cc
@@ -107,6 +107,30 @@
   return CopyOut(world, *chosen);
 }
 
+std::optional<chosen_upstream> ChooseUpstream(process_state& process,
+                                              const service& target,
+                                              deadline answer_by,
+                                              const shared_links& excluded) {
+  const rcu_read_guard guard;
+  const topology& world = process.world.Read(guard);
+  const auto wanted = world.FindService(target.name);
+  if (!wanted) {
+    return std::nullopt;
+  }
+  const std::vector<upstream_index> positions = PositionsOf(world, excluded);
+  route_request request;
+  request.wanted = *wanted;
+  request.rank = target.terms.rank;
+  request.answer_by = answer_by;
+  request.excluded = positions;
+  const auto chosen =
+      process.policy.Choose(world, request, process.clock.Now());
+  if (!chosen) {
+    return std::nullopt;
+  }
+  return CopyOut(world, *chosen);
+}
+
 bool HasUpstreams(process_state& process, const stream_session& session) {
   const rcu_read_guard guard;
   const topology& world = process.world.Read(guard);
--- a/entry/chosen_upstream.h
+++ b/entry/chosen_upstream.h
@@ -1,5 +1,5 @@
 // Defines chosen_upstream, an upstream copied out of the topology for one
-// attempt, and the choices that the stream runner makes among upstreams.
+// attempt, and the choices that are made among upstreams.
 #ifndef ENTRY_CHOSEN_UPSTREAM_H_
 #define ENTRY_CHOSEN_UPSTREAM_H_
 
@@ -28,6 +28,12 @@
                                               const stream_session& session,
                                               const shared_links& excluded);
 
+// The same for a call to a plain service.
+std::optional<chosen_upstream> ChooseUpstream(process_state& process,
+                                              const service& target,
+                                              deadline answer_by,
+                                              const shared_links& excluded);
+
 // Whether any upstream is declared for the stream's service.
 bool HasUpstreams(process_state& process, const stream_session& session);
 
--- a/entry/plain_handler.cc
+++ b/entry/plain_handler.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "entry/chosen_upstream.h"
 #include "entry/claim_runner.h"
 #include "entry/operation_identity.h"
 #include "entry/refusal_reply.h"
@@ -17,12 +18,6 @@
 // Attempts at one repeatable call, the first included.
 constexpr std::uint32_t kMaxAttempts = 3;
 
-struct chosen_upstream {
-  upstream_index index;
-  std::string address;
-  std::shared_ptr<link> path;
-};
-
 std::optional<service> FindPlainService(const process_state& process,
                                         std::string_view name) {
   const rcu_read_guard guard;
@@ -34,29 +29,13 @@
   return world.at(*found);
 }
 
-std::optional<chosen_upstream> ChooseUpstream(
-    process_state& process,
-    const service& target,
-    deadline answer_by,
-    std::span<const upstream_index> excluded) {
-  const rcu_read_guard guard;
-  const topology& world = process.world.Read(guard);
-  const auto wanted = world.FindService(target.name);
-  if (!wanted) {
-    return std::nullopt;
-  }
-  route_request request;
-  request.wanted = *wanted;
-  request.rank = target.terms.rank;
-  request.answer_by = answer_by;
-  request.excluded = excluded;
-  const auto chosen =
-      process.policy.Choose(world, request, process.clock.Now());
-  if (!chosen) {
-    return std::nullopt;
-  }
-  return chosen_upstream{*chosen, world.at(*chosen).address,
-                         world.shared_link_at(*chosen)};
+// Whether a repeatable call that may have run is sent once more.
+bool MayRepeat(process_state& process, deadline answer_by) {
+  retry_question question;
+  question.repeatable = true;
+  question.answer_by = answer_by;
+  return process.retries.Ask(question, process.clock.Now()) ==
+         retry_verdict::kRetry;
 }
 
 std::string ContentType(const http_response& answer) {
@@ -98,7 +77,7 @@
         answer_by_(answer_by) {}
 
   awaitable<claim_send_result> operator()(deadline send_by) {
-    std::vector<upstream_index> refusing;
+    shared_links refusing;
     claim_send_failure failure{false, refusal_code::kNoUpstream};
     while (!failure.sent && !send_by.Expired(self_.process().clock.Now())) {
       const auto chosen =
@@ -117,7 +96,7 @@
                                std::move(answer->body())};
       }
       chosen->path->Failed();
-      refusing.push_back(chosen->index);
+      refusing.push_back(chosen->path);
       failure = {answer.error().sent, refusal_code::kUpstreamFailed};
     }
     co_return failure;
@@ -170,8 +149,9 @@
                                                  std::string_view path,
                                                  deadline answer_by) {
   process_state& process = self.process();
-  std::vector<upstream_index> failed;
-  refusal why{refusal_code::kNoUpstream};
+  process.retries.Request(RetryPermille(process));
+  shared_links failed;
+  bool sent = false;
   for (std::uint32_t attempt = 0; attempt < kMaxAttempts; ++attempt) {
     const auto chosen = ChooseUpstream(process, target, answer_by, failed);
     if (!chosen) {
@@ -189,11 +169,17 @@
       co_return;
     }
     chosen->path->Failed();
-    failed.push_back(chosen->index);
-    why = {refusal_code::kUpstreamFailed,
-           answer.error().sent ? outcome::kUnknown : outcome::kNotRun};
+    failed.push_back(chosen->path);
+    sent = sent || answer.error().sent;
+    // Trying another upstream after a refused connection adds no load to any.
+    if (answer.error().sent && !MayRepeat(process, answer_by)) {
+      break;
+    }
   }
   ++self.metrics().failed;
+  const refusal why{failed.empty() ? refusal_code::kNoUpstream
+                                   : refusal_code::kUpstreamFailed,
+                    sent ? outcome::kUnknown : outcome::kNotRun};
   co_await RespondRefusal(exchange, why, from.request_id, process.clock.Now());
 }
 
