--- a/links/reclaim_plan.h
+++ b/links/reclaim_plan.h
@@ -45,7 +45,7 @@
   // instances may export at the same time and share the upstream's network.
   duration export_per_token = std::chrono::microseconds(105);
   // Left unused before the reclaim: estimates and clocks are not exact.
-  duration margin = std::chrono::milliseconds(300);
+  duration margin = std::chrono::milliseconds(200);
 };
 
 enum class reclaim_action {
--- a/test/error/plain_calls_test.cc
+++ b/test/error/plain_calls_test.cc
@@ -12,7 +12,7 @@
 
 using http_verb = boost::beast::http::verb;
 
-constexpr int kCalls = 60;
+constexpr std::int64_t kCalls = 60;
 constexpr std::string_view kRunAndDrop =
     R"({"action":"drop_after","path":"/x","count":9999})";
 
