Let a workspace below its share exceed it by one request

The comparison of shares counted the new request, so one long answer of about 5,000 tokens needed 50,000 tokens admitted lately at that entry instance, and it looked back over 20 s, in which a small workspace sends one entry instance two requests. Change: a workspace whose admitted tokens are below its share gets in whatever the size of the request, and shares are compared over 60 s. The experiment counts tokens as they are delivered and leaves out what running answers still lack at its end.

--- a/contracts/admission.cc
+++ b/contracts/admission.cc
@@ -29,10 +29,11 @@
 
 // Compares what was admitted lately rather than what is in flight: a small
 // workspace has few requests in flight at one entry instance, often none or
-// twice its share.
+// twice its share. The new request does not count: a workspace that is below
+// its share may exceed it by one request, or else one with few and long
+// requests never gets its share.
 bool WithinShare(const admission_book& book,
                  std::size_t position,
-                 std::uint32_t tokens,
                  time_point now) {
   float active_weight = 0;
   float admitted = 0;
@@ -51,8 +52,7 @@
   }
   const float own = book.accounts[position]->admitted_tokens(now);
   const auto weight = static_cast<float>(book.workspaces[position].weight);
-  const auto wanted = static_cast<float>(tokens);
-  return (own + wanted) * active_weight <= (admitted + wanted) * weight;
+  return own * active_weight < admitted * weight;
 }
 
 }  // namespace
@@ -85,7 +85,7 @@
     return std::nullopt;
   }
   if (!hopeless && request.load_permille <= kRefuseAllAbove &&
-      WithinShare(book, workspace_position, request.tokens, now)) {
+      WithinShare(book, workspace_position, now)) {
     return std::nullopt;
   }
   return Refuse(refusal_code::kOverloaded, request.expected_delay,
--- a/contracts/admission.h
+++ b/contracts/admission.h
@@ -20,8 +20,6 @@
 // A request that waits for admission, with what routing expects of it.
 struct admission_request {
   priority rank = priority::kNormal;
-  // Estimated tokens, prompt and answer.
-  std::uint32_t tokens = 0;
   deadline answer_by = deadline::Never();
   // How far the first token is expected to miss the target; zero if it is met.
   duration expected_delay{0};
--- a/contracts/decayed_counter.h
+++ b/contracts/decayed_counter.h
@@ -13,7 +13,7 @@
 // packed into one atomic, so that threads agree on both.
 class decayed_counter {
  public:
-  static constexpr duration kFade = std::chrono::seconds(20);
+  static constexpr duration kFade = std::chrono::seconds(60);
 
   void Add(float amount, time_point now);
   float Value(time_point now) const;
--- a/entry/admission_gate.cc
+++ b/entry/admission_gate.cc
@@ -42,7 +42,6 @@
                                        time_point now) {
   admission_request request;
   request.rank = wish.rank;
-  request.tokens = wish.prompt_tokens + wish.answer_tokens;
   request.answer_by = wish.answer_by;
   request.expected_first_token = expected.first_token;
   request.expected_delay =
--- a/tools/simulation.h
+++ b/tools/simulation.h
@@ -81,6 +81,7 @@
     for (std::uint32_t i = 0; i < engines_.size(); ++i) {
       AccountEngine(i);
     }
+    LeaveOutUnfinished();
     return std::move(result_);
   }
 
@@ -146,6 +147,8 @@
     time_point last_token_at;
     bool first_in_target = false;
     bool moved = false;
+    // Arrived after the warm-up, so that it counts in its workspace's share.
+    bool counted = false;
     std::uint32_t charged = 0;
     // Prompt tokens that the engine had to compute.
     std::uint32_t prefilled = 0;
@@ -157,6 +160,17 @@
 
   bool warm() const { return now_ >= kStart + setup_.warm_up; }
 
+  // What running answers still lack at the end of the run was not refused to
+  // their workspaces.
+  void LeaveOutUnfinished() {
+    for (const request_state& request : requests_) {
+      if (request.counted && request.charged > 0) {
+        result_.workspaces[request.workspace].tokens_asked -=
+            request.answer - request.delivered;
+      }
+    }
+  }
+
   void ScheduleArrival(std::uint32_t workspace) {
     // A day in the length of the run: half as much at night, half more at noon.
     const double day = std::chrono::duration<double>(now_ - kStart).count() /
@@ -218,6 +232,7 @@
     request_state& request = requests_[id];
     workspace_result& account = result_.workspaces[workspace];
     if (warm()) {
+      request.counted = true;
       ++result_.requests;
       ++account.asked;
       account.tokens_asked += request.answer;
@@ -247,7 +262,6 @@
     }
     admission_request wanted;
     wanted.rank = request.wish.rank;
-    wanted.tokens = request.wish.prompt_tokens + request.wish.answer_tokens;
     wanted.answer_by = request.wish.answer_by;
     wanted.expected_first_token = expected->first_token;
     wanted.expected_delay = std::max(
@@ -409,6 +423,9 @@
     }
     request.last_token_at = now_;
     ++request.delivered;
+    if (request.counted) {
+      ++result_.workspaces[request.workspace].tokens_served;
+    }
     if (last) {
       Complete(request);
     }
@@ -421,7 +438,6 @@
       return;
     }
     result_.tokens += request.answer;
-    result_.workspaces[request.workspace].tokens_served += request.answer;
     if (request.first_in_target &&
         request.late_intervals * 20 <= request.intervals) {
       ++result_.requests_in_target;
