--- a/common/log.cc
+++ b/common/log.cc
@@ -121,6 +121,18 @@
       return "instance_api_unavailable";
     case log_event::kCacheMoveFailed:
       return "cache_move_failed";
+    case log_event::kLeaseTaken:
+      return "lease_taken";
+    case log_event::kLeaseLost:
+      return "lease_lost";
+    case log_event::kLeaseUnreadable:
+      return "lease_unreadable";
+    case log_event::kLeaseStoreUnavailable:
+      return "lease_store_unavailable";
+    case log_event::kModelOrdered:
+      return "model_ordered";
+    case log_event::kOrderFailed:
+      return "order_failed";
   }
   return "unknown";
 }
--- a/common/log.h
+++ b/common/log.h
@@ -52,6 +52,12 @@
   kConfigurationRelayFailed = 521,
   kRequestsRefused = 600,
   kLimitShareChanged = 601,
+  kLeaseTaken = 700,
+  kLeaseLost = 701,
+  kLeaseUnreadable = 702,
+  kLeaseStoreUnavailable = 703,
+  kModelOrdered = 710,
+  kOrderFailed = 711,
 };
 
 enum class log_level { kInfo, kWarning, kError };
--- a/contracts/configuration.h
+++ b/contracts/configuration.h
@@ -37,6 +37,10 @@
   std::uint32_t retry_permille = 100;
   // Requests that a workspace may hold open at one entry instance.
   std::uint32_t open_requests_per_workspace = 512;
+  // How long a claim is kept after it was closed, in seconds.
+  std::uint32_t claim_retention_s = 604'800;
+  // Weight loads that may be under way at once, from the weight store's rate.
+  std::uint32_t concurrent_loads = 4;
 };
 
 // One revision of the configuration. Revisions only grow.
--- a/entry/admin_handler.cc
+++ b/entry/admin_handler.cc
@@ -71,6 +71,31 @@
   return members;
 }
 
+json::value DumpFleet(const fleet_status& status) {
+  return {{"holder", status.holder},
+          {"fencing", status.fencing},
+          {"acts", status.acts},
+          {"rounds", status.rounds},
+          {"since_round_us", status.since_round.count()},
+          {"engines_seen", status.engines_seen},
+          {"orders_given", status.orders_given},
+          {"claims_deleted", status.claims_deleted}};
+}
+
+void AppendFleetMetrics(std::string& out, const fleet_status& status) {
+  const auto line = [&](std::string_view name, std::uint64_t value) {
+    out += "anvilloom_fleet_";
+    out += name;
+    out += " " + std::to_string(value) + "\n";
+  };
+  line("acts", status.acts ? 1 : 0);
+  line("fencing", status.fencing);
+  line("rounds_total", status.rounds);
+  line("claims_deleted_total", status.claims_deleted);
+  line("orders_sent_total", status.orders_sent);
+  line("orders_failed_total", status.orders_failed);
+}
+
 // Runs `read` on the thread of `holder` and returns its value.
 template <typename Read>
 auto OnThreadOf(worker& holder, Read read)
@@ -140,6 +165,7 @@
       return part;
     });
   }
+  AppendFleetMetrics(out, fleet_.Status());
   co_return out;
 }
 
@@ -159,6 +185,7 @@
   }
   dump["streams"] = std::move(streams);
   dump["members"] = DumpMembers(process_);
+  dump["fleet"] = DumpFleet(fleet_.Status());
   json::array links;
   {
     const rcu_read_guard guard;
--- a/entry/admin_handler.h
+++ b/entry/admin_handler.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 
+#include "entry/fleet_runner.h"
 #include "entry/process_state.h"
 #include "entry/worker.h"
 #include "wire/http_exchange.h"
@@ -17,8 +18,9 @@
 class admin_handler {
  public:
   admin_handler(process_state& process,
-                std::span<const std::unique_ptr<worker>> workers)
-      : process_(process), workers_(workers) {}
+                std::span<const std::unique_ptr<worker>> workers,
+                const fleet_runner& fleet)
+      : process_(process), workers_(workers), fleet_(fleet) {}
 
   awaitable<void> Handle(http_exchange& exchange, std::size_t thread);
 
@@ -29,6 +31,8 @@
 
   process_state& process_;
   std::span<const std::unique_ptr<worker>> workers_;
+  // Runs on the thread of the admin port.
+  const fleet_runner& fleet_;
 };
 
 }  // namespace anvilloom
--- a/entry/claim_sweeper.h
+++ b/entry/claim_sweeper.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include "common/log.h"
@@ -19,13 +20,16 @@
 
 // Takes one list call, and one delete for each claim past `retention`. Open
 // claims are kept, and so is a claim that changes between list and delete.
-// `wall_now_s` is in seconds since 1970. Returns the number of deleted claims,
+// `wall_now_s` is in seconds since 1970. Stops before the first delete at which
+// `may_act` returns false. Returns the number of deleted claims,
 // or why they could not be listed.
 template <object_store Store>
-awaitable<store_result<std::size_t>> SweepClaims(Store& store,
-                                                 std::int64_t wall_now_s,
-                                                 std::chrono::seconds retention,
-                                                 deadline until) {
+awaitable<store_result<std::size_t>> SweepClaims(
+    Store& store,
+    std::int64_t wall_now_s,
+    std::chrono::seconds retention,
+    deadline until,
+    std::function<bool()> may_act = [] { return true; }) {
   const auto list = co_await store.List(kClaimKind, until);
   if (!list) {
     co_return list.error();
@@ -36,6 +40,9 @@
     if (!record || !PastRetention(*record, wall_now_s, retention)) {
       continue;
     }
+    if (!may_act()) {
+      break;
+    }
     const auto result =
         co_await store.Delete(kClaimKind, object.name, object.version, until);
     deleted += result ? 1 : 0;
--- a/entry/entry_instance.cc
+++ b/entry/entry_instance.cc
@@ -53,7 +53,8 @@
       control_pool_(1),
       workers_(MakeWorkers(process_, request_pool_)),
       request_handler_(workers_),
-      admin_handler_(process_, workers_),
+      fleet_(process_, control_pool_.context(0).get_executor()),
+      admin_handler_(process_, workers_, fleet_),
       follower_(process_, control_pool_.context(0).get_executor()),
       notices_(process_, workers_, control_pool_.context(0).get_executor()),
       health_(process_, control_pool_.context(0).get_executor()),
@@ -78,6 +79,7 @@
   boost::asio::co_spawn(control_pool_.context(0), follower_.Run(),
                         boost::asio::detached);
   notices_.Start();
+  fleet_.Start();
   boost::asio::co_spawn(control_pool_.context(0), health_.Run(),
                         boost::asio::detached);
   request_pool_.Start();
--- a/entry/entry_instance.h
+++ b/entry/entry_instance.h
@@ -10,6 +10,7 @@
 
 #include "entry/admin_handler.h"
 #include "entry/configuration_follower.h"
+#include "entry/fleet_runner.h"
 #include "entry/health_reviewer.h"
 #include "entry/notice_follower.h"
 #include "entry/peer_service.h"
@@ -47,6 +48,7 @@
   io_pool control_pool_;
   std::vector<std::unique_ptr<worker>> workers_;
   request_handler request_handler_;
+  fleet_runner fleet_;
   admin_handler admin_handler_;
   configuration_follower follower_;
   notice_follower notices_;
--- /dev/null
+++ b/entry/fleet_runner.cc
@@ -0,0 +1,309 @@
+#include "entry/fleet_runner.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <utility>
+
+#include "common/log.h"
+#include "entry/claim_sweeper.h"
+#include "wire/engine_orders.h"
+
+namespace anvilloom {
+
+namespace {
+
+namespace net = boost::asio;
+using http_verb = boost::beast::http::verb;
+
+constexpr std::string_view kFleetLease = "fleet";
+// The default terms are 15 s, renewed every 4 s, with a margin of 3 s.
+constexpr int kPeriodParts = 15;
+constexpr int kRenewParts = 4;
+constexpr int kMarginParts = 3;
+// How often an instance looks at the lease while nothing is due.
+constexpr int kLooksPerRenewal = 4;
+
+// Retention is counted in hours or days, so a coarse interval is enough.
+constexpr duration kSweepInterval = std::chrono::minutes(10);
+constexpr duration kSweepRetry = std::chrono::seconds(10);
+constexpr duration kSweepLimit = std::chrono::seconds(30);
+// How often the sweep asks whether this instance has become the holder.
+constexpr duration kSweepLook = std::chrono::seconds(1);
+// Engines answer a report in milliseconds; a silent one delays the round.
+constexpr duration kReportLimit = std::chrono::milliseconds(500);
+constexpr duration kOrderLimit = std::chrono::seconds(1);
+
+awaitable<void> Pause(net::any_io_executor executor, duration time) {
+  net::steady_timer timer(executor);
+  timer.expires_after(time);
+  co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+}
+
+// The slots of each model that the configuration asks for.
+std::vector<fleet_need> NeedsOf(std::span<const fleet_engine> engines) {
+  std::vector<fleet_need> needs;
+  for (const fleet_engine& engine : engines) {
+    if (engine.leaving) {
+      continue;
+    }
+    auto found =
+        std::ranges::find(needs, engine.only_model, &fleet_need::model);
+    if (found == needs.end()) {
+      needs.push_back({engine.only_model, 0, 0});
+      found = needs.end() - 1;
+    }
+    found->slots += engine.slots;
+  }
+  return needs;
+}
+
+// The one model of the upstream's services; nothing if there is none, or if
+// they use several, since the router takes each service to be loaded.
+std::optional<std::string> OnlyModel(const topology& world,
+                                     const upstream& target) {
+  std::optional<std::string> only;
+  for (const service_index offered : target.services) {
+    const std::string& model = world.at(offered).model;
+    if (model.empty() || (only && *only != model)) {
+      return std::nullopt;
+    }
+    only = model;
+  }
+  return only;
+}
+
+}  // namespace
+
+lease_terms TermsFor(duration period) {
+  const duration part = period / kPeriodParts;
+  return {period, part * kRenewParts, part * kMarginParts};
+}
+
+fleet_runner::fleet_runner(process_state& process,
+                           net::any_io_executor executor)
+    : process_(process),
+      executor_(std::move(executor)),
+      terms_(
+          TermsFor(std::chrono::milliseconds(process.settings.fleet_lease_ms))),
+      store_(executor_, process.settings.object_api),
+      engines_(executor_),
+      lease_(store_,
+             process.clock,
+             kFleetLease,
+             process.settings.name + "." + process.epoch,
+             terms_) {}
+
+void fleet_runner::Start() {
+  if (!process_.settings.fleet) {
+    return;
+  }
+  net::co_spawn(executor_, KeepLease(), net::detached);
+  net::co_spawn(executor_, SweepAtIntervals(), net::detached);
+  net::co_spawn(executor_, RunRounds(), net::detached);
+}
+
+fleet_status fleet_runner::Status() const {
+  fleet_status status = status_;
+  if (const auto& seen = lease_.seen()) {
+    status.holder = seen->holder;
+    status.fencing = seen->fencing;
+  }
+  status.acts = MayAct();
+  if (status.rounds > 0) {
+    status.since_round = process_.clock.Now() - last_round_;
+  }
+  return status;
+}
+
+awaitable<void> fleet_runner::KeepLease() {
+  for (;;) {
+    // An instance that stops lets its lease expire.
+    if (!process_.draining.load(std::memory_order_acquire)) {
+      const lease_finding found = co_await lease_.Step();
+      LogChange(found);
+    }
+    const bool holds = held_;
+    co_await Pause(executor_, holds ? terms_.renew_interval / kLooksPerRenewal
+                                    : terms_.renew_interval);
+  }
+}
+
+void fleet_runner::LogChange(lease_finding found) {
+  const bool held = found == lease_finding::kHeld;
+  const bool lost = found == lease_finding::kHeldByOther ||
+                    found == lease_finding::kUnreadable;
+  if (held && !held_) {
+    Log(log_level::kInfo, log_event::kLeaseTaken,
+        {{"fencing", std::to_string(lease_.fencing())}});
+  } else if (held_ && lost) {
+    Log(log_level::kWarning, log_event::kLeaseLost,
+        {{"fencing", std::to_string(lease_.fencing())}});
+  }
+  held_ = held || (held_ && !lost);
+  if (found == std::exchange(last_found_, found)) {
+    return;
+  }
+  if (found == lease_finding::kUnreadable) {
+    Log(log_level::kError, log_event::kLeaseUnreadable);
+  } else if (found == lease_finding::kUnavailable) {
+    Log(log_level::kWarning, log_event::kLeaseStoreUnavailable);
+  }
+}
+
+bool fleet_runner::MayAct() const {
+  return lease_.MayAct() && !process_.draining.load(std::memory_order_acquire);
+}
+
+deadline fleet_runner::CallLimit(duration limit) const {
+  return deadline::After(process_.clock.Now(), limit).Earlier(lease_.act_by());
+}
+
+awaitable<void> fleet_runner::SweepAtIntervals() {
+  deadline next(time_point::min());
+  std::uint64_t swept_fencing = 0;
+  for (;;) {
+    const std::uint64_t fencing = lease_.fencing();
+    const bool due = next.Expired(process_.clock.Now());
+    if (MayAct() && (due || fencing != swept_fencing)) {
+      const bool swept = co_await Sweep();
+      swept_fencing = fencing;
+      next = deadline::After(process_.clock.Now(),
+                             swept ? kSweepInterval : kSweepRetry);
+    }
+    co_await Pause(executor_, kSweepLook);
+  }
+}
+
+awaitable<bool> fleet_runner::Sweep() {
+  std::chrono::seconds retention{0};
+  {
+    const rcu_read_guard guard;
+    const topology& world = process_.world.Read(guard);
+    // Without a configuration the retention period is not known.
+    if (world.revision() == 0) {
+      co_return false;
+    }
+    retention = std::chrono::seconds(world.limits().claim_retention_s);
+  }
+  std::function<bool()> may_act = [this] { return MayAct(); };
+  const auto deleted =
+      co_await SweepClaims(store_, WallClockSeconds(), retention,
+                           CallLimit(kSweepLimit), std::move(may_act));
+  status_.claims_deleted += deleted ? *deleted : 0;
+  co_return deleted.has_value();
+}
+
+awaitable<void> fleet_runner::RunRounds() {
+  for (;;) {
+    if (MayAct()) {
+      co_await RunRound();
+    }
+    co_await Pause(executor_,
+                   std::chrono::milliseconds(process_.settings.fleet_round_ms));
+  }
+}
+
+awaitable<void> fleet_runner::RunRound() {
+  const std::uint64_t fencing = lease_.fencing();
+  std::vector<managed_engine> managed = ManagedEngines();
+  std::vector<fleet_engine> engines;
+  for (managed_engine& each : managed) {
+    const bool reported = co_await ReadReport(each);
+    if (reported) {
+      engines.push_back(each.engine);
+    }
+  }
+  fleet_terms terms;
+  {
+    const rcu_read_guard guard;
+    terms.concurrent_loads =
+        process_.world.Read(guard).limits().concurrent_loads;
+  }
+  const std::vector<fleet_need> needs = NeedsOf(engines);
+  const fleet_orders orders =
+      fleet_plan(terms).Plan(needs, {}, engines, fencing, process_.clock.Now());
+  for (const load_order& order : orders.loads) {
+    // The reports may have taken longer than the lease.
+    if (!MayAct() || lease_.fencing() != fencing) {
+      co_return;
+    }
+    const auto target =
+        std::ranges::find_if(managed, [&](const managed_engine& each) {
+          return each.engine.name == order.engine;
+        });
+    co_await Send(order, target->address);
+  }
+  ++status_.rounds;
+  status_.engines_seen = engines.size();
+  status_.orders_given = orders.loads.size();
+  last_round_ = process_.clock.Now();
+}
+
+std::vector<fleet_runner::managed_engine> fleet_runner::ManagedEngines() const {
+  std::vector<managed_engine> managed;
+  const rcu_read_guard guard;
+  const topology& world = process_.world.Read(guard);
+  for (std::size_t i = 0; i < world.upstreams().size(); ++i) {
+    const upstream& target = world.upstreams()[i];
+    const auto model = OnlyModel(world, target);
+    if (!model) {
+      continue;
+    }
+    managed_engine each;
+    each.address = target.address;
+    each.engine.name = target.name;
+    each.engine.domain = target.host.domain();
+    each.engine.reclaimable = target.host.reclaimable();
+    each.engine.slots = target.slots;
+    each.engine.only_model = *model;
+    each.engine.leaving =
+        world.links()[i]->condition() == link_condition::kLeaving;
+    managed.push_back(std::move(each));
+  }
+  return managed;
+}
+
+awaitable<bool> fleet_runner::ReadReport(managed_engine& managed) {
+  const auto answer = co_await engines_.Exchange(
+      managed.address, MakeRequest(http_verb::get, "/load"),
+      CallLimit(kReportLimit));
+  if (!answer || answer->result() != http_status::ok) {
+    co_return false;
+  }
+  auto report = DecodeModelReport(answer->body());
+  if (!report) {
+    co_return false;
+  }
+  managed.engine.model = std::move(report->model);
+  managed.engine.loading = report->loading;
+  co_return true;
+}
+
+awaitable<void> fleet_runner::Send(load_order order, std::string address) {
+  ++status_.orders_sent;
+  const std::string body = EncodeLoadOrder(order);
+  const auto answer = co_await engines_.Exchange(
+      address, MakeRequest(http_verb::post, "/orders", body),
+      CallLimit(kOrderLimit), connection_use::kFresh, lease_.act_by());
+  if (answer && answer->result() == http_status::ok) {
+    Log(log_level::kInfo, log_event::kModelOrdered,
+        {{"upstream", order.engine},
+         {"model", order.model},
+         {"fencing", std::to_string(order.fencing)}});
+    co_return;
+  }
+  ++status_.orders_failed;
+  Log(log_level::kWarning, log_event::kOrderFailed,
+      {{"upstream", order.engine},
+       {"fencing", std::to_string(order.fencing)},
+       {"status", answer ? std::to_string(answer->result_int()) : "none"}});
+}
+
+}  // namespace anvilloom
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -16,14 +16,20 @@
 namespace json = boost::json;
 namespace leaf = boost::leaf;
 
-constexpr std::array<std::string_view, 14> kKeys = {
+constexpr std::array<std::string_view, 17> kKeys = {
     "name",           "failure_domain",     "listen",
     "admin_listen",   "admin_token_sha256", "object_api",
     "threads",        "instance_api",       "reclaim_plan",
     "limits",         "peer_listen",        "seeds",
-    "drain_limit_ms", "drain_grace_ms"};
+    "drain_limit_ms", "drain_grace_ms",     "fleet",
+    "fleet_lease_ms", "fleet_round_ms"};
 constexpr std::size_t kMaxThreads = 64;
 constexpr std::size_t kMaxDrainMs = 600'000;
+// A shorter lease would be lost to ordinary delays of a busy machine.
+constexpr std::size_t kLeastLeaseMs = 1'000;
+constexpr std::size_t kMostLeaseMs = 600'000;
+constexpr std::size_t kLeastRoundMs = 100;
+constexpr std::size_t kMostRoundMs = 600'000;
 
 constexpr std::string_view kLimits = "limits";
 
@@ -275,6 +281,11 @@
   reader.Addresses("seeds", settings.seeds);
   reader.Count("drain_limit_ms", 1, kMaxDrainMs, settings.drain_limit_ms);
   reader.Count("drain_grace_ms", 1, kMaxDrainMs, settings.drain_grace_ms);
+  reader.Flag("fleet", settings.fleet);
+  reader.Count("fleet_lease_ms", kLeastLeaseMs, kMostLeaseMs,
+               settings.fleet_lease_ms);
+  reader.Count("fleet_round_ms", kLeastRoundMs, kMostRoundMs,
+               settings.fleet_round_ms);
   if (!IsName(settings.name)) {
     reader.Fail(settings_fault_kind::kBadName, "name");
   }
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -41,6 +41,12 @@
   // still sends requests because it has not seen the readiness withdrawn yet.
   std::size_t drain_limit_ms = 30'000;
   std::size_t drain_grace_ms = 500;
+  // Whether this instance tries for the fleet lease.
+  bool fleet = true;
+  // Time without a renewal after which another instance takes over.
+  std::size_t fleet_lease_ms = 15'000;
+  // Between two rounds of orders of the lease's holder.
+  std::size_t fleet_round_ms = 10'000;
 };
 
 // What is wrong with a settings file.
--- a/instances/fleet_plan.cc
+++ b/instances/fleet_plan.cc
@@ -9,6 +9,11 @@
 
 namespace {
 
+// Whether an engine may have the model.
+bool MayHave(const fleet_engine& engine, std::string_view model) {
+  return engine.only_model.empty() || engine.only_model == model;
+}
+
 // The engines of one round, with the orders given so far applied to them.
 class fleet_round {
  public:
@@ -50,7 +55,8 @@
   std::uint32_t Sum(std::string_view model, Counts counts) const {
     std::uint32_t sum = 0;
     for (const fleet_engine& engine : engines_) {
-      if (engine.model == model && !engine.leaving && counts(engine)) {
+      if (engine.model == model && MayHave(engine, model) && !engine.leaving &&
+          counts(engine)) {
         sum += engine.slots;
       }
     }
@@ -80,7 +86,7 @@
     return false;
   }
   const fleet_need* need = FindNeed(needs, engine.model);
-  if (need == nullptr) {
+  if (need == nullptr || !MayHave(engine, engine.model)) {
     return true;
   }
   const bool enough = round.Slots(engine.model) >= need->slots + engine.slots;
@@ -119,7 +125,8 @@
   };
   const auto load_spare = [&](const fleet_need& need, bool on_demand_only) {
     for (fleet_engine& engine : round.engines()) {
-      const bool fits = !on_demand_only || !engine.reclaimable;
+      const bool fits = (!on_demand_only || !engine.reclaimable) &&
+                        MayHave(engine, need.model);
       if (lacks(need, on_demand_only) && fits && engine.model != need.model &&
           round.Loads() < terms_.concurrent_loads &&
           IsSpare(round, needs, engine)) {
--- a/instances/fleet_plan.h
+++ b/instances/fleet_plan.h
@@ -42,6 +42,9 @@
   // The model that it answers with, or that it is loading; empty for none.
   std::string model;
   bool loading = false;
+  // The only model that it may have; empty if it may have any. Requests reach
+  // the engine by the configuration, which names its services.
+  std::string only_model;
   // Started, and not yet reporting.
   bool starting = false;
   bool leaving = false;
--- a/standins/model_engine.cc
+++ b/standins/model_engine.cc
@@ -123,10 +123,14 @@
 
 awaitable<void> model_engine::ReportLoad(http_exchange& exchange) {
   const load_report load = load_.Report();
-  const json::value report = {{"running", load.running},
-                              {"waiting", load.waiting},
-                              {"cache_permille", load.cache_permille},
-                              {"version", behaviour_.version}};
+  json::object report = {{"running", load.running},
+                         {"waiting", load.waiting},
+                         {"cache_permille", load.cache_permille},
+                         {"version", behaviour_.version}};
+  if (!behaviour_.model.empty()) {
+    report["model"] = behaviour_.model;
+    report["loading"] = std::chrono::steady_clock::now() < loaded_at_;
+  }
   co_await exchange.Respond(http_status::ok, kJsonType,
                             json::serialize(report));
 }
@@ -193,10 +197,24 @@
     co_return;
   }
   const bool accepted = orders_.Accept(exchange.request().body(), *fencing);
+  const auto model = StringMember(*parsed, "model");
+  if (accepted && model) {
+    LoadModel(*model);
+  }
   co_await exchange.Respond(accepted ? http_status::ok : http_status::conflict,
                             kJsonType, "{}");
 }
 
+void model_engine::LoadModel(std::string_view model) {
+  if (model == behaviour_.model) {
+    return;
+  }
+  behaviour_.model = model;
+  loaded_at_ = std::chrono::steady_clock::now() + behaviour_.load_time;
+  cache_.Clear();
+  imports_.Clear();
+}
+
 awaitable<void> model_engine::Patch(http_exchange& exchange) {
   const auto parsed = ParseJson(exchange.request().body());
   if (parsed) {
--- a/standins/model_engine.h
+++ b/standins/model_engine.h
@@ -41,6 +41,10 @@
   std::chrono::microseconds import_per_token{0};
   std::chrono::microseconds load_lag{0};
   bool checks_fencing = false;
+  // The loaded model, which GET /load reports; without a name it reports none.
+  std::string model;
+  // Time to load another model after an order.
+  std::chrono::microseconds load_time{0};
 };
 
 // The token at `index` of the answer to `messages` (JSON text).
@@ -79,6 +83,8 @@
   std::uint32_t Prefill(generation& work);
   std::chrono::microseconds TokenInterval() const;
   void RecordLoad();
+  // Loads the model that an accepted order names.
+  void LoadModel(std::string_view model);
 
   engine_behaviour behaviour_;
   fault_switch faults_;
@@ -87,6 +93,7 @@
   kv_store imports_;
   load_history load_;
   order_book orders_;
+  std::chrono::steady_clock::time_point loaded_at_{};
   bool leaving_ = false;
   std::uint64_t requests_ = 0;
   // Running generations by request id.
--- a/standins/programs/standin_engine.cc
+++ b/standins/programs/standin_engine.cc
@@ -16,6 +16,7 @@
   std::int64_t prefill_us = behaviour.prefill_per_token.count();
   std::int64_t import_us = behaviour.import_per_token.count();
   std::int64_t load_lag_us = behaviour.load_lag.count();
+  std::int64_t load_us = behaviour.load_time.count();
   options::options_description all("standin_engine");
   all.add_options()("help", "Prints this text.")(
       "listen", options::value(&address)->default_value("127.0.0.1:0"),
@@ -38,7 +39,11 @@
       "cache-tokens", options::value(&behaviour.cache_tokens),
       "Memory of the prefix cache, in tokens.")(
       "checks-fencing", options::bool_switch(&behaviour.checks_fencing),
-      "Refuses orders with an old fencing number.");
+      "Refuses orders with an old fencing number.")(
+      "model", options::value(&behaviour.model),
+      "Loaded model, which the engine reports.")(
+      "load-us", options::value(&load_us),
+      "Time to load another model, in microseconds.");
   try {
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, all), values);
@@ -51,6 +56,7 @@
     behaviour.token_interval = std::chrono::microseconds(token_interval_us);
     behaviour.prefill_per_token = std::chrono::microseconds(prefill_us);
     behaviour.import_per_token = std::chrono::microseconds(import_us);
+    behaviour.load_time = std::chrono::microseconds(load_us);
     behaviour.load_lag = std::chrono::microseconds(load_lag_us);
     anvilloom::model_engine engine(behaviour);
     return anvilloom::ServeUntilSignal(address, 1, engine);
--- a/test/correctness/fleet_plan_test.cc
+++ b/test/correctness/fleet_plan_test.cc
@@ -131,6 +131,24 @@
     }
   }
 
+  GIVEN("two engines that each have the other one's only model") {
+    const fleet_plan plan{fleet_terms{}};
+    const std::vector<fleet_need> both = {{"stylist", 4, 0}, {"booker", 4, 0}};
+    std::vector<fleet_engine> engines = {Engine("e1", "zone-a", "booker"),
+                                         Engine("e2", "zone-a", "stylist")};
+    engines[0].only_model = "stylist";
+    engines[1].only_model = "booker";
+
+    THEN("each is told to load its own") {
+      const auto orders = plan.Plan(both, {}, engines, kFencing, kStart);
+      REQUIRE(orders.loads.size() == 2);
+      CHECK(orders.loads[0].engine == "e1");
+      CHECK(orders.loads[0].model == "stylist");
+      CHECK(orders.loads[1].engine == "e2");
+      CHECK(orders.loads[1].model == "booker");
+    }
+  }
+
   GIVEN("engines that ignore fencing, all as planned") {
     const fleet_plan plan{fleet_terms{}};
     std::vector<fleet_engine> engines = {Engine("e1", "zone-a", "stylist"),
--- a/wire/configuration_json.cc
+++ b/wire/configuration_json.cc
@@ -33,6 +33,11 @@
 constexpr std::uint64_t kMaxSlots = 65'536;
 constexpr std::uint64_t kMaxPermille = 1000;
 constexpr std::uint64_t kMaxOpenRequests = 1'000'000;
+// Callers repeat a call for minutes, so a shorter period would let a repeated
+// call run twice.
+constexpr std::uint64_t kMinRetentionSeconds = 3'600;
+constexpr std::uint64_t kMaxRetentionSeconds = 31'536'000;
+constexpr std::uint64_t kMaxConcurrentLoads = 1'000;
 
 constexpr std::string_view kLimits = "limits";
 constexpr std::array<std::string_view, 5> kSections = {
@@ -47,7 +52,7 @@
 constexpr std::string_view kTextListText =
     "be a list of texts that are not empty";
 
-constexpr std::array<configuration_key, 23> kKeys = {{
+constexpr std::array<configuration_key, 25> kKeys = {{
     {"failure_domains", "region", value_form::kText, true, 0, 0, kNonEmptyText},
     {"workspaces", "credential_sha256", value_form::kDigest, true, 0, 0,
      "be a SHA-256 digest of 64 lower-case hexadecimal digits"},
@@ -93,6 +98,11 @@
      "be a whole number of thousandths from 0 to 1000"},
     {kLimits, "open_requests_per_workspace", value_form::kNumber, false, 1,
      kMaxOpenRequests, "be a whole number of requests from 1 to 1000000"},
+    {kLimits, "claim_retention_s", value_form::kNumber, false,
+     kMinRetentionSeconds, kMaxRetentionSeconds,
+     "be a whole number of seconds from 3600 to 31536000"},
+    {kLimits, "concurrent_loads", value_form::kNumber, false, 1,
+     kMaxConcurrentLoads, "be a whole number of loads from 1 to 1000"},
 }};
 
 std::string_view View(const json::string& text) {
@@ -481,6 +491,10 @@
     decoded.limits.open_requests_per_workspace =
         Number(*limits, "open_requests_per_workspace",
                decoded.limits.open_requests_per_workspace);
+    decoded.limits.claim_retention_s =
+        Number(*limits, "claim_retention_s", decoded.limits.claim_retention_s);
+    decoded.limits.concurrent_loads =
+        Number(*limits, "concurrent_loads", decoded.limits.concurrent_loads);
   }
   return decoded;
 }
