Poll the load of each engine by one owner and share it

Cause: an entry instance knew only its own work on an engine. The message load_summary existed, but nobody sent it and GET /load was not read.

Change: links/load_owner chooses the owner of an engine by rendezvous hashing over the live members of its region, those of its failure domain first. entry/load_poller polls once a second (load_interval_ms) and sends a packed summary to the members of the region. links/load_ledger orders reports by term and polling round, so that a report which was late or held by a paused process does not overwrite a newer one. A version in a report goes to the health decisions as one in a chunk; an observation from before the latest change is ignored. The topology keeps the failure domains. /dump shows the owner, the age of the report and the KV cache use. Events E312 and E313.

--- a/common/log.cc
+++ b/common/log.cc
@@ -121,6 +121,10 @@
       return "instance_api_unavailable";
     case log_event::kCacheMoveFailed:
       return "cache_move_failed";
+    case log_event::kLoadUnavailable:
+      return "load_unavailable";
+    case log_event::kLoadOwnershipChanged:
+      return "load_ownership_changed";
   }
   return "unknown";
 }
--- a/common/log.h
+++ b/common/log.h
@@ -33,6 +33,8 @@
   kUpstreamReadmitted = 309,
   kInstanceApiUnavailable = 310,
   kCacheMoveFailed = 311,
+  kLoadUnavailable = 312,
+  kLoadOwnershipChanged = 313,
   kClaimStoreUnavailable = 400,
   kClaimClosedUnknown = 401,
   kClaimNotRecorded = 402,
--- a/entry/admin_handler.cc
+++ b/entry/admin_handler.cc
@@ -4,10 +4,13 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
+#include <map>
+#include <span>
 #include <string_view>
 #include <utility>
 
 #include "common/hash.h"
+#include "links/load_owner.h"
 
 namespace anvilloom {
 
@@ -32,7 +35,12 @@
   return "unknown";
 }
 
-json::value DumpLink(const upstream& target, const link& path) {
+// `owner` may be null.
+json::value DumpLink(const upstream& target,
+                     const link& path,
+                     const live_member* owner,
+                     time_point now) {
+  const bool reported = path.reported_at() != time_point{};
   return {{"upstream", target.name},
           {"address", target.address},
           {"failure_domain", std::string(target.host.domain())},
@@ -40,6 +48,12 @@
           {"outstanding_requests", path.outstanding_requests()},
           {"running", path.last_report().running},
           {"waiting", path.last_report().waiting},
+          {"cache_permille", path.last_report().cache_permille},
+          {"report_age_us",
+           reported ? json::value((now - path.reported_at()).count())
+                    : json::value()},
+          {"load_owner", owner == nullptr ? "" : owner->profile.name},
+          {"prefill_us_per_token", path.prefill_us_per_token()},
           {"first_token_us", path.first_token_average().count()},
           {"token_interval_us", path.token_interval_average().count()},
           {"failures_in_a_row", path.failures_in_a_row()}};
@@ -163,8 +177,21 @@
   {
     const rcu_read_guard guard;
     const topology& world = process_.world.Read(guard);
+    const std::span<const live_member> members =
+        process_.members.Read(guard).live;
+    const time_point now = process_.clock.Now();
+    std::map<std::string_view, load_owners> owners_of_region;
     for (std::size_t i = 0; i < world.upstreams().size(); ++i) {
-      links.push_back(DumpLink(world.upstreams()[i], *world.links()[i]));
+      const upstream& target = world.upstreams()[i];
+      const std::string_view region =
+          RegionOf(world.domains(), target.host.domain());
+      const auto owners =
+          owners_of_region.try_emplace(region, members, world.domains(), region)
+              .first;
+      links.push_back(DumpLink(
+          target, *world.links()[i],
+          owners->second.OwnerOf(Hash64(target.name), target.host.domain()),
+          now));
     }
   }
   dump["links"] = std::move(links);
--- a/entry/entry_instance.cc
+++ b/entry/entry_instance.cc
@@ -57,6 +57,7 @@
       follower_(process_, control_pool_.context(0).get_executor()),
       notices_(process_, workers_, control_pool_.context(0).get_executor()),
       health_(process_, control_pool_.context(0).get_executor()),
+      loads_(process_, control_pool_.context(0).get_executor()),
       signals_(control_pool_.context(0), SIGINT, SIGTERM) {
   const http_server_limits& limits = process_.settings.limits;
   callers_ = std::make_unique<http_server>(
@@ -80,10 +81,14 @@
   notices_.Start();
   boost::asio::co_spawn(control_pool_.context(0), health_.Run(),
                         boost::asio::detached);
+  boost::asio::co_spawn(control_pool_.context(0), loads_.Run(),
+                        boost::asio::detached);
   request_pool_.Start();
   control_pool_.Start();
   if (peers_) {
-    peers_->Start(follower_.Relay());
+    peers_->Start(follower_.Relay(), [this](load_summary summary) {
+      loads_.TakeSummary(std::move(summary));
+    });
   }
   Log(log_level::kInfo, log_event::kStarted,
       {{"name", process_.settings.name},
--- a/entry/entry_instance.h
+++ b/entry/entry_instance.h
@@ -11,6 +11,7 @@
 #include "entry/admin_handler.h"
 #include "entry/configuration_follower.h"
 #include "entry/health_reviewer.h"
+#include "entry/load_poller.h"
 #include "entry/notice_follower.h"
 #include "entry/peer_service.h"
 #include "entry/process_state.h"
@@ -51,6 +52,7 @@
   configuration_follower follower_;
   notice_follower notices_;
   health_reviewer health_;
+  load_poller loads_;
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> admin_;
   std::unique_ptr<peer_service> peers_;
--- /dev/null
+++ b/entry/load_poller.h
@@ -0,0 +1,83 @@
+// Defines load_poller, which polls the load of the engines that this entry
+// instance owns, tells the others in the region, and feeds all links.
+#ifndef ENTRY_LOAD_POLLER_H_
+#define ENTRY_LOAD_POLLER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "entry/process_state.h"
+#include "links/load_ledger.h"
+#include "links/load_owner.h"
+#include "wire/http_client.h"
+#include "wire/load_codec.h"
+
+namespace anvilloom {
+
+// Runs on the control thread.
+class load_poller {
+ public:
+  load_poller(process_state& process, boost::asio::any_io_executor executor);
+
+  // Polls at intervals until the context stops. Returns at once if the settings
+  // switch polling off.
+  awaitable<void> Run();
+
+  // Uses what is newer in another instance's summary. Thread-safe.
+  void TakeSummary(load_summary summary);
+
+ private:
+  // An engine of this instance's region, copied out of the topology.
+  struct engine {
+    std::string name;
+    std::uint64_t name_hash = 0;
+    std::string address;
+    std::string domain;
+    std::shared_ptr<link> path;
+    // Version that the others were last told; zero if none.
+    std::uint64_t told_version = 0;
+    bool answers = true;
+  };
+  struct polling_round;
+
+  // Copies the engines anew if the topology has another revision.
+  void FollowTopology();
+  // The engines that this instance owns by the present members.
+  std::vector<std::shared_ptr<engine>> ListOwned() const;
+  // Peer addresses of the other members of the region.
+  std::vector<std::string> ListOthers() const;
+  void LogOwnership(std::span<const std::shared_ptr<engine>> owned);
+  awaitable<void> PollOwned();
+  awaitable<void> Poll(std::shared_ptr<polling_round> round,
+                       std::shared_ptr<engine> polled);
+  awaitable<std::optional<polled_load>> Ask(std::string address,
+                                            deadline until);
+  void Take(polling_round& round,
+            engine& polled,
+            const polled_load& load,
+            time_point asked_at);
+  void Publish(const polling_round& round);
+  void Use(const load_summary& summary);
+
+  process_state& process_;
+  boost::asio::any_io_executor executor_;
+  http_client client_;
+  load_ledger ledger_;
+  std::uint32_t round_ = 0;
+  std::uint64_t revision_ = 0;
+  std::string region_;
+  std::vector<std::shared_ptr<engine>> engines_;
+  std::unordered_map<std::uint32_t, std::shared_ptr<engine>> engine_by_id_;
+  std::set<std::string> owned_names_;
+};
+
+}  // namespace anvilloom
+
+#endif  // ENTRY_LOAD_POLLER_H_
--- a/entry/peer_service.cc
+++ b/entry/peer_service.cc
@@ -82,8 +82,10 @@
   }
 }
 
-void peer_service::Start(configuration_relay relay) {
+void peer_service::Start(configuration_relay relay,
+                         std::function<void(load_summary)> take_loads) {
   relay_ = std::move(relay);
+  take_loads_ = std::move(take_loads);
   transport_.Start(
       {[this](peer_message&& message) { OnMessage(std::move(message)); },
        [this] { OnTick(); }});
@@ -168,6 +170,11 @@
   }
 }
 
+void peer_service::SendLoads(std::string_view to_address,
+                             const load_summary& summary) {
+  transport_.Send(to_address, {address(), 0, summary});
+}
+
 void peer_service::OnTick() {
   membership_effects effects;
   if (leaving_.load(std::memory_order_acquire) && !told_leaving_) {
@@ -217,6 +224,8 @@
   } else if (const auto* fetch =
                  std::get_if<configuration_fetch>(&message.body)) {
     Reply(message, relay_.answer(*fetch));
+  } else if (auto* loads = std::get_if<load_summary>(&message.body)) {
+    take_loads_(std::move(*loads));
   } else if (std::holds_alternative<stream_locate>(message.body)) {
     AnswerLocate(std::move(message));
   } else if (std::holds_alternative<stream_handover>(message.body)) {
--- a/entry/peer_service.h
+++ b/entry/peer_service.h
@@ -44,7 +44,9 @@
   const std::string& address() const { return transport_.address(); }
   const peer_transport& transport() const { return transport_; }
 
-  void Start(configuration_relay relay);
+  // `take_loads` is called on the peer thread.
+  void Start(configuration_relay relay,
+             std::function<void(load_summary)> take_loads);
   // Tells the others that this instance takes over no work any more.
   void StartLeaving();
   // Tells the others that this instance is gone, and ends the peer thread.
@@ -54,6 +56,7 @@
   awaitable<std::vector<peer_body>> Ask(std::vector<std::string> addresses,
                                         peer_body question,
                                         deadline until);
+  void SendLoads(std::string_view to_address, const load_summary& summary);
   // Tells a few members, chosen at random, that a revision is in force here.
   void AnnounceRevision(std::uint64_t revision);
 
@@ -83,6 +86,7 @@
   peer_transport transport_;
   membership membership_;
   configuration_relay relay_;
+  std::function<void(load_summary)> take_loads_;
   std::mt19937_64 random_;
   std::uint64_t published_version_ = 0;
   deadline next_observation_{time_point()};
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -16,14 +16,15 @@
 namespace json = boost::json;
 namespace leaf = boost::leaf;
 
-constexpr std::array<std::string_view, 14> kKeys = {
+constexpr std::array<std::string_view, 15> kKeys = {
     "name",           "failure_domain",     "listen",
     "admin_listen",   "admin_token_sha256", "object_api",
     "threads",        "instance_api",       "reclaim_plan",
     "limits",         "peer_listen",        "seeds",
-    "drain_limit_ms", "drain_grace_ms"};
+    "drain_limit_ms", "drain_grace_ms",     "load_interval_ms"};
 constexpr std::size_t kMaxThreads = 64;
 constexpr std::size_t kMaxDrainMs = 600'000;
+constexpr std::size_t kMaxLoadIntervalMs = 60'000;
 
 constexpr std::string_view kLimits = "limits";
 
@@ -275,6 +276,8 @@
   reader.Addresses("seeds", settings.seeds);
   reader.Count("drain_limit_ms", 1, kMaxDrainMs, settings.drain_limit_ms);
   reader.Count("drain_grace_ms", 1, kMaxDrainMs, settings.drain_grace_ms);
+  reader.Count("load_interval_ms", 0, kMaxLoadIntervalMs,
+               settings.load_interval_ms);
   if (!IsName(settings.name)) {
     reader.Fail(settings_fault_kind::kBadName, "name");
   }
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -37,6 +37,8 @@
   std::string peer_listen;
   // Peer addresses of other entry instances, to join them.
   std::vector<std::string> seeds;
+  // Time between two polls of an engine's load by its owner; 0 polls nothing.
+  std::size_t load_interval_ms = 1'000;
   // Longest time of a planned stop, and the part of it in which the balancer
   // still sends requests because it has not seen the readiness withdrawn yet.
   std::size_t drain_limit_ms = 30'000;
--- a/entry/stream_attempt.cc
+++ b/entry/stream_attempt.cc
@@ -189,7 +189,8 @@
       ++self_.metrics().rejected_chunks;
       return true;
     case chunk_verdict::kVersionChange:
-      chosen_.path->ObserveVersion(Hash64(chunk->model_version));
+      chosen_.path->ObserveVersion(Hash64(chunk->model_version),
+                                   self_.process().clock.Now());
       return Reject();
     default:
       return Reject();
@@ -198,7 +199,8 @@
 
 void stream_attempt::Accept(const answer_chunk& chunk) {
   if (!chunk.model_version.empty()) {
-    chosen_.path->ObserveVersion(Hash64(chunk.model_version));
+    chosen_.path->ObserveVersion(Hash64(chunk.model_version),
+                                 self_.process().clock.Now());
     if (session_->model_version() != chunk.model_version) {
       session_->SetModelVersion(chunk.model_version);
     }
--- a/links/link.cc
+++ b/links/link.cc
@@ -51,13 +51,13 @@
   outstanding_tokens_.fetch_sub(tokens, kRelaxed);
 }
 
-void link::Report(const load_report& report, time_point now) {
+void link::Report(const load_report& report, time_point observed_at) {
   running_.store(report.running, kRelaxed);
   waiting_.store(report.waiting, kRelaxed);
   cache_permille_.store(report.cache_permille, kRelaxed);
   own_at_report_.store(outstanding_requests_.load(kRelaxed), kRelaxed);
   sent_since_report_.store(0, kRelaxed);
-  reported_at_.store(now.time_since_epoch().count(), kRelaxed);
+  reported_at_.store(observed_at.time_since_epoch().count(), kRelaxed);
 }
 
 void link::ObserveFirstToken(duration latency) {
@@ -107,13 +107,16 @@
   bad_answers_.fetch_add(1, kRelaxed);
 }
 
-void link::ObserveVersion(std::uint64_t version) {
+void link::ObserveVersion(std::uint64_t version, time_point observed_at) {
+  const monotonic::rep at = observed_at.time_since_epoch().count();
   // Read first, so that the usual case writes nothing that threads share.
-  if (version_.load(kRelaxed) == version) {
+  if (version_.load(kRelaxed) == version ||
+      at < version_changed_at_.load(kRelaxed)) {
     return;
   }
   const std::uint64_t before = version_.exchange(version, kRelaxed);
   if (before != 0 && before != version) {
+    version_changed_at_.store(at, kRelaxed);
     prefixes_.Clear();
     version_changes_.fetch_add(1, kRelaxed);
   }
--- a/links/link.h
+++ b/links/link.h
@@ -80,7 +80,7 @@
 
   // Stores a report, remembers how many of the reported requests are this
   // entry instance's own, and forgets what was sent before it.
-  void Report(const load_report& report, time_point now);
+  void Report(const load_report& report, time_point observed_at);
 
   // Records the time to the first token of one answer.
   void ObserveFirstToken(duration latency);
@@ -102,9 +102,11 @@
   void RecordGoodAnswer();
   // Records a malformed or mismatched answer.
   void RecordBadAnswer();
-  // Records the model version that an answer showed, as a hash that is not
-  // zero. A change drops what is assumed about the upstream's cache.
-  void ObserveVersion(std::uint64_t version);
+  // Records the model version that an answer or a load report showed at
+  // `observed_at`, as a hash that is not zero. A change drops what is assumed
+  // about the upstream's cache. An observation from before the latest change is
+  // ignored: a late report would look like a change back.
+  void ObserveVersion(std::uint64_t version, time_point observed_at);
 
   void SetCondition(link_condition condition);
   void SetLeaving(leaving_source source, bool leaving);
@@ -227,6 +229,7 @@
   std::atomic<std::uint32_t> version_changes_{0};
   std::atomic<std::uint32_t> token_intervals_{0};
   std::atomic<std::uint64_t> version_{0};
+  std::atomic<monotonic::rep> version_changed_at_{0};
   // When the running export is expected to end; zero if none runs.
   std::atomic<monotonic::rep> export_ends_at_{0};
   std::atomic<float> export_us_per_token_{0};
--- a/links/topology.cc
+++ b/links/topology.cc
@@ -146,6 +146,7 @@
   if (declared_ != nullptr) {
     built_->revision_ = declared_->revision;
     built_->limits_ = declared_->limits;
+    built_->domains_ = declared_->domains;
     built_->services_ = declared_->services;
     built_->workspaces_ = declared_->workspaces;
     built_->upstreams_of_service_.resize(declared_->services.size());
--- a/links/topology.h
+++ b/links/topology.h
@@ -24,6 +24,7 @@
 class topology {
  public:
   std::uint64_t revision() const { return revision_; }
+  std::span<const failure_domain> domains() const { return domains_; }
   std::span<const service> services() const { return services_; }
   std::span<const workspace> workspaces() const { return workspaces_; }
   // What each workspace is using, in the order of workspaces().
@@ -63,6 +64,7 @@
 
   std::uint64_t revision_ = 0;
   system_limits limits_;
+  std::vector<failure_domain> domains_;
   std::vector<service> services_;
   std::vector<workspace> workspaces_;
   std::vector<std::shared_ptr<workspace_account>> accounts_;
--- /dev/null
+++ b/test/correctness/load_reports_test.cc
@@ -0,0 +1,364 @@
+// Guards the load reports of engines: an engine polled by nobody or by many,
+// an old report that overwrites a newer one, and traffic above the allowance.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <iostream>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "common/hash.h"
+#include "links/link.h"
+#include "links/load_ledger.h"
+#include "links/load_owner.h"
+#include "wire/load_codec.h"
+#include "wire/peer_codec.h"
+
+namespace anvilloom {
+
+namespace {
+
+constexpr time_point kNow{std::chrono::seconds(100)};
+
+// A region "r1" with failure domains "a", "b" and "c", and "z" in another one.
+const std::vector<failure_domain>& Domains() {
+  static const std::vector<failure_domain> domains = {
+      {"a", "r1"}, {"b", "r1"}, {"c", "r1"}, {"z", "r2"}};
+  return domains;
+}
+
+live_member Member(std::string_view name, std::string_view domain) {
+  live_member made;
+  made.profile.name = name;
+  made.profile.domain = domain;
+  return made;
+}
+
+// `count` members spread over the domains of "r1".
+std::vector<live_member> Members(std::size_t count) {
+  std::vector<live_member> members;
+  for (std::size_t i = 0; i < count; ++i) {
+    members.push_back(
+        Member("entry-" + std::to_string(i), Domains()[i % 3].name()));
+  }
+  return members;
+}
+
+std::uint64_t EngineHash(std::size_t number) {
+  return Hash64("engine-" + std::to_string(number));
+}
+
+// The owner of each of `engines` engines, spread over the domains of "r1".
+std::vector<std::string> OwnersOf(const std::vector<live_member>& members,
+                                  std::size_t engines) {
+  const load_owners owners(members, Domains(), "r1");
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < engines; ++i) {
+    const live_member* owner =
+        owners.OwnerOf(EngineHash(i), Domains()[i % 3].name());
+    names.push_back(owner == nullptr ? "" : owner->profile.name);
+  }
+  return names;
+}
+
+}  // namespace
+
+SCENARIO("Each engine has one owner", "[load_reports]") {
+  constexpr std::size_t kEngines = 60;
+
+  GIVEN("nine members in three failure domains of a region") {
+    std::vector<live_member> members = Members(9);
+    const std::vector<std::string> before = OwnersOf(members, kEngines);
+
+    THEN("every engine is owned from its own failure domain") {
+      const load_owners owners(members, Domains(), "r1");
+      for (std::size_t i = 0; i < kEngines; ++i) {
+        const std::string_view domain = Domains()[i % 3].name();
+        const live_member* owner = owners.OwnerOf(EngineHash(i), domain);
+        REQUIRE(owner != nullptr);
+        REQUIRE(owner->profile.domain == domain);
+      }
+    }
+
+    THEN("the order in which the members are listed does not matter") {
+      std::ranges::reverse(members);
+      REQUIRE(OwnersOf(members, kEngines) == before);
+    }
+
+    WHEN("a member is gone") {
+      const std::string gone = members[4].profile.name;
+      members.erase(members.begin() + 4);
+      const std::vector<std::string> after = OwnersOf(members, kEngines);
+
+      THEN("its engines have other owners, and no other engine moves") {
+        REQUIRE(std::ranges::count(before, gone) > 0);
+        for (std::size_t i = 0; i < kEngines; ++i) {
+          if (before[i] == gone) {
+            REQUIRE(after[i] != gone);
+            REQUIRE_FALSE(after[i].empty());
+          } else {
+            REQUIRE(after[i] == before[i]);
+          }
+        }
+      }
+    }
+
+    WHEN("a member is leaving") {
+      members[4].profile.leaving = true;
+
+      THEN("it owns nothing, and still gets the reports") {
+        const auto after = OwnersOf(members, kEngines);
+        REQUIRE(std::ranges::count(after, members[4].profile.name) == 0);
+        REQUIRE(load_owners(members, Domains(), "r1").members().size() == 9);
+      }
+    }
+
+    WHEN("all members are leaving") {
+      for (live_member& each : members) {
+        each.profile.leaving = true;
+      }
+
+      THEN("the engines keep their owners") {
+        REQUIRE(OwnersOf(members, kEngines) == before);
+      }
+    }
+
+    WHEN("a whole failure domain is gone") {
+      std::erase_if(members, [](const live_member& each) {
+        return each.profile.domain == "b";
+      });
+
+      THEN("members of the other domains own its engines") {
+        const auto after = OwnersOf(members, kEngines);
+        REQUIRE(std::ranges::count(after, "") == 0);
+      }
+    }
+
+    WHEN("members of another region and of an undeclared domain are known") {
+      members.push_back(Member("entry-far", "z"));
+      members.push_back(Member("entry-lost", "undeclared"));
+
+      THEN("they own nothing here and get no report") {
+        REQUIRE(OwnersOf(members, kEngines) == before);
+        REQUIRE(load_owners(members, Domains(), "r1").members().size() == 9);
+      }
+    }
+  }
+
+  GIVEN("a region without a member") {
+    THEN("its engines have no owner") {
+      const std::vector<live_member> far = {Member("entry-far", "z")};
+      REQUIRE(OwnersOf(far, 1) == std::vector<std::string>{""});
+    }
+  }
+}
+
+SCENARIO("Reports that come late, twice or crossed change nothing",
+         "[load_reports]") {
+  constexpr std::uint64_t kEngine = 7;
+  load_ledger ledger;
+
+  GIVEN("a report of the second term") {
+    REQUIRE(ledger.TakeForeign(kEngine, {2, 40}, kNow));
+
+    THEN("only a newer round or a later term is taken") {
+      const auto [term, round, taken] =
+          GENERATE(table<std::uint32_t, std::uint32_t, bool>({
+              {2, 41, true},
+              {2, 40, false},
+              {2, 39, false},
+              {1, 99, false},
+              {3, 1, true},
+          }));
+      REQUIRE(ledger.TakeForeign(kEngine, {term, round}, kNow) == taken);
+    }
+    THEN("another engine's reports are compared on their own") {
+      REQUIRE(ledger.TakeForeign(kEngine + 1, {1, 1}, kNow));
+    }
+    THEN("an owner that has restarted is heard after the guarded time") {
+      const time_point later = kNow + load_ledger::kGuardedFor;
+      REQUIRE_FALSE(ledger.TakeForeign(kEngine, {1, 1},
+                                       later - std::chrono::milliseconds(1)));
+      REQUIRE(ledger.TakeForeign(kEngine, {1, 2}, later));
+      REQUIRE(ledger.TakeForeign(kEngine, {1, 3}, later));
+    }
+
+    WHEN("this instance takes the engine over") {
+      const report_stamp first = ledger.StampOwn(kEngine, 5, kNow);
+
+      THEN("its reports are above those of the earlier owner") {
+        REQUIRE(first == report_stamp{3, 5});
+        REQUIRE_FALSE(ledger.TakeForeign(kEngine, {2, 41}, kNow));
+        REQUIRE(ledger.StampOwn(kEngine, 6, kNow) == report_stamp{3, 6});
+      }
+
+      AND_WHEN("the earlier owner takes it back and loses it again") {
+        REQUIRE(ledger.TakeForeign(kEngine, {4, 60}, kNow));
+
+        THEN("the next own report begins a further term") {
+          REQUIRE(ledger.StampOwn(kEngine, 7, kNow) == report_stamp{5, 7});
+        }
+      }
+    }
+  }
+
+  GIVEN("an owner that was paused while another one took over") {
+    load_ledger paused;
+    load_ledger successor;
+    load_ledger observer;
+    std::uint32_t round = 1;
+    const report_stamp old = paused.StampOwn(kEngine, round, kNow);
+    REQUIRE(successor.TakeForeign(kEngine, old, kNow));
+    REQUIRE(observer.TakeForeign(kEngine, old, kNow));
+    const report_stamp late = paused.StampOwn(kEngine, ++round, kNow);
+    const report_stamp next = successor.StampOwn(kEngine, 1, kNow);
+    REQUIRE(observer.TakeForeign(kEngine, next, kNow));
+
+    WHEN("it goes on") {
+      THEN("the report that it had not sent yet is dropped") {
+        REQUIRE_FALSE(observer.TakeForeign(kEngine, late, kNow));
+      }
+      THEN("its reports count again once it has seen the successor's") {
+        REQUIRE(paused.TakeForeign(kEngine, next, kNow));
+        const report_stamp again = paused.StampOwn(kEngine, ++round, kNow);
+        REQUIRE(observer.TakeForeign(kEngine, again, kNow));
+        REQUIRE(successor.TakeForeign(kEngine, again, kNow));
+      }
+    }
+  }
+}
+
+SCENARIO("A late report does not undo a change of version", "[load_reports]") {
+  GIVEN("a link that has seen the version change") {
+    link path("engine");
+    path.ObserveVersion(1, kNow);
+    path.ObserveVersion(2, kNow + std::chrono::seconds(1));
+    REQUIRE(path.health().version_changes == 1);
+
+    THEN("an earlier observation of the old version is ignored") {
+      path.ObserveVersion(1, kNow + std::chrono::milliseconds(900));
+      REQUIRE(path.version() == 2);
+      REQUIRE(path.health().version_changes == 1);
+    }
+    THEN("a later one is a change") {
+      path.ObserveVersion(1, kNow + std::chrono::seconds(2));
+      REQUIRE(path.health().version_changes == 2);
+    }
+  }
+}
+
+SCENARIO("Load reports are decoded or refused", "[load_reports]") {
+  GIVEN("what an engine answers") {
+    const auto [text, valid] = GENERATE(table<std::string, bool>({
+        {R"({"running":3,"waiting":1,"cache_permille":250,"version":"v1"})",
+         true},
+        {R"({"running":3,"waiting":1,"cache_permille":250})", true},
+        {R"({"running":3,"waiting":1})", false},
+        {R"({"running":-3,"waiting":1,"cache_permille":250})", false},
+        {R"({"running":3,"waiting":1,"cache_permille":1001})", false},
+        {R"({"running":99999999999,"waiting":1,"cache_permille":0})", false},
+        {R"([3,1,250])", false},
+        {"", false},
+    }));
+    CAPTURE(text);
+
+    THEN("only a whole report in range is used") {
+      REQUIRE(DecodeLoad(text).has_value() == valid);
+    }
+  }
+
+  GIVEN("a packed summary") {
+    load_summary summary;
+    summary.round = 300;
+    summary.age = std::chrono::milliseconds(25);
+    summary.engines = {{0x89abcdef, 4, {200, 3, 470}, Hash64("v1")},
+                       {7, 1, {0, 0, 0}, 0}};
+    const std::string bytes = PackLoads(summary);
+
+    THEN("it is unpacked as it was") {
+      const auto unpacked = UnpackLoads(bytes);
+      REQUIRE(unpacked);
+      REQUIRE(unpacked->round == 300);
+      REQUIRE(unpacked->age == summary.age);
+      REQUIRE(unpacked->engines.size() == 2);
+      REQUIRE(unpacked->engines[0].upstream == 0x89abcdef);
+      REQUIRE(unpacked->engines[0].term == 4);
+      REQUIRE(unpacked->engines[0].report.running == 200);
+      REQUIRE(unpacked->engines[0].report.waiting == 3);
+      REQUIRE(unpacked->engines[0].report.cache_permille == 470);
+      REQUIRE(unpacked->engines[0].version == Hash64("v1"));
+      REQUIRE(unpacked->engines[1].version == 0);
+    }
+    THEN("a summary cut inside an engine is refused") {
+      for (std::size_t cut = 1; cut < 8; ++cut) {
+        REQUIRE_FALSE(
+            UnpackLoads(std::string_view(bytes).substr(0, bytes.size() - cut)));
+      }
+      REQUIRE_FALSE(UnpackLoads(""));
+    }
+    THEN("it travels in a peer message") {
+      const auto decoded =
+          DecodePeerMessage(EncodePeerMessage({"127.0.0.1:9", 0, summary}));
+      REQUIRE(decoded);
+      REQUIRE(std::get<load_summary>(decoded->body).engines.size() == 2);
+    }
+  }
+}
+
+SCENARIO("Load reports fit in the allowance of a node", "[load_reports]") {
+  // Control traffic of a node, less 0.9 KB/s of membership and 1.6 KB/s of
+  // configuration. docs/CAPACITY.md.
+  constexpr double kAllowance = 13'000 - 900 - 1'600;
+  // As in entry/load_poller: each fourth round repeats the versions.
+  constexpr double kRounds = 4;
+  const auto [nodes, engines] =
+      GENERATE(table<std::size_t, std::size_t>({{7, 9}, {29, 129}, {57, 257}}));
+
+  GIVEN(std::to_string(nodes) + " nodes and " + std::to_string(engines) +
+        " engines in a region") {
+    std::map<std::string, load_summary> sent;
+    for (const live_member& each : Members(nodes)) {
+      sent[each.profile.name];
+    }
+    std::size_t engine = 0;
+    for (const std::string& owner : OwnersOf(Members(nodes), engines)) {
+      load_summary& summary = sent[owner];
+      summary.round = 2'000'000;
+      summary.age = std::chrono::milliseconds(20);
+      summary.engines.push_back(
+          {ShortUpstreamId(EngineHash(engine)), 9, {150, 20, 900}, 0});
+      ++engine;
+    }
+
+    THEN("each node sends less than it may, with a report a second") {
+      double total = 0;
+      double most = 0;
+      for (auto& [name, summary] : sent) {
+        if (summary.engines.empty()) {
+          continue;
+        }
+        const peer_message plain{"10.100.100.100:10000", 0, summary};
+        for (engine_load& each : summary.engines) {
+          each.version = Hash64("v1");
+        }
+        const peer_message full{"10.100.100.100:10000", 0, summary};
+        const double mean =
+            (static_cast<double>(EncodePeerMessage(plain).size()) *
+                 (kRounds - 1) +
+             static_cast<double>(EncodePeerMessage(full).size())) /
+            kRounds;
+        const double bytes = mean * static_cast<double>(nodes - 1);
+        total += bytes;
+        most = std::max(most, bytes);
+      }
+      std::cout << "nodes=" << nodes << " engines=" << engines
+                << " mean_bytes_per_s=" << total / static_cast<double>(nodes)
+                << " most_bytes_per_s=" << most << '\n';
+      REQUIRE(most < kAllowance);
+    }
+  }
+}
+
+}  // namespace anvilloom
--- a/test/correctness/upstream_health_test.cc
+++ b/test/correctness/upstream_health_test.cc
@@ -34,7 +34,7 @@
 
   // A good answer of ten tokens.
   void Answer(duration interval, std::uint64_t version = 1) {
-    path_.ObserveVersion(version);
+    path_.ObserveVersion(version, now_);
     for (int i = 0; i < 10; ++i) {
       path_.ObserveTokenInterval(interval);
     }
--- a/wire/peer_codec.cc
+++ b/wire/peer_codec.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "wire/load_codec.h"
 #include "wire/peer.pb.h"
 
 namespace anvilloom {
@@ -48,14 +49,7 @@
 }
 
 void Encode(const load_summary& message, peer::Envelope& envelope) {
-  peer::LoadSummary& out = *envelope.mutable_load_summary();
-  for (const engine_load& each : message.engines) {
-    peer::EngineLoad& engine = *out.add_engines();
-    engine.set_upstream(each.upstream);
-    engine.set_running(each.report.running);
-    engine.set_waiting(each.report.waiting);
-    engine.set_cache_permille(each.report.cache_permille);
-  }
+  envelope.mutable_load_summary()->set_packed(PackLoads(message));
 }
 
 void Encode(const stream_handover& message, peer::Envelope& envelope) {
@@ -126,14 +120,12 @@
   return message;
 }
 
-load_summary Decode(const peer::LoadSummary& in) {
-  load_summary summary;
-  for (const peer::EngineLoad& each : in.engines()) {
-    summary.engines.push_back(
-        {each.upstream(),
-         {each.running(), each.waiting(), each.cache_permille()}});
+std::optional<peer_body> Decode(const peer::LoadSummary& in) {
+  auto summary = UnpackLoads(in.packed());
+  if (!summary) {
+    return std::nullopt;
   }
-  return summary;
+  return std::move(*summary);
 }
 
 std::optional<peer_body> Decode(const peer::StreamHandover& in) {
--- a/wire/peer_message.h
+++ b/wire/peer_message.h
@@ -33,12 +33,23 @@
 
 // One engine's load as its owner has polled it.
 struct engine_load {
-  // Hash64 of the upstream's name.
-  std::uint64_t upstream = 0;
+  // ShortUpstreamId() of the upstream.
+  std::uint32_t upstream = 0;
+  // See report_stamp.
+  std::uint32_t term = 0;
   load_report report;
+  // Hash64 of the model version; zero if the sender leaves it out, which saves
+  // bytes.
+  std::uint64_t version = 0;
 };
 
+// The loads of the engines that the sender owns.
 struct load_summary {
+  // Polling round of the sender; see report_stamp.
+  std::uint32_t round = 0;
+  // Time since the oldest of the reports was asked for. Processes do not share
+  // a clock, so a time of observation would mean nothing to the receiver.
+  duration age{0};
   std::vector<engine_load> engines;
 };
 
