--- a/common/log.cc
+++ b/common/log.cc
@@ -133,6 +133,10 @@
       return "model_ordered";
     case log_event::kOrderFailed:
       return "order_failed";
+    case log_event::kLoadUnavailable:
+      return "load_unavailable";
+    case log_event::kLoadOwnershipChanged:
+      return "load_ownership_changed";
   }
   return "unknown";
 }
--- a/entry/entry_instance.h
+++ b/entry/entry_instance.h
@@ -12,6 +12,7 @@
 #include "entry/configuration_follower.h"
 #include "entry/fleet_runner.h"
 #include "entry/health_reviewer.h"
+#include "entry/load_poller.h"
 #include "entry/notice_follower.h"
 #include "entry/peer_service.h"
 #include "entry/process_state.h"
@@ -53,6 +54,7 @@
   configuration_follower follower_;
   notice_follower notices_;
   health_reviewer health_;
+  load_poller loads_;
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> admin_;
   std::unique_ptr<peer_service> peers_;
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -16,13 +16,13 @@
 namespace json = boost::json;
 namespace leaf = boost::leaf;
 
-constexpr std::array<std::string_view, 17> kKeys = {
+constexpr std::array<std::string_view, 18> kKeys = {
     "name",           "failure_domain",     "listen",
     "admin_listen",   "admin_token_sha256", "object_api",
     "threads",        "instance_api",       "reclaim_plan",
     "limits",         "peer_listen",        "seeds",
     "drain_limit_ms", "drain_grace_ms",     "fleet",
-    "fleet_lease_ms", "fleet_round_ms"};
+    "fleet_lease_ms", "fleet_round_ms",     "load_interval_ms"};
 constexpr std::size_t kMaxThreads = 64;
 constexpr std::size_t kMaxDrainMs = 600'000;
 // A shorter lease would be lost to ordinary delays of a busy machine.
@@ -30,6 +30,7 @@
 constexpr std::size_t kMostLeaseMs = 600'000;
 constexpr std::size_t kLeastRoundMs = 100;
 constexpr std::size_t kMostRoundMs = 600'000;
+constexpr std::size_t kMaxLoadIntervalMs = 60'000;
 
 constexpr std::string_view kLimits = "limits";
 
@@ -286,6 +287,8 @@
                settings.fleet_lease_ms);
   reader.Count("fleet_round_ms", kLeastRoundMs, kMostRoundMs,
                settings.fleet_round_ms);
+  reader.Count("load_interval_ms", 0, kMaxLoadIntervalMs,
+               settings.load_interval_ms);
   if (!IsName(settings.name)) {
     reader.Fail(settings_fault_kind::kBadName, "name");
   }
