--- a/test/correctness/load_reports_test.cc
+++ b/test/correctness/load_reports_test.cc
@@ -14,6 +14,7 @@
 #include "links/load_ledger.h"
 #include "links/load_owner.h"
 #include "wire/load_codec.h"
+#include "wire/peer.pb.h"
 #include "wire/peer_codec.h"
 
 namespace anvilloom {
@@ -269,40 +270,62 @@
     }
   }
 
-  GIVEN("a packed summary") {
+  GIVEN("a summary of two engines") {
     load_summary summary;
     summary.round = 300;
     summary.age = std::chrono::milliseconds(25);
     summary.engines = {{0x89abcdef, 4, {200, 3, 470}, Hash64("v1")},
                        {7, 1, {0, 0, 0}, 0}};
-    const std::string bytes = PackLoads(summary);
-
-    THEN("it is unpacked as it was") {
-      const auto unpacked = UnpackLoads(bytes);
-      REQUIRE(unpacked);
-      REQUIRE(unpacked->round == 300);
-      REQUIRE(unpacked->age == summary.age);
-      REQUIRE(unpacked->engines.size() == 2);
-      REQUIRE(unpacked->engines[0].upstream == 0x89abcdef);
-      REQUIRE(unpacked->engines[0].term == 4);
-      REQUIRE(unpacked->engines[0].report.running == 200);
-      REQUIRE(unpacked->engines[0].report.waiting == 3);
-      REQUIRE(unpacked->engines[0].report.cache_permille == 470);
-      REQUIRE(unpacked->engines[0].version == Hash64("v1"));
-      REQUIRE(unpacked->engines[1].version == 0);
+    const std::string bytes = EncodePeerMessage({"127.0.0.1:9", 0, summary});
+
+    THEN("it arrives as it was sent") {
+      const auto message = DecodePeerMessage(bytes);
+      REQUIRE(message);
+      const auto& received = std::get<load_summary>(message->body);
+      REQUIRE(received.round == 300);
+      REQUIRE(received.age == summary.age);
+      REQUIRE(received.engines.size() == 2);
+      REQUIRE(received.engines[0].upstream == 0x89abcdef);
+      REQUIRE(received.engines[0].term == 4);
+      REQUIRE(received.engines[0].report.running == 200);
+      REQUIRE(received.engines[0].report.waiting == 3);
+      REQUIRE(received.engines[0].report.cache_permille == 470);
+      REQUIRE(received.engines[0].version == Hash64("v1"));
+      REQUIRE(received.engines[1].version == 0);
     }
-    THEN("a summary cut inside an engine is refused") {
-      for (std::size_t cut = 1; cut < 8; ++cut) {
-        REQUIRE_FALSE(
-            UnpackLoads(std::string_view(bytes).substr(0, bytes.size() - cut)));
+
+    WHEN("a list lacks an engine or a value is out of range") {
+      using change = void (*)(peer::LoadSummary&);
+      const auto damage = GENERATE(values<change>({
+          [](peer::LoadSummary& sent) {
+            sent.mutable_upstreams()->Truncate(1);
+          },
+          [](peer::LoadSummary& sent) { sent.mutable_terms()->Truncate(1); },
+          [](peer::LoadSummary& sent) { sent.mutable_running()->Truncate(1); },
+          [](peer::LoadSummary& sent) { sent.mutable_waiting()->Truncate(1); },
+          [](peer::LoadSummary& sent) {
+            sent.mutable_cache_percent()->Truncate(1);
+          },
+          [](peer::LoadSummary& sent) { sent.mutable_versions()->Truncate(1); },
+          [](peer::LoadSummary& sent) { sent.set_running(0, 1'000'001); },
+          [](peer::LoadSummary& sent) { sent.set_waiting(1, 1'000'001); },
+          [](peer::LoadSummary& sent) { sent.set_cache_percent(0, 101); },
+          [](peer::LoadSummary& sent) { sent.set_age_ms(3'600'001); },
+      }));
+      peer::Envelope envelope;
+      REQUIRE(envelope.ParseFromString(bytes));
+      damage(*envelope.mutable_load_summary());
+
+      THEN("the summary is refused") {
+        REQUIRE_FALSE(DecodePeerMessage(envelope.SerializeAsString()));
       }
-      REQUIRE_FALSE(UnpackLoads(""));
     }
-    THEN("it travels in a peer message") {
-      const auto decoded =
-          DecodePeerMessage(EncodePeerMessage({"127.0.0.1:9", 0, summary}));
-      REQUIRE(decoded);
-      REQUIRE(std::get<load_summary>(decoded->body).engines.size() == 2);
+    THEN("no part of the message is taken for the whole") {
+      for (std::size_t size = 0; size < bytes.size(); ++size) {
+        CAPTURE(size);
+        REQUIRE_FALSE(
+            DecodePeerMessage(std::string_view(bytes).substr(0, size)));
+      }
     }
   }
 }
--- a/wire/load_codec.h
+++ b/wire/load_codec.h
@@ -1,11 +1,10 @@
-// Defines the encodings of load reports: the JSON of an engine's GET /load, and
-// the packed form in which entry instances send them to each other.
+// Defines the decoding of an engine's load report, the JSON of GET /load, and
+// what summaries of such reports between entry instances share with it.
 #ifndef WIRE_LOAD_CODEC_H_
 #define WIRE_LOAD_CODEC_H_
 
 #include <cstdint>
 #include <optional>
-#include <string>
 #include <string_view>
 
 #include "links/link.h"
@@ -13,6 +12,11 @@
 
 namespace anvilloom {
 
+// Nothing if a value is beyond what an engine can report.
+std::optional<load_report> MakeLoadReport(std::uint64_t running,
+                                          std::uint64_t waiting,
+                                          std::uint64_t cache_permille);
+
 // The answer of an engine to GET /load.
 struct polled_load {
   load_report report;
@@ -28,12 +32,6 @@
 // them only.
 std::uint32_t ShortUpstreamId(std::uint64_t name_hash);
 
-// About 10 bytes for each engine without its version, 18 with it. The use of
-// the KV cache is rounded down to hundredths.
-std::string PackLoads(const load_summary& summary);
-// Nothing if the bytes are cut short or hold more than a summary.
-std::optional<load_summary> UnpackLoads(std::string_view bytes);
-
 }  // namespace anvilloom
 
 #endif  // WIRE_LOAD_CODEC_H_
--- a/wire/peer_codec.cc
+++ b/wire/peer_codec.cc
@@ -1,5 +1,6 @@
 #include "wire/peer_codec.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "wire/load_codec.h"
@@ -9,6 +10,10 @@
 
 namespace {
 
+constexpr std::uint32_t kPermillePerPercent = 10;
+// Bounds what a malformed age can do to the time of a report.
+constexpr std::uint32_t kMostAgeMs = 3'600'000;
+
 void Encode(const member_update& update, peer::MemberUpdate& out) {
   out.set_name(update.profile.name);
   out.set_state(static_cast<std::uint32_t>(update.state));
@@ -49,7 +54,24 @@
 }
 
 void Encode(const load_summary& message, peer::Envelope& envelope) {
-  envelope.mutable_load_summary()->set_packed(PackLoads(message));
+  peer::LoadSummary& out = *envelope.mutable_load_summary();
+  const auto age =
+      std::chrono::ceil<std::chrono::milliseconds>(message.age).count();
+  out.set_round(message.round);
+  out.set_age_ms(
+      static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, kMostAgeMs)));
+  const bool versions = std::ranges::any_of(
+      message.engines, [](const engine_load& each) { return each.version; });
+  for (const engine_load& each : message.engines) {
+    out.add_upstreams(each.upstream);
+    out.add_terms(each.term);
+    out.add_running(each.report.running);
+    out.add_waiting(each.report.waiting);
+    out.add_cache_percent(each.report.cache_permille / kPermillePerPercent);
+    if (versions) {
+      out.add_versions(each.version);
+    }
+  }
 }
 
 void Encode(const stream_handover& message, peer::Envelope& envelope) {
@@ -121,11 +143,29 @@
 }
 
 std::optional<peer_body> Decode(const peer::LoadSummary& in) {
-  auto summary = UnpackLoads(in.packed());
-  if (!summary) {
+  const int count = in.upstreams_size();
+  const bool whole = in.terms_size() == count && in.running_size() == count &&
+                     in.waiting_size() == count &&
+                     in.cache_percent_size() == count &&
+                     (in.versions_size() == count || in.versions_size() == 0);
+  if (!whole || in.age_ms() > kMostAgeMs) {
     return std::nullopt;
   }
-  return std::move(*summary);
+  load_summary summary;
+  summary.round = in.round();
+  summary.age = std::chrono::milliseconds(in.age_ms());
+  for (int i = 0; i < count; ++i) {
+    const auto report = MakeLoadReport(
+        in.running(i), in.waiting(i),
+        std::uint64_t{in.cache_percent(i)} * kPermillePerPercent);
+    if (!report) {
+      return std::nullopt;
+    }
+    summary.engines.push_back(
+        {in.upstreams(i), in.terms(i), *report,
+         in.versions_size() == count ? in.versions(i) : 0});
+  }
+  return summary;
 }
 
 std::optional<peer_body> Decode(const peer::StreamHandover& in) {
