Apply the limits of a workspace to calls to plain services

Cause: the plain handler never asked admission, so lookups and deposits counted against nothing and one workspace could take every plain upstream.

Change: repeatable and claimed calls pass AdmitRequest before any send. They count against requests_per_second and the open requests; a call uses no tokens, so a debt of tokens does not refuse it. Load shedding and shares apply only where the operator states the slots of all upstreams of the service, because the default is that of a model engine; shares of plain services are counted in calls. A claimed call above the limit reads its claim: the caller gets the stored answer, and "not run" only if no attempt can have sent the operation.

Shedding by stated slots is tested as a decision only.

--- a/contracts/admission.cc
+++ b/contracts/admission.cc
@@ -27,18 +27,26 @@
   return {code, outcome::kNotRun, deadline::After(now, bounded + jitter)};
 }
 
+// What an account was admitted lately, in the unit of the service kind.
+float AdmittedLately(const workspace_account& account,
+                     service_kind kind,
+                     time_point now) {
+  return kind == service_kind::kPlain ? account.admitted_calls(now)
+                                      : account.admitted_tokens(now);
+}
+
 // Compares what was admitted lately rather than what is in flight: a small
 // workspace has few requests in flight at one entry instance, often none or
 // twice its share.
 bool WithinShare(const admission_book& book,
                  std::size_t position,
-                 std::uint32_t tokens,
+                 const admission_request& request,
                  time_point now) {
   float active_weight = 0;
   float admitted = 0;
   bool contended = false;
   for (std::size_t i = 0; i < book.accounts.size(); ++i) {
-    const float lately = book.accounts[i]->admitted_tokens(now);
+    const float lately = AdmittedLately(*book.accounts[i], request.kind, now);
     if (i == position || lately >= 1) {
       active_weight += static_cast<float>(book.workspaces[i].weight);
       admitted += lately;
@@ -49,9 +57,11 @@
     // A share is guaranteed against others only; alone, the load decides.
     return false;
   }
-  const float own = book.accounts[position]->admitted_tokens(now);
+  const float own = AdmittedLately(*book.accounts[position], request.kind, now);
   const auto weight = static_cast<float>(book.workspaces[position].weight);
-  const auto wanted = static_cast<float>(tokens);
+  const auto wanted = request.kind == service_kind::kPlain
+                          ? 1
+                          : static_cast<float>(request.tokens);
   return (own + wanted) * active_weight <= (admitted + wanted) * weight;
 }
 
@@ -85,7 +95,7 @@
     return std::nullopt;
   }
   if (!hopeless && request.load_permille <= kRefuseAllAbove &&
-      WithinShare(book, workspace_position, request.tokens, now)) {
+      WithinShare(book, workspace_position, request, now)) {
     return std::nullopt;
   }
   return Refuse(refusal_code::kOverloaded, request.expected_delay,
--- a/contracts/admission.h
+++ b/contracts/admission.h
@@ -20,6 +20,8 @@
 // A request that waits for admission, with what routing expects of it.
 struct admission_request {
   priority rank = priority::kNormal;
+  // Shares of model services are counted in tokens, of plain ones in calls.
+  service_kind kind = service_kind::kModel;
   // Estimated tokens, prompt and answer.
   std::uint32_t tokens = 0;
   deadline answer_by = deadline::Never();
--- a/contracts/claim.h
+++ b/contracts/claim.h
@@ -107,6 +107,8 @@
 struct tell_refusal {
   refusal why;
 };
+// What the caller of an operation is told.
+using claim_verdict = std::variant<tell_answer, tell_refusal>;
 using claim_effect = std::variant<create_claim,
                                   read_claim,
                                   update_claim,
--- a/contracts/configuration.h
+++ b/contracts/configuration.h
@@ -27,6 +27,8 @@
   bool checks_fencing = false;
   // Requests that the upstream runs at once without queueing.
   std::uint32_t slots = 16;
+  // Whether the operator states `slots`; the default suits model engines only.
+  bool slots_declared = false;
   // Names of the services that it answers.
   std::vector<std::string> services;
 };
--- a/contracts/rate_bucket.cc
+++ b/contracts/rate_bucket.cc
@@ -30,7 +30,7 @@
                                  time_point now) {
   reservation taken;
   taken.units = units;
-  if (share.per_second == 0) {
+  if (share.per_second == 0 || units == 0) {
     taken.granted = true;
     return taken;
   }
--- a/contracts/rate_bucket.h
+++ b/contracts/rate_bucket.h
@@ -40,6 +40,7 @@
   // Takes `units`, or none. While the bucket holds anything, all are granted,
   // and what it lacked is paid off before the next grant: a request that had
   // to fit would wait for a full bucket, whose further inflow is lost.
+  // No units are granted always: what takes nothing need not wait for a debt.
   reservation Reserve(std::uint32_t units, rate_share share, time_point now);
   // Corrects a granted reservation to the units that were used. A reservation
   // that is never settled stays charged in full.
--- a/contracts/workspace_account.h
+++ b/contracts/workspace_account.h
@@ -20,7 +20,12 @@
     requests_.fetch_add(1, std::memory_order_relaxed);
     admitted_.Add(static_cast<float>(tokens), now);
   }
-  // Ends what one Begin() counted.
+  // Counts an admitted call to a plain service, which uses no tokens.
+  void BeginCall(time_point now) {
+    requests_.fetch_add(1, std::memory_order_relaxed);
+    admitted_calls_.Add(1, now);
+  }
+  // Ends what one Begin() or BeginCall() counted.
   void End() { requests_.fetch_sub(1, std::memory_order_relaxed); }
 
   std::uint32_t requests_in_flight() const {
@@ -28,11 +33,16 @@
   }
   // Estimated tokens admitted lately; see decayed_counter.
   float admitted_tokens(time_point now) const { return admitted_.Value(now); }
+  // Calls to plain services admitted lately.
+  float admitted_calls(time_point now) const {
+    return admitted_calls_.Value(now);
+  }
 
  private:
   limiter limits_;
   std::atomic<std::uint32_t> requests_{0};
   decayed_counter admitted_;
+  decayed_counter admitted_calls_;
 };
 
 }  // namespace anvilloom
--- a/entry/admission_gate.cc
+++ b/entry/admission_gate.cc
@@ -39,28 +39,55 @@
 
 admission_request MakeAdmissionRequest(const route_request& wish,
                                        const route_estimate& expected,
+                                       service_kind kind,
                                        time_point now) {
   admission_request request;
   request.rank = wish.rank;
+  request.kind = kind;
+  request.load_permille = expected.load_permille;
+  request.random = thread_random().Next();
+  if (kind == service_kind::kPlain) {
+    // How long a plain upstream takes for an answer is not known.
+    return request;
+  }
   request.tokens = wish.prompt_tokens + wish.answer_tokens;
   request.answer_by = wish.answer_by;
   request.expected_first_token = expected.first_token;
   request.expected_delay =
       std::max(duration::zero(),
                expected.first_token - wish.first_token_by.Remaining(now));
-  request.load_permille = expected.load_permille;
-  request.random = thread_random().Next();
   return request;
 }
 
+// Nothing if no upstream may take the request, or if their capacity is not
+// known: the default for slots is that of a model engine.
+std::optional<route_estimate> EstimateLoad(const process_state& process,
+                                           const topology& world,
+                                           service_kind kind,
+                                           const route_request& wish,
+                                           time_point now) {
+  const auto states_slots = [&](upstream_index where) {
+    return world.at(where).slots_declared;
+  };
+  if (kind == service_kind::kPlain &&
+      !std::ranges::all_of(world.UpstreamsOf(wish.wanted), states_slots)) {
+    return std::nullopt;
+  }
+  return process.policy.Estimate(world, wish, now);
+}
+
 }  // namespace
 
 admission_ticket::admission_ticket(std::shared_ptr<workspace_account> account,
                                    const limit_grant& grant,
-                                   std::uint32_t tokens,
+                                   const admission_units& used,
                                    time_point now)
     : account_(std::move(account)), grant_(grant) {
-  account_->Begin(tokens, now);
+  if (used.kind == service_kind::kPlain) {
+    account_->BeginCall(now);
+  } else {
+    account_->Begin(used.tokens, now);
+  }
 }
 
 admission_ticket::~admission_ticket() {
@@ -98,24 +125,27 @@
   wish.rank = target.terms.rank;
   const auto position = static_cast<std::size_t>(*customer);
   const auto& account = world.accounts()[position];
-  if (const auto expected = process.policy.Estimate(world, wish, now)) {
+  const auto expected = EstimateLoad(process, world, target.kind, wish, now);
+  if (expected || target.kind == service_kind::kPlain) {
     const admission_book book{world.workspaces(), world.accounts(),
                               world.limits().open_requests_per_workspace};
-    const auto refused =
-        Admit(book, position, MakeAdmissionRequest(wish, *expected, now), now);
+    const auto request = MakeAdmissionRequest(
+        wish, expected.value_or(route_estimate{}), target.kind, now);
+    const auto refused = Admit(book, position, request, now);
     if (refused) {
       LogRefusal(process, workspace_name, *refused, now);
       return {refused, {}};
     }
   }
-  const std::uint32_t tokens = wish.prompt_tokens + wish.answer_tokens;
+  const admission_units used{target.kind,
+                             wish.prompt_tokens + wish.answer_tokens};
   const limit_grant grant = account->limits().Reserve(
-      world.at(*customer), process.share, tokens, now);
+      world.at(*customer), process.share, used.tokens, now);
   if (grant.refused) {
     LogRefusal(process, workspace_name, *grant.refused, now);
     return {grant.refused, {}};
   }
-  return {std::nullopt, admission_ticket(account, grant, tokens, now)};
+  return {std::nullopt, admission_ticket(account, grant, used, now)};
 }
 
 }  // namespace anvilloom
--- a/entry/admission_gate.h
+++ b/entry/admission_gate.h
@@ -17,6 +17,13 @@
 
 namespace anvilloom {
 
+// What a request counts for in its workspace's account.
+struct admission_units {
+  service_kind kind = service_kind::kModel;
+  // Estimate, prompt and answer; 0 for a call to a plain service.
+  std::uint32_t tokens = 0;
+};
+
 // Ends the request's use of its workspace's account when destroyed. Unless
 // Settle() was called, the estimate stays charged to the token limit.
 class admission_ticket {
@@ -24,7 +31,7 @@
   admission_ticket() = default;
   admission_ticket(std::shared_ptr<workspace_account> account,
                    const limit_grant& grant,
-                   std::uint32_t tokens,
+                   const admission_units& used,
                    time_point now);
   ~admission_ticket();
   admission_ticket(admission_ticket&& from) noexcept = default;
@@ -45,9 +52,10 @@
   admission_ticket ticket;
 };
 
-// Decides on a request to `target`. The fields `wanted` and `rank` of `wish`
-// are filled in here; an upstream that the topology does not have is not
-// refused here but by routing.
+// Decides on a request to `target`. Requests to plain services are shed by load
+// only if every upstream of the service states its slots. The fields `wanted`
+// and `rank` of `wish` are filled in here; an upstream that the topology does
+// not have is not refused here but by routing.
 admission_result AdmitRequest(process_state& process,
                               std::string_view workspace_name,
                               const service& target,
--- a/entry/claim_runner.h
+++ b/entry/claim_runner.h
@@ -35,9 +35,6 @@
 };
 using claim_send_result = std::variant<claim_answer, claim_send_failure>;
 
-// What the caller of an operation is told.
-using claim_verdict = std::variant<tell_answer, tell_refusal>;
-
 // Sends the request once; the first byte must leave before the deadline.
 template <typename T>
 concept claim_sender = requires(T& send, deadline send_by) {
@@ -63,6 +60,13 @@
   claim_runner(Store& store, const Clock& clock, std::string_view name)
       : store_(store), clock_(clock), name_(name) {}
 
+  // Reads the claim without acquiring it.
+  awaitable<claim_reading> Read(deadline answer_by) {
+    const deadline until =
+        deadline::After(clock_.Now(), kStoreCallLimit).Earlier(answer_by);
+    co_return ToClaimReading(co_await store_.Get(kClaimKind, name_, until));
+  }
+
   // Runs the attempt until its caller can be told. What is left to store after
   // that goes on in the background; the store and the clock must outlive it.
   // `answer_by` bounds every wait before the send.
--- a/entry/plain_handler.cc
+++ b/entry/plain_handler.cc
@@ -6,9 +6,10 @@
 #include <utility>
 #include <vector>
 
+#include "contracts/claim_refusal.h"
+#include "entry/admission_gate.h"
 #include "entry/chosen_upstream.h"
 #include "entry/claim_runner.h"
-#include "entry/operation_identity.h"
 #include "entry/refusal_reply.h"
 
 namespace anvilloom {
@@ -38,6 +39,16 @@
          retry_verdict::kRetry;
 }
 
+admission_result AdmitCall(process_state& process,
+                           const caller& from,
+                           const service& target,
+                           deadline answer_by) {
+  route_request wish;
+  wish.answer_by = answer_by;
+  return AdmitRequest(process, from.customer.name, target, wish,
+                      process.clock.Now());
+}
+
 std::string ContentType(const http_response& answer) {
   const auto type = answer.find(boost::beast::http::field::content_type);
   return type == answer.end() ? "application/octet-stream"
@@ -111,6 +122,19 @@
 
 static_assert(claim_sender<claimed_send>);
 
+awaitable<void> TellVerdict(http_exchange& exchange,
+                            const claim_verdict& verdict,
+                            std::string_view request_id,
+                            time_point now) {
+  if (const auto* told = std::get_if<tell_answer>(&verdict)) {
+    co_await exchange.Respond(static_cast<http_status>(told->answer.status),
+                              told->answer.content_type, told->answer.body);
+    co_return;
+  }
+  co_await RespondRefusal(exchange, std::get<tell_refusal>(verdict).why,
+                          request_id, now);
+}
+
 }  // namespace
 
 awaitable<void> plain_handler::Forward(http_exchange& exchange,
@@ -134,7 +158,6 @@
                             from.request_id, now);
     co_return;
   }
-  ++self.metrics().accepted;
   if (target->terms.repeatable) {
     co_await ForwardRepeatable(exchange, self, from, *target, path, *answer_by);
   } else {
@@ -149,6 +172,15 @@
                                                  std::string_view path,
                                                  deadline answer_by) {
   process_state& process = self.process();
+  const admission_result admission =
+      AdmitCall(process, from, target, answer_by);
+  if (admission.refused) {
+    ++self.metrics().refused;
+    co_await RespondRefusal(exchange, *admission.refused, from.request_id,
+                            process.clock.Now());
+    co_return;
+  }
+  ++self.metrics().accepted;
   process.retries.Request(RetryPermille(process));
   shared_links failed;
   bool sent = false;
@@ -197,27 +229,47 @@
                             from.request_id, process.clock.Now());
     co_return;
   }
+  const time_point now = process.clock.Now();
+  const deadline tell_by(answer_by.at() - TellMargin(answer_by.Remaining(now)));
+  const admission_result admission =
+      AdmitCall(process, from, target, answer_by);
+  if (admission.refused) {
+    co_await AnswerUnsent(exchange, self, from, *operation, *admission.refused,
+                          tell_by);
+    co_return;
+  }
+  ++self.metrics().accepted;
   http_request request = MakeForwarded(exchange, path);
   if (exchange.Header("Idempotency-Key").empty()) {
     request.set("Idempotency-Key", operation->name);
   }
-  const time_point now = process.clock.Now();
-  const deadline tell_by(answer_by.at() - TellMargin(answer_by.Remaining(now)));
   claimed_send send(self, target, std::move(request), tell_by);
   claim_runner runner(self.objects(), process.clock, operation->name);
   claim_identity identity{self.NextAttemptToken(), process.settings.name,
                           operation->request_digest};
   const claim_verdict verdict =
       co_await runner.Run(std::move(identity), claim_terms{}, tell_by, send);
-  if (const auto* told = std::get_if<tell_answer>(&verdict)) {
+  if (std::holds_alternative<tell_answer>(verdict)) {
     ++self.metrics().completed;
-    co_await exchange.Respond(static_cast<http_status>(told->answer.status),
-                              told->answer.content_type, told->answer.body);
-    co_return;
+  } else {
+    ++self.metrics().failed;
   }
-  ++self.metrics().failed;
-  co_await RespondRefusal(exchange, std::get<tell_refusal>(verdict).why,
-                          from.request_id, process.clock.Now());
+  co_await TellVerdict(exchange, verdict, from.request_id, process.clock.Now());
+}
+
+awaitable<void> plain_handler::AnswerUnsent(http_exchange& exchange,
+                                            worker& self,
+                                            const caller& from,
+                                            const operation_identity& operation,
+                                            const refusal& why,
+                                            deadline tell_by) {
+  ++self.metrics().refused;
+  claim_runner runner(self.objects(), self.process().clock, operation.name);
+  const claim_reading reading = co_await runner.Read(tell_by);
+  const claim_verdict verdict =
+      RefuseUnsent(reading, operation.request_digest, why);
+  co_await TellVerdict(exchange, verdict, from.request_id,
+                       self.process().clock.Now());
 }
 
 }  // namespace anvilloom
--- a/entry/plain_handler.h
+++ b/entry/plain_handler.h
@@ -1,4 +1,5 @@
-// Defines plain_handler, which forwards calls to plain services.
+// Defines plain_handler, which forwards calls to plain services within the
+// limits of their workspaces.
 #ifndef ENTRY_PLAIN_HANDLER_H_
 #define ENTRY_PLAIN_HANDLER_H_
 
@@ -6,6 +7,7 @@
 
 #include "contracts/service.h"
 #include "entry/caller.h"
+#include "entry/operation_identity.h"
 #include "entry/worker.h"
 #include "wire/http_exchange.h"
 
@@ -36,6 +38,13 @@
                                  const service& target,
                                  std::string_view path,
                                  deadline answer_by);
+  // Answers a claimed call that admission refused, without sending it.
+  awaitable<void> AnswerUnsent(http_exchange& exchange,
+                               worker& self,
+                               const caller& from,
+                               const operation_identity& operation,
+                               const refusal& why,
+                               deadline tell_by);
 };
 
 }  // namespace anvilloom
--- a/links/topology.cc
+++ b/links/topology.cc
@@ -55,6 +55,7 @@
                   .Reclaimable(declared.reclaimable)
                   .Build();
   made.slots = declared.slots;
+  made.slots_declared = declared.slots_declared;
   made.checks_fencing = declared.checks_fencing;
   return made;
 }
--- a/links/upstream.h
+++ b/links/upstream.h
@@ -25,6 +25,8 @@
   instance host;
   // Requests that run at once without queueing.
   std::uint32_t slots = 16;
+  // Whether the operator states `slots`.
+  bool slots_declared = false;
   // Whether it refuses orders that carry an old fencing number.
   bool checks_fencing = false;
   std::vector<service_index> services;
--- a/test/error/admission_gate_test.cc
+++ b/test/error/admission_gate_test.cc
@@ -108,6 +108,20 @@
       }
     }
 
+    WHEN("all tokens of the workspace are used and it calls a plain service") {
+      const auto first = AdmitRequest(process, "studio", target, wish, now);
+      REQUIRE_FALSE(first.refused);
+      service plain = target;
+      plain.kind = service_kind::kPlain;
+      const auto call = AdmitRequest(process, "studio", plain, {}, now);
+
+      THEN("the call, which uses no tokens, is admitted and counted") {
+        REQUIRE_FALSE(call.refused);
+        REQUIRE(Account()->admitted_calls(now) == 1);
+        REQUIRE(Account()->requests_in_flight() == 2);
+      }
+    }
+
     WHEN("the workspace or service is gone from the topology") {
       THEN("admission leaves the refusal to routing") {
         REQUIRE_FALSE(
@@ -117,4 +131,66 @@
   }
 }
 
+SCENARIO("Calls to plain services are shed by stated slots only",
+         "[admission_gate]") {
+  GIVEN("a plain service whose upstream holds twice its slots") {
+    const bool stated = GENERATE(false, true);
+    process_state process{entry_settings{}};
+    small_world declared;
+    declared.Upstream("a", 0).Workspace("studio").Workspace("other");
+    declared.declared().services[0].kind = service_kind::kPlain;
+    declared.declared().upstreams[0].slots_declared = stated;
+    process.world.Publish(declared.Build());
+    const service target = declared.declared().services[0];
+    const time_point now = process.clock.Now();
+    {
+      const rcu_read_guard guard;
+      const topology& world = process.world.Read(guard);
+      for (int i = 0; i < 32; ++i) {
+        world.link_at(upstream_index{0}).Begin(0);
+        world.accounts()[1]->BeginCall(now);
+      }
+    }
+
+    WHEN("a call comes") {
+      const auto result = AdmitRequest(process, "studio", target, {}, now);
+
+      THEN("it is refused only if the operator states the slots") {
+        // The default for slots is that of an engine, so without a statement
+        // the load is not known.
+        REQUIRE(result.refused.has_value() == stated);
+        if (stated) {
+          REQUIRE(result.refused->code == refusal_code::kOverloaded);
+          REQUIRE(result.refused->ran == outcome::kNotRun);
+          REQUIRE(result.refused->retry_at);
+        }
+      }
+    }
+  }
+
+  GIVEN("a plain service just above the load at which its calls are shed") {
+    process_state process{entry_settings{}};
+    small_world declared;
+    declared.Upstream("a", 0).Workspace("studio").Workspace("other");
+    declared.declared().services[0].kind = service_kind::kPlain;
+    declared.declared().upstreams[0].slots_declared = true;
+    process.world.Publish(declared.Build());
+    const service target = declared.declared().services[0];
+    const time_point now = process.clock.Now();
+    {
+      const rcu_read_guard guard;
+      const topology& world = process.world.Read(guard);
+      for (int i = 0; i < 16; ++i) {
+        world.link_at(upstream_index{0}).Begin(0);
+        world.accounts()[1]->BeginCall(now);
+      }
+    }
+
+    THEN("the workspace below its share gets in, the one above does not") {
+      REQUIRE_FALSE(AdmitRequest(process, "studio", target, {}, now).refused);
+      REQUIRE(AdmitRequest(process, "other", target, {}, now).refused);
+    }
+  }
+}
+
 }  // namespace anvilloom
--- a/test/support/local_system.cc
+++ b/test/support/local_system.cc
@@ -84,7 +84,9 @@
   if (!answer) {
     return {};
   }
-  return {answer->result_int(), answer->body()};
+  const auto wait = answer->find(boost::beast::http::field::retry_after);
+  return {answer->result_int(), answer->body(),
+          wait == answer->end() ? "" : std::string(wait->value())};
 }
 
 local_system::local_system() {
--- a/test/support/local_system.h
+++ b/test/support/local_system.h
@@ -20,6 +20,8 @@
 struct caller_answer {
   unsigned status = 0;
   std::string body;
+  // The Retry-After header, or empty.
+  std::string retry_after = {};
 };
 
 // The credential that test configurations know.
--- a/wire/configuration_json.cc
+++ b/wire/configuration_json.cc
@@ -420,6 +420,7 @@
   decoded.checks_fencing =
       BoolMember(encoded, "checks_fencing").value_or(false);
   decoded.slots = Number(encoded, "slots", decoded.slots);
+  decoded.slots_declared = FindMember(encoded, "slots") != nullptr;
   decoded.services = Texts(encoded, "services");
   return decoded;
 }
