--- a/contracts/admission.h
+++ b/contracts/admission.h
@@ -20,6 +20,8 @@
 // A request that waits for admission, with what routing expects of it.
 struct admission_request {
   priority rank = priority::kNormal;
+  // Shares of model services are counted in tokens, of plain ones in calls.
+  service_kind kind = service_kind::kModel;
   deadline answer_by = deadline::Never();
   // How far the first token is expected to miss the target; zero if it is met.
   duration expected_delay{0};
