Keep one memory of cached prefixes and learn prefill times from usage

Cause: links/prefix_memory and links/prefix_locations both recorded which upstream caches a prompt, and the stream path never called ObservePrefill, so routing worked with its prior of 200 us for a token.

Change: prefix_memory is gone. The stream path records and asks through least_cost (CacheStored, IsCached); a change of version distrusts the cache rather than clearing a table. The estimate of what an attempt computes, used until the engine's usage tells, counts only a whole prompt as cached, because the choice of the upstream records the leading part. The last chunk's prefilled_tokens and the time to the first token go to ObservePrefill, from 128 tokens on and if nothing waited at the engine.

Tests: upstream_health_test asks the policy in place of the removed table, and now also checks that the prefix counted as cached before the change. The paused owner in error/load_reports_test now holds an old answer of the engine in its socket.

Conclusion: the allocation check of performance/routing_cost_test has not been run on this commit yet.

--- a/entry/chosen_upstream.cc
+++ b/entry/chosen_upstream.cc
@@ -78,12 +78,14 @@
                     .substr(0, kPrefixBytes));
 }
 
-std::uint32_t CachedTokens(const stream_session& session, link& path) {
+std::uint32_t CachedTokens(const process_state& process,
+                           const stream_session& session,
+                           const link& path) {
   const std::uint32_t prompt = EstimatePromptTokens(session.order().request);
-  if (path.prefixes().Holds(PromptHash(session))) {
+  if (process.policy.IsCached(PromptHash(session), path)) {
     return prompt;
   }
-  return path.prefixes().Holds(PrefixHash(session))
+  return process.policy.IsCached(PrefixHash(session), path)
              ? std::min(prompt, kPrefixTokens)
              : 0;
 }
@@ -163,7 +165,7 @@
     link& path = world.link_at(where);
     if (&path != &source && MayTake(world, request, where)) {
       const bool may_match = path.version() == 0 || path.version() == version;
-      targets.push_back({where, may_match, CachedTokens(session, path),
+      targets.push_back({where, may_match, CachedTokens(process, session, path),
                          path.outstanding_requests()});
     }
   }
--- a/entry/chosen_upstream.h
+++ b/entry/chosen_upstream.h
@@ -53,12 +53,14 @@
                                        const shared_links& excluded,
                                        bool may_export);
 
-// Hashes under which a link's prefix_memory holds a prompt: the whole and its
-// leading part.
+// Hashes under which the policy knows a prompt: the whole and its leading
+// part.
 std::uint64_t PromptHash(const stream_session& session);
 std::uint64_t PrefixHash(const stream_session& session);
 // Tokens of the prompt that an upstream has probably cached.
-std::uint32_t CachedTokens(const stream_session& session, link& path);
+std::uint32_t CachedTokens(const process_state& process,
+                           const stream_session& session,
+                           const link& path);
 
 }  // namespace anvilloom
 
--- a/entry/health_reviewer.cc
+++ b/entry/health_reviewer.cc
@@ -108,7 +108,6 @@
           {{"upstream", std::string(path.upstream_name())}});
     } else {
       held.health.BeginProbation(path.health());
-      path.prefixes().Clear();
       path.DistrustCache(now);
     }
   }
@@ -118,7 +117,6 @@
   path.SetCondition(next);
   if (next != before) {
     if (next == link_condition::kQuarantined) {
-      path.prefixes().Clear();
       path.DistrustCache(now);
     }
     LogChange(path.upstream_name(), next, held.health.cause());
--- a/entry/stream_attempt.cc
+++ b/entry/stream_attempt.cc
@@ -17,6 +17,9 @@
 constexpr std::string_view kEventData = "data: ";
 constexpr std::string_view kDone = "[DONE]";
 constexpr std::string_view kLeavingHeader = "X-Leaving";
+// Tokens below which the network and the scheduling of the engine take more of
+// the time to the first token than the prefill does.
+constexpr std::uint32_t kLeastPrefill = 128;
 
 // Counts an attempt on its link for as long as it runs.
 class link_use {
@@ -49,9 +52,14 @@
                           order.target.terms.rank, resume));
 }
 
-std::uint32_t EstimatePrefill(const stream_session& session, link& path) {
+// Used until the engine's usage tells. Counts only a whole prompt as cached:
+// choosing the upstream has just recorded the leading part as sent there.
+std::uint32_t EstimatePrefill(const process_state& process,
+                              const stream_session& session,
+                              const link& path) {
   const std::uint32_t prompt = EstimatePromptTokens(session.order().request);
-  return prompt + session.tokens() - CachedTokens(session, path);
+  const bool cached = process.policy.IsCached(PromptHash(session), path);
+  return (cached ? 0 : prompt) + session.tokens();
 }
 
 }  // namespace
@@ -69,7 +77,8 @@
       check_(id_, session_->tokens()),
       started_at_(self.process().clock.Now()),
       last_token_at_(started_at_),
-      prefilled_(EstimatePrefill(*session_, *chosen_.path)) {}
+      prefilled_(EstimatePrefill(self.process(), *session_, *chosen_.path)),
+      queued_(chosen_.path->last_report().waiting > 0) {}
 
 void stream_attempt::Start(std::string cache_handle) {
   if (!cache_handle.empty()) {
@@ -207,6 +216,7 @@
   }
   if (chunk.prefilled_tokens) {
     prefilled_ = *chunk.prefilled_tokens;
+    ObservePrefill();
   }
   if (chunk.token_index) {
     ObserveTiming();
@@ -219,9 +229,11 @@
   const time_point now = self_.process().clock.Now();
   if (!first_seen_) {
     first_seen_ = true;
-    chosen_.path->ObserveFirstToken(now - started_at_);
-    chosen_.path->prefixes().Remember(PromptHash(*session_));
-    chosen_.path->prefixes().Remember(PrefixHash(*session_));
+    first_token_latency_ = now - started_at_;
+    chosen_.path->ObserveFirstToken(first_token_latency_);
+    const std::string_view upstream = chosen_.path->upstream_name();
+    self_.process().policy.CacheStored(PromptHash(*session_), upstream, now);
+    self_.process().policy.CacheStored(PrefixHash(*session_), upstream, now);
     if (session_->tokens() == 0) {
       self_.metrics().first_token.Add(now - session_->order().accepted_at);
     }
@@ -232,6 +244,15 @@
   last_token_at_ = now;
 }
 
+void stream_attempt::ObservePrefill() {
+  // The first token comes after the prefill and one more iteration.
+  const duration spent =
+      first_token_latency_ - chosen_.path->token_interval_average();
+  if (prefilled_ >= kLeastPrefill && !queued_ && spent > duration::zero()) {
+    chosen_.path->ObservePrefill(prefilled_, spent);
+  }
+}
+
 bool stream_attempt::Reject() {
   ++self_.metrics().rejected_chunks;
   Log(log_level::kWarning, log_event::kAnswerRejected,
--- a/entry/stream_attempt.h
+++ b/entry/stream_attempt.h
@@ -70,6 +70,8 @@
   bool TakeData(std::string_view data);
   void Accept(const answer_chunk& chunk);
   void ObserveTiming();
+  // Tells the link how fast the upstream computes prompts.
+  void ObservePrefill();
   bool Reject();
   // When the silence since the last token has lasted too long.
   deadline StallDeadline() const;
@@ -94,6 +96,10 @@
   // Tokens before the first new one that the upstream had to compute: an
   // estimate until the usage of the last chunk says it.
   std::uint32_t prefilled_;
+  // Whether requests waited at the upstream when the attempt began: the time to
+  // its first token then says little of the prefill.
+  bool queued_;
+  duration first_token_latency_{0};
 };
 
 }  // namespace anvilloom
--- a/links/least_cost.cc
+++ b/links/least_cost.cc
@@ -389,6 +389,16 @@
   locations_.Forget(prefix_hash, Hash64(upstream_name));
 }
 
+bool least_cost::IsCached(std::uint64_t prefix_hash, const link& path) const {
+  const std::uint64_t name_hash = Hash64(path.upstream_name());
+  prefix_locations::found_locations found;
+  return std::ranges::any_of(
+      locations_.Find(prefix_hash, found), [&](const prefix_location& each) {
+        return MatchesUpstream(each, name_hash) &&
+               each.seen_at >= path.cache_trusted_since();
+      });
+}
+
 void least_cost::ObserveReclaim(std::string_view domain, time_point now) {
   const std::size_t slot =
       static_cast<std::uint32_t>(Hash64(domain)) % kDomainSlots;
--- a/links/least_cost.h
+++ b/links/least_cost.h
@@ -67,6 +67,9 @@
                    std::string_view upstream_name,
                    time_point now);
   void CacheEvicted(std::uint64_t prefix_hash, std::string_view upstream_name);
+  // Whether the upstream of `path` is thought to cache the prefix, by what was
+  // recorded since its cache was last distrusted.
+  bool IsCached(std::uint64_t prefix_hash, const link& path) const;
   // Records a reclaim notice in a failure domain: others there are likelier to
   // follow, since reclaims come in waves.
   void ObserveReclaim(std::string_view domain, time_point now);
--- a/links/link.cc
+++ b/links/link.cc
@@ -117,7 +117,7 @@
   const std::uint64_t before = version_.exchange(version, kRelaxed);
   if (before != 0 && before != version) {
     version_changed_at_.store(at, kRelaxed);
-    prefixes_.Clear();
+    DistrustCache(observed_at);
     version_changes_.fetch_add(1, kRelaxed);
   }
 }
--- a/links/link.h
+++ b/links/link.h
@@ -12,7 +12,6 @@
 
 #include "common/time.h"
 #include "contracts/contract.h"
-#include "links/prefix_memory.h"
 #include "links/reclaim_plan.h"
 
 namespace anvilloom {
@@ -183,8 +182,6 @@
   health_reading health() const;
   // Hash of the latest model version; zero until an answer showed one.
   std::uint64_t version() const;
-  // Prompts that the upstream has probably cached.
-  prefix_memory& prefixes() { return prefixes_; }
   deadline reclaim_at() const {
     return deadline(
         time_point(duration(reclaim_at_.load(std::memory_order_acquire))));
@@ -233,7 +230,6 @@
   // When the running export is expected to end; zero if none runs.
   std::atomic<monotonic::rep> export_ends_at_{0};
   std::atomic<float> export_us_per_token_{0};
-  prefix_memory prefixes_;
 };
 
 }  // namespace anvilloom
--- a/test/correctness/upstream_health_test.cc
+++ b/test/correctness/upstream_health_test.cc
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "links/health.h"
+#include "links/least_cost.h"
 
 namespace anvilloom {
 
@@ -49,6 +50,7 @@
     }
   }
 
+  time_point now() const { return now_; }
   const upstream_health& health() const { return health_; }
 
  private:
@@ -64,7 +66,9 @@
     reviewed_upstream upstream;
     upstream.Settle();
     REQUIRE(upstream.path().condition() == link_condition::kHealthy);
-    upstream.path().prefixes().Remember(77);
+    least_cost policy;
+    policy.CacheStored(77, upstream.path().upstream_name(), upstream.now());
+    REQUIRE(policy.IsCached(77, upstream.path()));
 
     WHEN("an answer shows another model version") {
       upstream.Answer(milliseconds(20), 2);
@@ -73,7 +77,7 @@
       THEN("it gets no new work and its cache is no longer counted on") {
         REQUIRE(!upstream.path().takes_new_work());
         REQUIRE(upstream.health().cause() == health_cause::kVersionChange);
-        REQUIRE(!upstream.path().prefixes().Holds(77));
+        REQUIRE(!policy.IsCached(77, upstream.path()));
       }
 
       AND_WHEN("the quarantine has passed") {
--- a/test/error/load_reports_test.cc
+++ b/test/error/load_reports_test.cc
@@ -23,6 +23,11 @@
 constexpr std::string_view kLoaded = "engine-1";
 // More than the declared slots of "engine-1".
 constexpr int kForeignStreams = 10;
+// A poll times out after 500 ms of its interval of 1 s; 700 ms later, the next
+// one has waited for 200 ms.
+constexpr std::chrono::milliseconds kIntoNextPoll{700};
+// Enough for the engine to answer the poll.
+constexpr std::chrono::milliseconds kAnswerTime{300};
 // At 20 ms a token, longer than any of these tests runs.
 constexpr std::uint32_t kForeignTokens = 4000;
 
@@ -30,10 +35,13 @@
 // instances that know each other, all in one region.
 class loaded_system {
  public:
-  explicit loaded_system(const std::vector<std::string>& entries,
-                         std::string_view extra = {}) {
+  explicit loaded_system(
+      const std::vector<std::string>& entries,
+      std::string_view extra = {},
+      const std::vector<std::string>& engine_arguments = {}) {
     system_.Start("objects", "standins/standin_objects");
-    const auto first = system_.Start("e1", "standins/standin_engine");
+    const auto first =
+        system_.Start("e1", "standins/standin_engine", engine_arguments);
     const auto second = system_.Start("e2", "standins/standin_engine");
     std::string seeds;
     for (const std::string& name : entries) {
@@ -224,7 +232,19 @@
     for (const std::string& name : names) {
       REQUIRE(Eventually([&] { return world.HasFreshReport(name); }, kSoon));
     }
+    // The engine answers a poll while its owner is paused, so that an old
+    // report waits in the owner's socket.
+    world.system().process("e1").Pause();
+    REQUIRE(Eventually(
+        [&] {
+          return world.system().process(owner).Output().find(
+                     "load_unavailable upstream=engine-1") != std::string::npos;
+        },
+        kSoon));
+    std::this_thread::sleep_for(kIntoNextPoll);
     world.system().process(owner).Pause();
+    world.system().process("e1").Continue();
+    std::this_thread::sleep_for(kAnswerTime);
     world.LoadEngine();
     for (const std::string& name : names) {
       if (name != owner) {
@@ -298,6 +318,31 @@
   }
 }
 
+SCENARIO("The speed of a prefill is learned from the usage of an answer",
+         "[load_reports]") {
+  GIVEN("a cheap engine that needs 500 us for each prompt token") {
+    loaded_system world({"entry-a"}, {}, {"--prefill-us", "500"});
+
+    WHEN("it answers a prompt of about 1,000 tokens, and a short one") {
+      const std::string prompt(4'000, 'x');
+      for (const std::string& each : {prompt, std::string("short")}) {
+        REQUIRE(
+            IsReply(Call(world.system().port("entry-a"), http_verb::post,
+                         "/v1/chat/completions", ChatBody(each, 5, false))));
+      }
+
+      THEN("the link knows the time of a token, which the short one leaves") {
+        const double us = world.Link("entry-a")
+                              .at("prefill_us_per_token")
+                              .to_number<double>();
+        std::cout << "prefill_us_per_token=" << us << '\n';
+        REQUIRE(us > 400);
+        REQUIRE(us < 1'000);
+      }
+    }
+  }
+}
+
 SCENARIO("The version changes while an engine is idle", "[load_reports]") {
   GIVEN("two entry instances that know the version of an engine") {
     loaded_system world({"entry-a", "entry-b"});
