Hand over unfetched streams and confirm that a peer holds them

Cause: Tests of faults during a hand-over found two real faults. A stream that had ended but whose caller had lost its connection was dropped when its entry instance stopped. A peer that was killed just after it had accepted streams took them along, although the instance that stopped was still there.

Change: A finished stream whose end was written to no caller is offered with all its tokens; the receiver keeps it and generates nothing. The offer needs no new field: its max_tokens is the number of its tokens. After an acceptance the peer is asked once more whether it holds the stream; if it does not say so, the stream is offered to the next peer (E513 handover_lost). A returning caller whose holder is silent is looked up again instead of being told at once that the stream is unknown. three_entries moves from handover_test to test/support without a change to what it checks.

--- a/common/log.cc
+++ b/common/log.cc
@@ -97,6 +97,8 @@
       return "stream_taken_over";
     case log_event::kHandoverRefused:
       return "handover_refused";
+    case log_event::kHandoverLost:
+      return "handover_lost";
     case log_event::kConfigurationRelayed:
       return "configuration_relayed";
     case log_event::kConfigurationRelayFailed:
--- a/common/log.h
+++ b/common/log.h
@@ -48,6 +48,7 @@
   kStreamHandedOver = 510,
   kStreamTakenOver = 511,
   kHandoverRefused = 512,
+  kHandoverLost = 513,
   kConfigurationRelayed = 520,
   kConfigurationRelayFailed = 521,
   kRequestsRefused = 600,
--- a/entry/chat_handler.cc
+++ b/entry/chat_handler.cc
@@ -1,8 +1,10 @@
 #include "entry/chat_handler.h"
 
 #include <array>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <charconv>
@@ -31,6 +33,10 @@
 constexpr duration kResumeLimit = std::chrono::minutes(10);
 // Time kept to tell a caller where its answer can be fetched.
 constexpr duration kReferMargin = std::chrono::milliseconds(300);
+// A holder that does not answer may have been lost just after it took the
+// stream; the instance that stops then finds another one within about 2 s.
+constexpr int kResumeTries = 8;
+constexpr duration kResumePause = std::chrono::milliseconds(300);
 
 // A decoded body, or what is wrong with it.
 struct decoded_body {
@@ -125,8 +131,8 @@
       co_await session->Changed();
     }
   }
-  if (open) {
-    co_await exchange.EndStream();
+  if (open && co_await exchange.EndStream()) {
+    session->SetFetched();
   }
 }
 
@@ -145,11 +151,13 @@
 }
 
 awaitable<void> WriteWhole(http_exchange& exchange,
-                           const stream_session& session) {
+                           std::shared_ptr<stream_session> session) {
   const std::string body = EncodeWholeAnswer(
-      IdentityOf(session), session.text(),
-      EstimatePromptTokens(session.order().request), session.tokens());
-  co_await exchange.Respond(http_status::ok, "application/json", body);
+      IdentityOf(*session), session->text(),
+      EstimatePromptTokens(session->order().request), session->tokens());
+  if (co_await exchange.Respond(http_status::ok, "application/json", body)) {
+    session->SetFetched();
+  }
 }
 
 route_request MakeWish(const stream_order& order) {
@@ -253,7 +261,7 @@
                                 std::shared_ptr<stream_session> session) {
   co_await AwaitEnd(session);
   if (session->phase() == stream_phase::kComplete) {
-    co_await WriteWhole(exchange, *session);
+    co_await WriteWhole(exchange, session);
   } else if (session->phase() == stream_phase::kHandedOver) {
     exchange.Abort();
   } else {
@@ -327,39 +335,16 @@
   } else if (wants_stream) {
     co_await WriteEvents(exchange, session, 0);
   } else {
-    co_await WriteWhole(exchange, *session);
-  }
-}
-
-awaitable<bool> chat_handler::ResumeElsewhere(http_exchange& exchange,
-                                              worker& self,
-                                              std::string_view stream_id,
-                                              std::string holder) {
-  // A request that another entry instance has passed on is not passed on
-  // again, so that two instances that point at each other make no loop.
-  if (!exchange.Header(kProxiedHeader).empty()) {
-    co_return false;
-  }
-  const deadline until =
-      deadline::After(self.process().clock.Now(), kResumeLimit);
-  if (holder.empty()) {
-    holder = (co_await LocateStream(self, std::string(stream_id))).value_or("");
-  }
-  if (holder.empty()) {
-    co_return false;
+    co_await WriteWhole(exchange, session);
   }
-  const proxy_end end = co_await ProxyStream(
-      exchange, self, std::move(holder), std::string(exchange.target()), until);
-  co_return end != proxy_end::kNothingSent;
 }
 
-awaitable<void> chat_handler::Resume(http_exchange& exchange,
-                                     worker& self,
-                                     const caller& from,
-                                     std::string_view stream_id) {
+awaitable<bool> chat_handler::ResumeHere(http_exchange& exchange,
+                                         const caller& from,
+                                         std::string_view stream_id,
+                                         std::string& moved_to) {
   const std::uint32_t next = NextIndex(exchange.Header("Last-Event-ID"));
   const bool whole = exchange.Query("whole") == "1";
-  std::string moved_to;
   for (const std::unique_ptr<worker>& holder : workers_) {
     // The session belongs to its worker's thread, so the events are written
     // from there while this coroutine waits.
@@ -383,10 +368,57 @@
         },
         net::use_awaitable);
     if (served) {
+      co_return true;
+    }
+  }
+  co_return false;
+}
+
+awaitable<resume_end> chat_handler::ResumeElsewhere(http_exchange& exchange,
+                                                    worker& self,
+                                                    std::string_view stream_id,
+                                                    std::string holder) {
+  // A request that another entry instance has passed on is not passed on
+  // again, so that two instances that point at each other make no loop.
+  if (!exchange.Header(kProxiedHeader).empty()) {
+    co_return resume_end::kUnknownStream;
+  }
+  const deadline until =
+      deadline::After(self.process().clock.Now(), kResumeLimit);
+  if (holder.empty()) {
+    holder = (co_await LocateStream(self, std::string(stream_id))).value_or("");
+  }
+  if (holder.empty()) {
+    co_return resume_end::kUnknownStream;
+  }
+  const proxy_end end = co_await ProxyStream(
+      exchange, self, std::move(holder), std::string(exchange.target()), until);
+  co_return end == proxy_end::kNothingSent ? resume_end::kHolderSilent
+                                           : resume_end::kServed;
+}
+
+awaitable<void> chat_handler::Resume(http_exchange& exchange,
+                                     worker& self,
+                                     const caller& from,
+                                     std::string_view stream_id) {
+  resume_end end = resume_end::kHolderSilent;
+  for (int i = 0; i < kResumeTries && end == resume_end::kHolderSilent; ++i) {
+    std::string moved_to;
+    if (co_await ResumeHere(exchange, from, stream_id, moved_to)) {
       co_return;
     }
+    end = co_await ResumeElsewhere(exchange, self, stream_id,
+                                   std::move(moved_to));
+    if (end == resume_end::kHolderSilent) {
+      net::steady_timer pause(self.context());
+      pause.expires_after(kResumePause);
+      co_await pause.async_wait(net::as_tuple(net::use_awaitable));
+    }
   }
-  if (co_await ResumeElsewhere(exchange, self, stream_id, moved_to)) {
+  std::string moved_to;
+  // The stream may have been handed over to this instance meanwhile.
+  if (end == resume_end::kServed ||
+      co_await ResumeHere(exchange, from, stream_id, moved_to)) {
     co_return;
   }
   co_await RespondRefusal(exchange,
--- a/entry/chat_handler.h
+++ b/entry/chat_handler.h
@@ -14,6 +14,13 @@
 
 namespace anvilloom {
 
+// What came of a stream that another instance was asked for.
+enum class resume_end {
+  kServed,
+  kUnknownStream,
+  kHolderSilent,  // The instance that should hold it did not give it.
+};
+
 // One for the process; keeps no state of its own.
 class chat_handler {
  public:
@@ -31,12 +38,18 @@
                          std::string_view stream_id);
 
  private:
+  // Serves a stream that this instance holds. False if it holds none of that
+  // name; `moved_to` is then the holder that it was handed over to, if any.
+  awaitable<bool> ResumeHere(http_exchange& exchange,
+                             const caller& from,
+                             std::string_view stream_id,
+                             std::string& moved_to);
   // Passes a resumed stream on from the instance that holds it, `holder` if it
-  // is known. False if there is none; then nothing was written.
-  awaitable<bool> ResumeElsewhere(http_exchange& exchange,
-                                  worker& self,
-                                  std::string_view stream_id,
-                                  std::string holder);
+  // is known. Nothing was written unless it was served.
+  awaitable<resume_end> ResumeElsewhere(http_exchange& exchange,
+                                        worker& self,
+                                        std::string_view stream_id,
+                                        std::string holder);
 
   std::span<const std::unique_ptr<worker>> workers_;
 };
--- a/entry/stream_handover.cc
+++ b/entry/stream_handover.cc
@@ -35,6 +35,10 @@
 constexpr int kLocateRounds = 3;
 constexpr duration kLocatePause = std::chrono::milliseconds(300);
 constexpr duration kOfferPause = std::chrono::milliseconds(300);
+// Time between the acceptance of an offer and the question whether the stream
+// is still held; a peer that dies while it takes streams over is found by it.
+constexpr duration kConfirmPause = std::chrono::milliseconds(200);
+constexpr int kConfirmTries = 2;
 
 membership_snapshot ReadMembers(const process_state& process) {
   const rcu_read_guard guard;
@@ -60,7 +64,11 @@
   offer.workspace = order.workspace;
   offer.service = order.target.name;
   offer.messages = order.request.messages;
-  offer.max_tokens = order.request.max_tokens;
+  // A stream that has ended is offered with all the tokens it may have, so that
+  // its receiver keeps it and generates nothing.
+  offer.max_tokens = session.phase() == stream_phase::kComplete
+                         ? session.tokens()
+                         : order.request.max_tokens;
   offer.wants_stream = order.request.stream;
   offer.first_token_remaining = order.first_token_by.Remaining(now);
   offer.answer_remaining = order.answer_by.Remaining(now);
@@ -109,30 +117,104 @@
   co_return false;
 }
 
-awaitable<void> HandOver(worker& self,
-                         std::shared_ptr<stream_session> session) {
-  const process_state& process = self.process();
+bool HasAllTokens(const stream_handover& offered) {
+  return !offered.ends.empty() && offered.ends.size() >= offered.max_tokens;
+}
+
+// Whether callers may still need the stream from another instance.
+bool MustBeHeld(const stream_session& session) {
+  switch (session.phase()) {
+    case stream_phase::kRunning:
+      return true;
+    case stream_phase::kHandedOver:
+      return !session.confirmed();
+    case stream_phase::kComplete:
+      return !session.confirmed() && !session.fetched() && session.tokens() > 0;
+    case stream_phase::kFailed:
+      break;
+  }
+  return false;
+}
+
+std::vector<member_profile> TargetsFor(const process_state& process,
+                                       std::string_view stream) {
+  return HandoverTargets(ReadMembers(process), stream,
+                         process.settings.failure_domain,
+                         process.settings.name);
+}
+
+// The peer that has accepted the stream. `lost` names a peer that took it
+// before and is gone, although the membership may not know that yet.
+awaitable<std::optional<member_profile>> OfferToPeers(
+    worker& self,
+    std::shared_ptr<stream_session> session,
+    std::string lost) {
   std::vector<member_profile> targets =
-      HandoverTargets(ReadMembers(process), session->order().stream_id,
-                      process.settings.failure_domain, process.settings.name);
+      TargetsFor(self.process(), session->order().stream_id);
+  std::erase_if(targets, [&lost](const member_profile& target) {
+    return target.name == lost;
+  });
   targets.resize(std::min(targets.size(), kPeersOffered));
   for (const member_profile& target : targets) {
-    if (session->phase() != stream_phase::kRunning) {
-      co_return;
+    if (MustBeHeld(*session) && co_await Offer(self, *session, target)) {
+      co_return target;
     }
-    if (co_await Offer(self, *session, target)) {
-      session->HandOver(target.http_address);
-      Log(log_level::kInfo, log_event::kStreamHandedOver,
-          {{"stream", session->order().stream_id},
-           {"holder", target.name},
-           {"tokens", std::to_string(session->visible_tokens())}});
+  }
+  co_return std::nullopt;
+}
+
+// Whether a peer that has accepted a stream still holds it a little later.
+awaitable<bool> ConfirmHeld(worker& self,
+                            std::string stream,
+                            std::string peer_address) {
+  const process_state& process = self.process();
+  net::steady_timer pause(self.context());
+  pause.expires_after(kConfirmPause);
+  co_await pause.async_wait(net::as_tuple(net::use_awaitable));
+  for (int i = 0; i < kConfirmTries; ++i) {
+    std::vector<std::string> addresses = {peer_address};
+    peer_body question = stream_locate{stream};
+    const auto answers = co_await process.peers->Ask(
+        std::move(addresses), std::move(question),
+        deadline::After(process.clock.Now(), kLocateLimit));
+    if (!answers.empty()) {
+      const auto* answer = std::get_if<stream_locate_answer>(&answers[0]);
+      co_return answer != nullptr && answer->found;
+    }
+  }
+  co_return false;
+}
+
+awaitable<void> HandOver(worker& self,
+                         std::shared_ptr<stream_session> session) {
+  const std::string& stream = session->order().stream_id;
+  std::string lost;
+  for (;;) {
+    const auto taker = co_await OfferToPeers(self, session, lost);
+    if (!taker) {
+      break;
+    }
+    session->HandOver(taker->http_address);
+    Log(log_level::kInfo, log_event::kStreamHandedOver,
+        {{"stream", stream},
+         {"holder", taker->name},
+         {"tokens", std::to_string(session->visible_tokens())}});
+    if (co_await ConfirmHeld(self, stream, taker->peer_address)) {
+      session->SetConfirmed();
       co_return;
     }
+    lost = taker->name;
+    Log(log_level::kWarning, log_event::kHandoverLost,
+        {{"stream", stream}, {"holder", taker->name}});
+  }
+  if (!MustBeHeld(*session)) {
+    co_return;
+  }
+  Log(log_level::kWarning, log_event::kHandoverRefused, {{"stream", stream}});
+  if (session->phase() == stream_phase::kRunning) {
+    // The caller gets what was generated meanwhile before the next attempt.
+    session->Unfreeze();
   }
-  Log(log_level::kWarning, log_event::kHandoverRefused,
-      {{"stream", session->order().stream_id}});
-  // The caller gets what was generated meanwhile before the next attempt.
-  session->Unfreeze();
   net::steady_timer pause(self.context());
   pause.expires_after(kOfferPause);
   co_await pause.async_wait(net::as_tuple(net::use_awaitable));
@@ -204,8 +286,9 @@
            held->transfer() >= offered.transfer;
   }
   const auto target = FindService(process, offered.service);
-  if (!process.ready() || !target ||
-      offered.answer_remaining <= duration::zero()) {
+  const bool has_ended = HasAllTokens(offered);
+  const bool in_time = offered.answer_remaining > duration::zero();
+  if (!process.ready() || !target || (!in_time && !has_ended)) {
     return false;
   }
   auto session = std::make_shared<stream_session>(
@@ -213,6 +296,9 @@
       MakeOrder(offered, *target, process.clock.Now()));
   session->Restore(offered.text, offered.ends, offered.transfer);
   session->SetModelVersion(offered.model_version);
+  if (has_ended) {
+    session->Complete();
+  }
   holder.AddStream(session);
   net::co_spawn(holder.context(), RunStream(holder, session), net::detached);
   Log(log_level::kInfo, log_event::kStreamTakenOver,
@@ -222,31 +308,35 @@
 }
 
 std::size_t HandOverStreams(worker& holder, deadline until) {
-  const time_point now = holder.process().clock.Now();
-  std::size_t running = 0;
+  const process_state& process = holder.process();
+  const time_point now = process.clock.Now();
+  const bool has_peers =
+      process.peers != nullptr && !TargetsFor(process, {}).empty();
+  std::size_t held = 0;
   std::vector<std::shared_ptr<stream_session>> due;
   holder.ForEachStream([&](stream_session& session) {
-    if (session.phase() != stream_phase::kRunning) {
+    const bool running = session.phase() == stream_phase::kRunning;
+    if (!MustBeHeld(session) || (!running && !has_peers)) {
       return;
     }
-    ++running;
+    ++held;
     const stream_progress progress = {session.tokens(),
                                       session.order().request.max_tokens,
                                       session.order().accepted_at};
-    if (!session.offered() && !EndsBefore(progress, until, now)) {
+    const bool ends_here = running && EndsBefore(progress, until, now);
+    if (process.peers != nullptr && !session.offered() && !ends_here) {
       due.push_back(holder.FindStream(session.order().stream_id));
     }
   });
-  if (holder.process().peers == nullptr) {
-    return running;
-  }
   for (std::shared_ptr<stream_session>& session : due) {
     session->SetOffered(true);
-    session->Freeze();
+    if (session->phase() == stream_phase::kRunning) {
+      session->Freeze();
+    }
     net::co_spawn(holder.context(), HandOver(holder, std::move(session)),
                   net::detached);
   }
-  return running;
+  return held;
 }
 
 awaitable<std::optional<std::string>> LocateStream(worker& self,
--- a/entry/stream_handover.h
+++ b/entry/stream_handover.h
@@ -32,8 +32,10 @@
 // Runs on the thread of `holder`.
 bool TakeOverStream(worker& holder, const stream_handover& offered);
 
-// Hands over the running streams of a worker that will not end before `until`.
-// Returns how many streams still run here. Runs on the worker's thread.
+// Hands over the streams of a worker that will not end before `until`, and
+// those that have ended but were not fetched. Returns how many streams still
+// run here or are not yet known to be held by a peer. Runs on the worker's
+// thread.
 std::size_t HandOverStreams(worker& holder, deadline until);
 
 // The HTTP address of the instance that holds a stream, if it is another one
--- a/entry/stream_session.cc
+++ b/entry/stream_session.cc
@@ -47,7 +47,7 @@
 }
 
 void stream_session::HandOver(std::string_view holder_address) {
-  if (phase_ != stream_phase::kRunning) {
+  if (phase_ != stream_phase::kRunning && phase_ != stream_phase::kHandedOver) {
     return;
   }
   holder_ = holder_address;
--- a/entry/stream_session.h
+++ b/entry/stream_session.h
@@ -63,6 +63,12 @@
   // Whether a hand-over is being agreed or was refused just now.
   bool offered() const { return offered_; }
   void SetOffered(bool offered) { offered_ = offered; }
+  // Whether the instance that took the stream was seen to hold it afterwards.
+  bool confirmed() const { return confirmed_; }
+  void SetConfirmed() { confirmed_ = true; }
+  // Whether the end of the answer was written to a caller's connection.
+  bool fetched() const { return fetched_; }
+  void SetFetched() { fetched_ = true; }
   // Number of hand-overs so far.
   std::uint32_t transfer() const { return transfer_; }
   // Where callers reach the holder. Set when the phase is kHandedOver.
@@ -82,8 +88,10 @@
   void Unfreeze();
   // Counts one more instance to which the stream is offered.
   std::uint32_t NextTransfer() { return ++transfer_; }
-  // Ends the stream here; does nothing unless it is running.
+  // Ends the stream here, or names another holder if the first one is lost.
+  // Does nothing once the stream has ended by itself.
   void HandOver(std::string_view holder_address);
+  // Ends the stream here; does nothing unless it is running.
   void Complete();
   void Fail(const refusal& why);
 
@@ -105,6 +113,8 @@
   std::vector<std::uint32_t> ends_;
   std::optional<std::uint32_t> frozen_at_;
   bool offered_ = false;
+  bool confirmed_ = false;
+  bool fetched_ = false;
   std::uint32_t transfer_ = 0;
   std::string holder_;
   std::string model_version_;
--- a/test/error/handover_test.cc
+++ b/test/error/handover_test.cc
@@ -11,6 +11,7 @@
 
 #include "test/support/local_system.h"
 #include "test/support/stream_reader.h"
+#include "test/support/three_entries.h"
 
 namespace anvilloom {
 
@@ -18,8 +19,7 @@
 
 using http_verb = boost::beast::http::verb;
 
-// 150 tokens at 20 ms take 3 s, longer than the stops of these tests.
-constexpr std::uint32_t kTokens = 150;
+constexpr std::uint32_t kTokens = kLongStreamTokens;
 
 std::string AnswerText(const caller_answer& answer) {
   const auto parsed = boost::json::parse(answer.body);
@@ -27,60 +27,6 @@
       parsed.at("choices").at(0).at("message").at("content").as_string());
 }
 
-// Three entry instances that know each other; "entry-a" stops within `limit`.
-class three_entries {
- public:
-  explicit three_entries(std::string_view limit) {
-    system_.Start("objects", "standins/standin_objects");
-    const auto engine_1 = system_.Start("e1", "standins/standin_engine");
-    const auto engine_2 = system_.Start("e2", "standins/standin_engine");
-    const std::string peers =
-        R"(,"peer_listen":"127.0.0.1:0","drain_grace_ms":100)";
-    a_ = system_.StartEntry(
-        "entry-a", "zone-a",
-        peers + R"(,"drain_limit_ms":)" + std::string(limit));
-    const std::string seeds = R"(,"seeds":["127.0.0.1:)" +
-                              std::to_string(system_.peer_port("entry-a")) +
-                              "\"]";
-    b_ = system_.StartEntry("entry-b", "zone-b", peers + seeds);
-    c_ = system_.StartEntry("entry-c", "zone-b", peers + seeds);
-    system_.WriteConfiguration("10-all.json",
-                               TestConfiguration({engine_1, engine_2}, {}));
-    REQUIRE(system_.PublishConfiguration() == 0);
-    for (const std::string_view name : {"entry-a", "entry-b", "entry-c"}) {
-      REQUIRE(system_.AwaitReady(name));
-      REQUIRE(Eventually([&] { return MembersSeen(name) == 3; },
-                         std::chrono::seconds(20)));
-    }
-  }
-
-  local_system& system() { return system_; }
-  std::uint16_t a() const { return a_; }
-  std::uint16_t b() const { return b_; }
-  std::uint16_t c() const { return c_; }
-
-  std::size_t MembersSeen(std::string_view name) const {
-    const caller_answer dump =
-        Call(system_.admin_port(name), http_verb::get, "/dump");
-    return dump.status == 200
-               ? boost::json::parse(dump.body).at("members").as_array().size()
-               : 0;
-  }
-
-  std::future<followed_stream> Follow(const std::vector<std::uint16_t>& ports,
-                                      const std::string& prompt) const {
-    return std::async(std::launch::async, [ports, prompt] {
-      return FollowStream(ports, prompt, kTokens);
-    });
-  }
-
- private:
-  local_system system_;
-  std::uint16_t a_ = 0;
-  std::uint16_t b_ = 0;
-  std::uint16_t c_ = 0;
-};
-
 void LetTokensArrive() {
   std::this_thread::sleep_for(std::chrono::milliseconds(600));
 }
