--- a/wire/peer_transport.cc
+++ b/wire/peer_transport.cc
@@ -80,7 +80,8 @@
   }
   queued_bytes_ += bytes.size();
   queue_.push_back({std::string(to_address), std::move(bytes)});
-  if (queue_.size() == 1 && std::this_thread::get_id() != run_thread_.load(kRelaxed)) {
+  if (queue_.size() == 1 &&
+      std::this_thread::get_id() != run_thread_.load(kRelaxed)) {
     wake_sender_.send(zmq::const_buffer(), zmq::send_flags::dontwait);
   }
   return true;
