--- a/test/error/fleet_runner_test.cc
+++ b/test/error/fleet_runner_test.cc
@@ -174,6 +174,9 @@
       // The old holder must not learn the new model before it could order.
       fleet.FaultStore(R"({"action":"refuse","method":"GET","count":100000,)"
                        R"("path":"/objects/configuration"})");
+      // It learns of its loss only after several rounds.
+      fleet.FaultStore(R"({"action":"delay","delay_ms":700,"method":"PUT",)"
+                       R"("count":4,"path":"/objects/leases"})");
       fleet.processes().process("entry-a").Continue();
       const bool noticed =
           Eventually([&] { return fleet.Logged("entry-a", "E701 lease_lost"); },
