Show that the fleet tests need their mechanisms

Change: the test waits 12 s. claim_storage_test covers a sweeper that may no longer act once the claims are listed.

--- a/test/correctness/claim_storage_test.cc
+++ b/test/correctness/claim_storage_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -122,6 +123,20 @@
         CHECK(left->objects[1].name == "recent-done");
       }
     }
+    WHEN("the sweeper may no longer act once the claims are listed") {
+      std::function<bool()> may_act = [] { return false; };
+      const auto deleted = Await(
+          context,
+          SweepClaims(store, kNow, kRetention, until, std::move(may_act)));
+
+      THEN("nothing is deleted") {
+        REQUIRE(deleted.has_value());
+        CHECK(*deleted == 0);
+        const auto left = Await(context, store.List(kClaimKind, until));
+        REQUIRE(left.has_value());
+        CHECK(left->objects.size() == 4);
+      }
+    }
   }
 }
 
--- a/test/error/fleet_runner_test.cc
+++ b/test/error/fleet_runner_test.cc
@@ -30,6 +30,8 @@
 constexpr duration kTakeOverLimit = std::chrono::seconds(20);
 // Several rounds and looks at the lease.
 constexpr std::chrono::milliseconds kSeveralRounds{2000};
+// An instance without a configuration at its start asks again after 10 s.
+constexpr std::chrono::seconds kSweepRetryPassed{12};
 constexpr std::int64_t kThirtyDaysInSeconds = 2'592'000;
 
 std::string TextMember(const std::string& body, std::string_view key) {
@@ -239,7 +241,7 @@
           kTakeOverLimit));
       // An interval has not passed, so the holder leaves this one for later.
       fleet.PutClaim("older", now - kThirtyDaysInSeconds);
-      std::this_thread::sleep_for(kSeveralRounds);
+      std::this_thread::sleep_for(kSweepRetryPassed);
       CHECK(fleet.HasClaim("older"));
       CHECK_FALSE(fleet.Logged("entry-b", "claims_swept"));
 
