--- a/test/error/fleet_runner_test.cc
+++ b/test/error/fleet_runner_test.cc
@@ -30,6 +30,8 @@
 constexpr duration kTakeOverLimit = std::chrono::seconds(20);
 // Several rounds and looks at the lease.
 constexpr std::chrono::milliseconds kSeveralRounds{2000};
+// An instance without a configuration at its start asks again after 10 s.
+constexpr std::chrono::seconds kSweepRetryPassed{12};
 constexpr std::int64_t kThirtyDaysInSeconds = 2'592'000;
 
 std::string TextMember(const std::string& body, std::string_view key) {
@@ -174,6 +176,9 @@
       // The old holder must not learn the new model before it could order.
       fleet.FaultStore(R"({"action":"refuse","method":"GET","count":100000,)"
                        R"("path":"/objects/configuration"})");
+      // It learns of its loss only after several rounds.
+      fleet.FaultStore(R"({"action":"delay","delay_ms":700,"method":"PUT",)"
+                       R"("count":4,"path":"/objects/leases"})");
       fleet.processes().process("entry-a").Continue();
       const bool noticed =
           Eventually([&] { return fleet.Logged("entry-a", "E701 lease_lost"); },
@@ -236,7 +241,7 @@
           kTakeOverLimit));
       // An interval has not passed, so the holder leaves this one for later.
       fleet.PutClaim("older", now - kThirtyDaysInSeconds);
-      std::this_thread::sleep_for(kSeveralRounds);
+      std::this_thread::sleep_for(kSweepRetryPassed);
       CHECK(fleet.HasClaim("older"));
       CHECK_FALSE(fleet.Logged("entry-b", "claims_swept"));
 
