--- a/links/load_ledger.cc
+++ b/links/load_ledger.cc
@@ -22,7 +22,7 @@
   entry& held = found->second;
   const bool guarded =
       !is_first && !deadline::After(held.taken_at, kGuardedFor).Expired(now);
-  if (guarded && stamp <= held.newest) {
+  if (guarded && !stamp.NewerThan(held.newest)) {
     return false;
   }
   held = {stamp, false, now};
--- a/links/load_ledger.h
+++ b/links/load_ledger.h
@@ -3,7 +3,6 @@
 #ifndef LINKS_LOAD_LEDGER_H_
 #define LINKS_LOAD_LEDGER_H_
 
-#include <compare>
 #include <cstdint>
 #include <unordered_map>
 
@@ -20,7 +19,10 @@
   // Polling round of the owner.
   std::uint32_t round = 0;
 
-  friend auto operator<=>(const report_stamp&, const report_stamp&) = default;
+  bool NewerThan(const report_stamp& other) const {
+    return term != other.term ? term > other.term : round > other.round;
+  }
+  friend bool operator==(const report_stamp&, const report_stamp&) = default;
 };
 
 // Not thread-safe.
--- a/test/correctness/load_reports_test.cc
+++ b/test/correctness/load_reports_test.cc
@@ -24,9 +24,9 @@
 
 // A region "r1" with failure domains "a", "b" and "c", and "z" in another one.
 const std::vector<failure_domain>& Domains() {
-  static const std::vector<failure_domain> domains = {
+  static const std::vector<failure_domain> kDomains = {
       {"a", "r1"}, {"b", "r1"}, {"c", "r1"}, {"z", "r2"}};
-  return domains;
+  return kDomains;
 }
 
 live_member Member(std::string_view name, std::string_view domain) {
