--- a/entry/admin_handler.cc
+++ b/entry/admin_handler.cc
@@ -42,7 +42,8 @@
           {"waiting", path.last_report().waiting},
           {"first_token_us", path.first_token_average().count()},
           {"token_interval_us", path.token_interval_average().count()},
-          {"failures_in_a_row", path.failures_in_a_row()}};
+          {"failures_in_a_row", path.failures_in_a_row()},
+          {"remembered_prompts", path.prefixes().size()}};
 }
 
 json::array DumpStreams(const worker& holder) {
--- a/links/health.cc
+++ b/links/health.cc
@@ -42,6 +42,7 @@
   condition_ = link_condition::kProbation;
   good_at_probation_ = reading.good_answers;
   failures_at_probation_ = reading.failures_in_a_row;
+  bad_in_a_row_ = 0;
 }
 
 health_cause upstream_health::FindCause(const health_reading& reading) {
@@ -51,7 +52,8 @@
   const bool good = reading.good_answers != seen_.good_answers;
   const std::uint32_t bad = reading.bad_answers - seen_.bad_answers;
   const bool on_probation = condition_ == link_condition::kProbation;
-  if (bad >= limits_.bad_answers || (on_probation && bad > 0)) {
+  CountBadAnswers(reading);
+  if (bad_in_a_row_ >= limits_.bad_answers || (on_probation && bad > 0)) {
     return health_cause::kBadAnswers;
   }
   if (on_probation) {
@@ -67,6 +69,15 @@
                                     : health_cause::kNone;
 }
 
+// The order of good and bad answers between two reviews is not known. Bad ones
+// are then counted as if they came last.
+void upstream_health::CountBadAnswers(const health_reading& reading) {
+  if (reading.good_answers != seen_.good_answers) {
+    bad_in_a_row_ = 0;
+  }
+  bad_in_a_row_ += reading.bad_answers - seen_.bad_answers;
+}
+
 bool upstream_health::ShowsLatencyShift(const health_reading& reading) {
   if (reading.token_intervals == seen_.token_intervals) {
     return false;
--- a/links/health.h
+++ b/links/health.h
@@ -14,7 +14,8 @@
 struct health_limits {
   // Failed calls in a row that quarantine.
   std::uint32_t failures_in_a_row = 3;
-  // Malformed or mismatched answers, with no good one between two reviews.
+  // Malformed or mismatched answers with no good one between them, however far
+  // apart they are: an upstream with few requests must not escape.
   std::uint32_t bad_answers = 2;
   // Good answers that end a probation.
   std::uint32_t probation_answers = 3;
@@ -60,6 +61,7 @@
 
  private:
   health_cause FindCause(const health_reading& reading);
+  void CountBadAnswers(const health_reading& reading);
   bool ShowsLatencyShift(const health_reading& reading);
   void UpdateBaseline(const health_reading& reading);
   void BeginQuarantine(health_cause cause, time_point now);
@@ -71,6 +73,7 @@
   health_reading seen_;
   std::uint32_t failures_at_probation_ = 0;
   std::uint32_t good_at_probation_ = 0;
+  std::uint32_t bad_in_a_row_ = 0;
   // Quarantines since the upstream was last healthy.
   std::uint32_t quarantines_ = 0;
   deadline quarantined_until_ = deadline::Never();
--- a/links/link.h
+++ b/links/link.h
@@ -183,6 +183,7 @@
   std::uint64_t version() const;
   // Prompts that the upstream has probably cached.
   prefix_memory& prefixes() { return prefixes_; }
+  const prefix_memory& prefixes() const { return prefixes_; }
   deadline reclaim_at() const {
     return deadline(
         time_point(duration(reclaim_at_.load(std::memory_order_acquire))));
--- a/links/prefix_memory.h
+++ b/links/prefix_memory.h
@@ -17,6 +17,8 @@
  public:
   void Remember(std::uint64_t prompt_hash);
   bool Holds(std::uint64_t prompt_hash) const;
+  // Number of prompts that are remembered.
+  std::size_t size() const;
   // Forgets everything, as the upstream has when its model changes.
   void Clear();
 
--- a/test/correctness/upstream_health_test.cc
+++ b/test/correctness/upstream_health_test.cc
@@ -142,6 +142,24 @@
       }
     }
 
+    WHEN("two answers are malformed a second apart") {
+      upstream.path().RecordBadAnswer();
+      upstream.ReviewFor(seconds(1));
+
+      THEN("the second one quarantines it, for all its few requests") {
+        upstream.path().RecordBadAnswer();
+        REQUIRE(upstream.Review() == link_condition::kQuarantined);
+        REQUIRE(upstream.health().cause() == health_cause::kBadAnswers);
+      }
+
+      THEN("a good answer between them speaks for it") {
+        upstream.Answer(milliseconds(20));
+        upstream.Review();
+        upstream.path().RecordBadAnswer();
+        REQUIRE(upstream.Review() == link_condition::kHealthy);
+      }
+    }
+
     WHEN("several answers are malformed or mismatched") {
       upstream.path().RecordBadAnswer();
       upstream.path().RecordBadAnswer();
