Show that each check on the chunks of an answer is needed

Cause: The checks on request id, index, finish reason, usage and model version were tested, but not that each one is needed.

--- a/links/answer_check.h
+++ b/links/answer_check.h
@@ -3,6 +3,7 @@
 #ifndef LINKS_ANSWER_CHECK_H_
 #define LINKS_ANSWER_CHECK_H_
 
+#include <concepts>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -35,12 +36,39 @@
   kAfterFinish,    // A token after the end of the answer.
 };
 
+// Which checks are made, as compile-time constants, so that tests can show
+// that each one is needed.
+template <typename Policy>
+concept answer_policy = requires {
+  { Policy::kRequestId } -> std::convertible_to<bool>;
+  { Policy::kTokenIndex } -> std::convertible_to<bool>;
+  { Policy::kFinishReason } -> std::convertible_to<bool>;
+  { Policy::kUsage } -> std::convertible_to<bool>;
+  { Policy::kModelVersion } -> std::convertible_to<bool>;
+};
+
+// Every check; what anvilloom runs with.
+struct full_answer_policy {
+  // A chunk must carry the id of the request.
+  static constexpr bool kRequestId = true;
+  // A token must have the index after the one before it.
+  static constexpr bool kTokenIndex = true;
+  // An answer is complete only with a finish reason, and has no token after it.
+  static constexpr bool kFinishReason = true;
+  // An answer is complete only with as many tokens as its usage says.
+  static constexpr bool kUsage = true;
+  // All chunks of an answer must come from one model version.
+  static constexpr bool kModelVersion = true;
+};
+
 // Follows one attempt at a stream. Not thread-safe.
-class answer_check {
+template <answer_policy Policy>
+class basic_answer_check {
  public:
   // `first_index` is the index of the first token expected, above zero when an
   // attempt resumes a stream.
-  answer_check(std::string_view request_id, std::uint32_t first_index);
+  basic_answer_check(std::string_view request_id, std::uint32_t first_index)
+      : request_id_(request_id), next_index_(first_index) {}
 
   chunk_verdict Observe(const answer_chunk& chunk);
 
@@ -51,6 +79,9 @@
   std::string_view model_version() const { return model_version_; }
 
  private:
+  // The verdict on the token of a chunk.
+  chunk_verdict ObserveToken(std::uint32_t index);
+
   std::string request_id_;
   std::string model_version_;
   std::uint32_t next_index_;
@@ -58,6 +89,56 @@
   std::optional<std::uint32_t> reported_tokens_;
 };
 
+using answer_check = basic_answer_check<full_answer_policy>;
+
+template <answer_policy Policy>
+chunk_verdict basic_answer_check<Policy>::Observe(const answer_chunk& chunk) {
+  if (Policy::kRequestId && chunk.request_id != request_id_) {
+    return chunk_verdict::kWrongRequest;
+  }
+  if (!chunk.model_version.empty()) {
+    if (model_version_.empty()) {
+      model_version_ = chunk.model_version;
+    } else if (Policy::kModelVersion && model_version_ != chunk.model_version) {
+      return chunk_verdict::kVersionChange;
+    }
+  }
+  if (chunk.token_index) {
+    const chunk_verdict verdict = ObserveToken(*chunk.token_index);
+    if (verdict != chunk_verdict::kAccept) {
+      return verdict;
+    }
+  }
+  if (chunk.finished) {
+    finished_ = true;
+  }
+  if (chunk.reported_tokens) {
+    reported_tokens_ = chunk.reported_tokens;
+  }
+  return chunk_verdict::kAccept;
+}
+
+template <answer_policy Policy>
+chunk_verdict basic_answer_check<Policy>::ObserveToken(std::uint32_t index) {
+  if (Policy::kTokenIndex && index < next_index_) {
+    return chunk_verdict::kDuplicate;
+  }
+  if (Policy::kFinishReason && finished_) {
+    return chunk_verdict::kAfterFinish;
+  }
+  if (Policy::kTokenIndex && index > next_index_) {
+    return chunk_verdict::kGap;
+  }
+  ++next_index_;
+  return chunk_verdict::kAccept;
+}
+
+template <answer_policy Policy>
+bool basic_answer_check<Policy>::complete() const {
+  return (!Policy::kFinishReason || finished_) &&
+         (!Policy::kUsage || reported_tokens_ == next_index_);
+}
+
 }  // namespace anvilloom
 
 #endif  // LINKS_ANSWER_CHECK_H_
