Test two pairs of faults with real processes

Cause: Faults were tested one at a time, though two may come together.

Change: fault_pairs_test reclaims the busiest engine while the object API is killed or paused, and kills an engine before, during and after the hand-over of its streams to another entry instance.

No mechanism was switched off for this test.

--- /dev/null
+++ b/test/error/fault_pairs_test.cc
@@ -0,0 +1,112 @@
+// Guards against two faults at once, each of which is survived alone: a
+// mechanism must not depend on a part that the other fault has taken away.
+
+#include <signal.h>
+
+#include <catch2/catch.hpp>
+#include <future>
+#include <iostream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "test/support/stream_world.h"
+#include "test/support/three_entries.h"
+
+namespace anvilloom {
+
+namespace {
+
+constexpr std::uint32_t kTokens = 300;
+
+std::string Prompt(std::size_t number) {
+  return "caller " + std::to_string(number);
+}
+
+}  // namespace
+
+SCENARIO("An engine is reclaimed while the object API is down",
+         "[fault_pairs]") {
+  GIVEN("streams on three engines, and an object API that is gone") {
+    stream_world_options options;
+    options.engines.resize(3);
+    stream_world world(options);
+    world.AnswerOnceEach();
+    std::vector<std::future<streamed_answer>> answers;
+    for (std::size_t i = 0; i < 8; ++i) {
+      answers.push_back(world.StreamAside(Prompt(i), kTokens));
+    }
+    REQUIRE(world.AwaitTokens(10));
+    const bool killed = GENERATE(true, false);
+    if (killed) {
+      world.system().process("objects").Kill();
+    } else {
+      world.system().process("objects").Pause();
+    }
+
+    WHEN("the busiest engine gets a notice and is killed at its end") {
+      const std::size_t leaving = world.BusiestEngine();
+      REQUIRE(leaving != 0);
+      world.GiveNotice(leaving, 2000);
+      REQUIRE(Eventually([&] { return world.Condition(leaving) == "leaving"; },
+                         std::chrono::seconds(2)));
+      std::this_thread::sleep_for(std::chrono::seconds(2));
+      world.engine(leaving).Kill();
+
+      THEN("its streams have moved, all are whole, and new ones are served") {
+        for (std::size_t i = 0; i < answers.size(); ++i) {
+          const streamed_answer answer = answers[i].get();
+          CAPTURE(i, answer.status);
+          REQUIRE(answer.ended);
+          REQUIRE(answer.consecutive);
+          REQUIRE(answer.text == ExpectedAnswer(Prompt(i), kTokens));
+        }
+        const double moved = world.Metric("streams_moved_by_export_total") +
+                             world.Metric("streams_moved_by_prefill_total");
+        REQUIRE(moved > 0);
+        std::cout << "killed=" << killed << " moved=" << moved
+                  << " recomputed=" << world.Metric("recomputed_tokens_total")
+                  << '\n';
+        const streamed_answer later = world.Stream("later", 10);
+        REQUIRE(later.ended);
+        REQUIRE(later.text == ExpectedAnswer("later", 10));
+      }
+    }
+  }
+}
+
+SCENARIO("An engine dies during a hand-over", "[fault_pairs]") {
+  GIVEN("streams at an instance that stops") {
+    three_entries entries("5000");
+    std::vector<std::future<followed_stream>> followed;
+    for (std::size_t i = 0; i < 8; ++i) {
+      followed.push_back(
+          entries.Follow({entries.a(), entries.c()}, Prompt(i), kTokens));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    const std::string dying = GENERATE("e1", "e2");
+
+    WHEN("it is told to stop and an engine is killed while it hands over") {
+      // 0: before any offer; 150 ms: just after the grace time of 100 ms, when
+      // the offers are made; 400 ms: after the streams were taken over.
+      const int delay_ms = GENERATE(0, 150, 400);
+      entries.system().process("entry-a").Signal(SIGTERM);
+      std::this_thread::sleep_for(std::chrono::milliseconds(delay_ms));
+      entries.system().process(dying).Kill();
+      const int exit_code = entries.system().process("entry-a").Wait();
+
+      THEN("every caller gets each token once") {
+        for (std::size_t i = 0; i < followed.size(); ++i) {
+          const followed_stream stream = followed[i].get();
+          CAPTURE(dying, delay_ms, i, stream.status, stream.reconnects);
+          REQUIRE(stream.ended);
+          REQUIRE(stream.text == ExpectedAnswer(Prompt(i), kTokens));
+          REQUIRE(stream.misplaced == 0);
+        }
+        REQUIRE(exit_code == 0);
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
