--- a/entry/admin_handler.cc
+++ b/entry/admin_handler.cc
@@ -39,6 +39,7 @@
 json::value DumpLink(const upstream& target,
                      const link& path,
                      const live_member* owner,
+                     std::size_t cached_prefixes,
                      time_point now) {
   const bool reported = path.reported_at() != time_point{};
   return {{"upstream", target.name},
@@ -56,7 +57,8 @@
           {"prefill_us_per_token", path.prefill_us_per_token()},
           {"first_token_us", path.first_token_average().count()},
           {"token_interval_us", path.token_interval_average().count()},
-          {"failures_in_a_row", path.failures_in_a_row()}};
+          {"failures_in_a_row", path.failures_in_a_row()},
+          {"cached_prefixes", cached_prefixes}};
 }
 
 json::array DumpStreams(const worker& holder) {
@@ -218,7 +220,7 @@
       links.push_back(DumpLink(
           target, *world.links()[i],
           owners->second.OwnerOf(Hash64(target.name), target.host.domain()),
-          now));
+          process_.policy.CountCached(*world.links()[i]), now));
     }
   }
   dump["links"] = std::move(links);
--- a/links/least_cost.cc
+++ b/links/least_cost.cc
@@ -399,6 +399,11 @@
       });
 }
 
+std::size_t least_cost::CountCached(const link& path) const {
+  return locations_.Count(Hash64(path.upstream_name()),
+                          path.cache_trusted_since());
+}
+
 void least_cost::ObserveReclaim(std::string_view domain, time_point now) {
   const std::size_t slot =
       static_cast<std::uint32_t>(Hash64(domain)) % kDomainSlots;
--- a/links/least_cost.h
+++ b/links/least_cost.h
@@ -70,6 +70,9 @@
   // Whether the upstream of `path` is thought to cache the prefix, by what was
   // recorded since its cache was last distrusted.
   bool IsCached(std::uint64_t prefix_hash, const link& path) const;
+  // Number of prefixes for which IsCached() holds. Walks the whole table, so it
+  // is for the state dump only.
+  std::size_t CountCached(const link& path) const;
   // Records a reclaim notice in a failure domain: others there are likelier to
   // follow, since reclaims come in waves.
   void ObserveReclaim(std::string_view domain, time_point now);
--- a/links/prefix_locations.cc
+++ b/links/prefix_locations.cc
@@ -32,6 +32,13 @@
   return entry & kFieldMask;
 }
 
+prefix_location Unpack(std::uint64_t entry) {
+  return {static_cast<std::uint32_t>((entry >> kUpstreamShift) & kFieldMask),
+          time_point(std::chrono::seconds(
+                         static_cast<std::int64_t>(SecondsPart(entry))) -
+                     std::chrono::seconds(1))};
+}
+
 }  // namespace
 
 bool MatchesUpstream(const prefix_location& location, std::uint64_t name_hash) {
@@ -86,17 +93,29 @@
   for (const std::atomic<std::uint64_t>& slot : BucketOf(prefix_hash).entries) {
     const std::uint64_t entry = slot.load(std::memory_order_relaxed);
     if (entry != 0 && entry >> kPrefixShift == wanted) {
-      found[count].upstream_tag =
-          static_cast<std::uint32_t>((entry >> kUpstreamShift) & kFieldMask);
-      found[count].seen_at = time_point(
-          std::chrono::seconds(static_cast<std::int64_t>(SecondsPart(entry))) -
-          std::chrono::seconds(1));
+      found[count] = Unpack(entry);
       ++count;
     }
   }
   return std::span(found).first(count);
 }
 
+std::size_t prefix_locations::Count(std::uint64_t name_hash,
+                                    time_point since) const {
+  std::size_t count = 0;
+  for (std::size_t i = 0; i <= mask_; ++i) {
+    for (const std::atomic<std::uint64_t>& slot : buckets_[i].entries) {
+      const std::uint64_t entry = slot.load(std::memory_order_relaxed);
+      const prefix_location seen = Unpack(entry);
+      if (entry != 0 && MatchesUpstream(seen, name_hash) &&
+          seen.seen_at >= since) {
+        ++count;
+      }
+    }
+  }
+  return count;
+}
+
 prefix_locations::bucket& prefix_locations::BucketOf(
     std::uint64_t prefix_hash) const {
   return buckets_[prefix_hash & mask_];
--- a/links/prefix_locations.h
+++ b/links/prefix_locations.h
@@ -47,6 +47,9 @@
   std::span<const prefix_location> Find(std::uint64_t prefix_hash,
                                         found_locations& found) const;
 
+  // Prefixes of the upstream with this hash that were seen since `since`.
+  std::size_t Count(std::uint64_t name_hash, time_point since) const;
+
  private:
   // 64 KiB of hints cover 8,192 prefixes.
   static constexpr std::size_t kDefaultBuckets = 1024;
