Refuse plain answers whose length is in doubt

Cause: an answer without Content-Length or chunks ends with its connection, so one that was cut looked whole. An answer longer than its Content-Length was passed on cut, and its surplus bytes stayed on the pooled connection, in front of the next answer. A reused connection that closed within the header of an answer was taken for a stale one, and the call was sent again outside the retry budget.

Change: http_client::Exchange fails with kMalformed in both cases. A connection with unread bytes is neither pooled nor taken from the pool. A connection counts as stale only if no byte of an answer has arrived. The plain service stand-in takes the faults truncate, cut_header, wrong_length and no_length.

Surplus bytes that arrive after the next call has begun cannot be told apart.

--- a/standins/fault_switch.cc
+++ b/standins/fault_switch.cc
@@ -24,7 +24,7 @@
   fault_action action;
 };
 
-constexpr std::array<action_name, 10> kActionNames = {{
+constexpr std::array<action_name, 13> kActionNames = {{
     {"refuse", fault_action::kRefuse},
     {"drop_before", fault_action::kDropBefore},
     {"drop_after", fault_action::kDropAfter},
@@ -35,6 +35,9 @@
     {"duplicate", fault_action::kDuplicate},
     {"gap", fault_action::kGap},
     {"malformed", fault_action::kMalformed},
+    {"cut_header", fault_action::kCutHeader},
+    {"wrong_length", fault_action::kWrongLength},
+    {"no_length", fault_action::kNoLength},
 }};
 
 std::optional<fault_action> FindAction(std::string_view name) {
--- a/standins/fault_switch.h
+++ b/standins/fault_switch.h
@@ -25,6 +25,10 @@
   kDuplicate,  // Token `after` is sent twice.
   kGap,        // Token `after` is left out.
   kMalformed,  // Token `after` is not JSON.
+  // Of plain services, where `after` counts bytes:
+  kCutHeader,    // The connection closes after that much of the header.
+  kWrongLength,  // The Content-Length is `after`; the connection stays open.
+  kNoLength,     // No Content-Length; the connection closes within the body.
 };
 
 // One scripted fault.
@@ -36,7 +40,7 @@
   // Requests left before the rule is used up.
   std::uint32_t count = 1;
   std::uint32_t delay_ms = 0;
-  // Position in the answer, in tokens.
+  // Position in the answer, in tokens; in bytes at plain services.
   std::uint32_t after = 0;
 };
 
--- a/standins/plain_service.cc
+++ b/standins/plain_service.cc
@@ -3,6 +3,8 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
+#include <optional>
+#include <string>
 
 namespace anvilloom {
 
@@ -12,6 +14,42 @@
 
 constexpr std::string_view kJsonType = "application/json";
 
+std::string Header(std::optional<std::size_t> content_length) {
+  std::string header = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+  if (content_length) {
+    header += "Content-Length: " + std::to_string(*content_length) + "\r\n";
+  }
+  return header + "\r\n";
+}
+
+// Whether the answer was spoiled by the fault and written.
+awaitable<bool> WriteSpoiled(http_exchange& exchange,
+                             const fault_rule& fault,
+                             const std::string& body) {
+  std::string bytes;
+  switch (fault.action) {
+    case fault_action::kTruncate:
+      bytes = Header(body.size()) + body.substr(0, fault.after);
+      break;
+    case fault_action::kCutHeader:
+      bytes = Header(body.size()).substr(0, fault.after);
+      break;
+    case fault_action::kWrongLength:
+      bytes = Header(fault.after) + body;
+      break;
+    case fault_action::kNoLength:
+      bytes = Header(std::nullopt) + body.substr(0, fault.after);
+      break;
+    default:
+      co_return false;
+  }
+  co_await exchange.WriteRaw(bytes);
+  if (fault.action != fault_action::kWrongLength) {
+    exchange.Abort();
+  }
+  co_return true;
+}
+
 }  // namespace
 
 awaitable<void> plain_service::Handle(http_exchange& exchange,
@@ -55,12 +93,15 @@
     exchange.Abort();
     co_return;
   }
-  const json::value answer = {{"path", std::string(exchange.path())},
+  const json::value fields = {{"path", std::string(exchange.path())},
                               {"key", key},
                               {"run", count},
                               {"echo", exchange.request().body()}};
-  co_await exchange.Respond(http_status::ok, kJsonType,
-                            json::serialize(answer));
+  const std::string answer = json::serialize(fields);
+  if (fault && co_await WriteSpoiled(exchange, *fault, answer)) {
+    co_return;
+  }
+  co_await exchange.Respond(http_status::ok, kJsonType, answer);
 }
 
 }  // namespace anvilloom
--- a/standins/plain_service.h
+++ b/standins/plain_service.h
@@ -15,7 +15,8 @@
 
 // A handler for http_server. Thread-safe. Runs are counted by the
 // Idempotency-Key header and listed at /runs. Takes the faults refuse, delay,
-// hang, drop_before and drop_after.
+// hang, drop_before and drop_after, and after the run truncate, cut_header,
+// wrong_length and no_length.
 class plain_service {
  public:
   awaitable<void> Handle(http_exchange& exchange, std::size_t thread);
--- a/wire/http_client.cc
+++ b/wire/http_client.cc
@@ -77,7 +77,20 @@
 
   bool AnswerEnded() const { return parser_ && parser_->is_done(); }
 
-  bool Reusable() const { return AnswerEnded() && parser_->get().keep_alive(); }
+  // Whether bytes have arrived that belong to no answer. The next answer would
+  // begin with them.
+  bool HasExcess() const {
+    boost::system::error_code ignored;
+    return stream_.socket().available(ignored) > 0 || buffer_.size() > 0;
+  }
+
+  // Whether the end of the answer shows only in the end of the connection, so
+  // that an answer that was cut looks like a whole one.
+  bool EndIsUnmarked() const { return parser_->need_eof(); }
+
+  bool Reusable() const {
+    return AnswerEnded() && parser_->get().keep_alive() && !HasExcess();
+  }
 
   awaitable<transfer_result<std::string_view>> ReadSome(deadline until) {
     // A read may bring no body, for example only the header of a chunk.
@@ -116,13 +129,15 @@
 
   std::unique_ptr<http_connection> Take(std::string_view address) {
     const auto found = idle_.find(address);
-    if (found == idle_.end() || found->second.empty()) {
-      return nullptr;
+    while (found != idle_.end() && !found->second.empty()) {
+      std::unique_ptr<http_connection> taken = std::move(found->second.back());
+      found->second.pop_back();
+      if (!taken->HasExcess()) {
+        taken->MarkReused();
+        return taken;
+      }
     }
-    std::unique_ptr<http_connection> taken = std::move(found->second.back());
-    found->second.pop_back();
-    taken->MarkReused();
-    return taken;
+    return nullptr;
   }
 
   void Put(std::unique_ptr<http_connection> connection) {
@@ -245,6 +260,7 @@
   }
   const transfer_failure failure{ErrorKind(error), true};
   const bool stale = connection->reused() && received == 0 &&
+                     connection->buffer().size() == 0 &&
                      failure.error == transfer_error::kClosed;
   if (stale) {
     co_return co_await SendAndReadHeader(address, request, until,
@@ -276,6 +292,9 @@
   if (!connection) {
     co_return connection.error();
   }
+  if ((*connection)->EndIsUnmarked()) {
+    co_return transfer_failure{transfer_error::kMalformed, true};
+  }
   http_response response;
   response.base() = (*connection)->parser().get().base();
   for (;;) {
@@ -288,6 +307,10 @@
     }
     response.body().append(*piece);
   }
+  if ((*connection)->HasExcess()) {
+    // The server sent more than it announced, so what was read may be cut.
+    co_return transfer_failure{transfer_error::kMalformed, true};
+  }
   if ((*connection)->Reusable()) {
     pool_->Put(std::move(*connection));
   }
--- a/wire/http_client.h
+++ b/wire/http_client.h
@@ -67,7 +67,9 @@
   explicit http_client(boost::asio::any_io_executor executor,
                        const http_client_limits& limits = {});
 
-  // Sends `request` to `address` and reads the whole answer. With kPooled, a
+  // Sends `request` to `address` and reads the whole answer. An answer that
+  // ends before its announced length, is followed by further bytes or gives no
+  // length fails, since it may have been cut. With kPooled, a
   // request whose reused connection closes before any byte of an answer is
   // sent once more on a fresh one. If the first byte has not left before
   // `send_by`, nothing is sent and the call fails with `sent` false.
--- a/wire/http_exchange.cc
+++ b/wire/http_exchange.cc
@@ -129,6 +129,14 @@
   co_return Note(!error);
 }
 
+awaitable<bool> http_exchange::WriteRaw(std::string_view bytes) {
+  responded_ = true;
+  stream_.expires_after(limits_.write_limit);
+  const auto [error, written] = co_await net::async_write(
+      stream_, net::buffer(bytes.data(), bytes.size()), kAwaitTuple);
+  co_return Note(!error);
+}
+
 void http_exchange::Abort() {
   responded_ = true;
   broken_ = true;
--- a/wire/http_exchange.h
+++ b/wire/http_exchange.h
@@ -71,6 +71,10 @@
   awaitable<bool> WriteChunk(std::string_view bytes);
   awaitable<bool> EndStream();
 
+  // Writes bytes in place of an answer, as they are. Stand-ins use it for
+  // answers that are not valid.
+  awaitable<bool> WriteRaw(std::string_view bytes);
+
   // Closes the connection without an answer, or in the middle of one. Stand-ins
   // use it to lose an answer.
   void Abort();
--- a/wire/transfer.h
+++ b/wire/transfer.h
@@ -14,7 +14,7 @@
   kRefused,     // No connection could be opened.
   kTimedOut,    // The deadline passed.
   kClosed,      // The peer closed the connection before the answer ended.
-  kMalformed,   // The answer is not valid HTTP.
+  kMalformed,   // The answer is not valid HTTP, or its length is in doubt.
   kTooLarge,    // The answer exceeds the limit.
 };
 
