Log a numbered event when a handler throws

Cause: http_server caught the exception of a handler and answered 500 or closed the connection without a log line, so the fault could not be found. Anything that is not a std::exception would have ended the process.

Change: E105 handler_failed with method, path and cause; the query is left out. Other exceptions are caught too, with the cause "unknown".

Conclusion: every caller that gets the 500 of a failed handler has a line.

--- a/common/log.cc
+++ b/common/log.cc
@@ -51,6 +51,8 @@
       return "stopped";
     case log_event::kStartFailed:
       return "start_failed";
+    case log_event::kHandlerFailed:
+      return "handler_failed";
     case log_event::kConfigurationInForce:
       return "configuration_in_force";
     case log_event::kConfigurationRefused:
--- a/common/log.h
+++ b/common/log.h
@@ -17,6 +17,7 @@
   kDraining = 102,
   kStopped = 103,
   kStartFailed = 104,
+  kHandlerFailed = 105,
   kConfigurationInForce = 200,
   kConfigurationRefused = 201,
   kObjectApiUnavailable = 202,
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -15,8 +15,10 @@
 #include <boost/beast/http/read.hpp>
 #include <exception>
 #include <optional>
+#include <string>
 #include <utility>
 
+#include "common/log.h"
 #include "wire/endpoint.h"
 
 namespace anvilloom {
@@ -127,6 +129,14 @@
   return path ? std::nullopt : std::optional(http_status::bad_request);
 }
 
+// The query is left out, since it may hold what must not be logged.
+void LogHandlerFailure(const http_exchange& exchange, std::string_view cause) {
+  Log(log_level::kError, log_event::kHandlerFailed,
+      {{"method", std::string(exchange.request().method_string())},
+       {"path", std::string(exchange.path())},
+       {"cause", std::string(cause)}});
+}
+
 // Tells a client that waits for it to send the body.
 awaitable<bool> SendContinue(boost::beast::tcp_stream& stream) {
   const auto [error, bytes] = co_await net::async_write(
@@ -273,8 +283,12 @@
   bool failed = false;
   try {
     co_await handler_(exchange, thread);
-  } catch (const std::exception&) {
+  } catch (const std::exception& failure) {
+    failed = true;
+    LogHandlerFailure(exchange, failure.what());
+  } catch (...) {
     failed = true;
+    LogHandlerFailure(exchange, "unknown");
   }
   if (failed && exchange.responded()) {
     exchange.Abort();
