--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -5,6 +5,7 @@
 #include <boost/leaf/error.hpp>
 #include <fstream>
 #include <iterator>
+#include <utility>
 
 #include "wire/endpoint.h"
 #include "wire/json_text.h"
@@ -73,7 +74,7 @@
     }
     const auto text = StringMember(settings_, key);
     if (!text) {
-      Fail(settings_fault_kind::kWrongType, key);
+      Fail(settings_fault_kind::kWrongType, key, "a text");
       return;
     }
     into = *text;
@@ -95,7 +96,9 @@
     }
     const auto number = UnsignedMember(settings_, key);
     if (!number || *number < least || *number > most) {
-      Fail(settings_fault_kind::kWrongType, key);
+      Fail(settings_fault_kind::kWrongType, key,
+           "a whole number from " + std::to_string(least) + " to " +
+               std::to_string(most));
       return;
     }
     into = *number;
@@ -107,7 +110,8 @@
       return;
     }
     if (!member->is_array()) {
-      Fail(settings_fault_kind::kWrongType, key);
+      Fail(settings_fault_kind::kWrongType, key,
+           "a list of IP addresses and ports");
       return;
     }
     for (const json::value& each : member->get_array()) {
@@ -125,15 +129,18 @@
     }
     const auto flag = BoolMember(settings_, key);
     if (!flag) {
-      Fail(settings_fault_kind::kWrongType, key);
+      Fail(settings_fault_kind::kWrongType, key, "true or false");
       return;
     }
     into = *flag;
   }
 
-  void Fail(settings_fault_kind kind, std::string_view key) {
+  void Fail(settings_fault_kind kind,
+            std::string_view key,
+            std::string expected = {}) {
     if (!failed_) {
-      fault_ = {kind, std::string(file_), std::string(key)};
+      fault_ = {kind, std::string(file_), std::string(key),
+                std::move(expected)};
       failed_ = true;
     }
   }
@@ -165,7 +172,7 @@
     return;
   }
   if (!limits->is_object()) {
-    reader.Fail(settings_fault_kind::kWrongType, kLimits);
+    reader.Fail(settings_fault_kind::kWrongType, kLimits, "an object");
     return;
   }
   member_reader inner(*limits, file);
@@ -188,7 +195,8 @@
   }
   if (inner.failed()) {
     reader.Fail(inner.fault().kind,
-                std::string(kLimits) + "/" + inner.fault().key);
+                std::string(kLimits) + "/" + inner.fault().key,
+                inner.fault().expected);
   }
 }
 
@@ -219,7 +227,7 @@
     case settings_fault_kind::kMissingKey:
       return place + " lacks " + key + ".";
     case settings_fault_kind::kWrongType:
-      return place + " has a value of the wrong type or range for " + key + ".";
+      return place + " must give " + fault.expected + " for " + key + ".";
     case settings_fault_kind::kBadAddress:
       return place + " must give an IP address and a port for " + key + ".";
     case settings_fault_kind::kBadName:
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -60,6 +60,8 @@
   settings_fault_kind kind;
   std::string file;
   std::string key;
+  // What a value of the wrong type or range should be, for example "an object".
+  std::string expected = {};
 };
 
 // A full sentence that names the file, the key and what was expected.
