--- a/standins/object_api.cc
+++ b/standins/object_api.cc
@@ -7,6 +7,7 @@
 #include <boost/json/serialize.hpp>
 #include <charconv>
 #include <chrono>
+#include <utility>
 
 #include "wire/json_text.h"
 
@@ -131,17 +132,44 @@
           EncodeObject(name, found->second.version, found->second.value)};
 }
 
+std::optional<object_api::reply> object_api::ReadValue(
+    const std::optional<json::value>& parsed,
+    std::string& text) {
+  const json::value* value = parsed ? FindMember(*parsed, "value") : nullptr;
+  if (value == nullptr) {
+    return reply{http_status::bad_request, "{}"};
+  }
+  text = json::serialize(*value);
+  if (text.size() > kMaxValueBytes) {
+    return reply{http_status::payload_too_large, "{}"};
+  }
+  return std::nullopt;
+}
+
+std::optional<object_api::reply> object_api::RefuseChange(
+    const object_map& objects,
+    std::string_view name,
+    std::uint64_t version) {
+  const auto found = objects.find(std::string(name));
+  if (found == objects.end()) {
+    return reply{http_status::not_found, "{}"};
+  }
+  if (found->second.version != version) {
+    return reply{http_status::conflict, "{}"};
+  }
+  return std::nullopt;
+}
+
 object_api::reply object_api::Create(std::string_view kind,
                                      std::string_view body) {
   const auto parsed = ParseJson(body);
   const auto name = parsed ? StringMember(*parsed, "name") : std::nullopt;
-  const json::value* value = parsed ? FindMember(*parsed, "value") : nullptr;
-  if (!name || value == nullptr) {
+  if (!name) {
     return {http_status::bad_request, "{}"};
   }
-  std::string text = json::serialize(*value);
-  if (text.size() > kMaxValueBytes) {
-    return {http_status::payload_too_large, "{}"};
+  std::string text;
+  if (auto refused = ReadValue(parsed, text)) {
+    return std::move(*refused);
   }
   const std::lock_guard lock(mutex_);
   auto& objects = kinds_[std::string(kind)];
@@ -159,27 +187,19 @@
                                      std::string_view name,
                                      std::uint64_t version,
                                      std::string_view body) {
-  const auto parsed = ParseJson(body);
-  const json::value* value = parsed ? FindMember(*parsed, "value") : nullptr;
-  if (value == nullptr) {
-    return {http_status::bad_request, "{}"};
-  }
-  std::string text = json::serialize(*value);
-  if (text.size() > kMaxValueBytes) {
-    return {http_status::payload_too_large, "{}"};
+  std::string text;
+  if (auto refused = ReadValue(ParseJson(body), text)) {
+    return std::move(*refused);
   }
   const std::lock_guard lock(mutex_);
   auto& objects = kinds_[std::string(kind)];
-  const auto found = objects.find(std::string(name));
-  if (found == objects.end()) {
-    return {http_status::not_found, "{}"};
-  }
-  if (found->second.version != version) {
-    return {http_status::conflict, "{}"};
+  if (auto refused = RefuseChange(objects, name, version)) {
+    return std::move(*refused);
   }
   ++version_;
-  found->second = {version_, std::move(text)};
-  Record(kind, "put", name, found->second);
+  held_object& updated = objects[std::string(name)];
+  updated = {version_, std::move(text)};
+  Record(kind, "put", name, updated);
   return {http_status::ok, EncodeVersion(version_)};
 }
 
@@ -188,16 +208,12 @@
                                      std::uint64_t version) {
   const std::lock_guard lock(mutex_);
   auto& objects = kinds_[std::string(kind)];
-  const auto found = objects.find(std::string(name));
-  if (found == objects.end()) {
-    return {http_status::not_found, "{}"};
-  }
-  if (found->second.version != version) {
-    return {http_status::conflict, "{}"};
+  if (auto refused = RefuseChange(objects, name, version)) {
+    return std::move(*refused);
   }
   ++version_;
   Record(kind, "delete", name, held_object{version_, "null"});
-  objects.erase(found);
+  objects.erase(std::string(name));
   return {http_status::ok, EncodeVersion(version_)};
 }
 
--- a/standins/object_api.h
+++ b/standins/object_api.h
@@ -3,6 +3,7 @@
 #ifndef STANDINS_OBJECT_API_H_
 #define STANDINS_OBJECT_API_H_
 
+#include <boost/json/value.hpp>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -26,6 +27,7 @@
     std::uint64_t version;
     std::string value;
   };
+  using object_map = std::map<std::string, held_object>;
   struct change {
     std::uint64_t version;
     std::string kind;
@@ -44,6 +46,16 @@
     std::string lines;
   };
 
+  // Reads the member "value" of a body into `text`; a refusal if there is none
+  // or it is too large.
+  static std::optional<reply> ReadValue(
+      const std::optional<boost::json::value>& parsed,
+      std::string& text);
+  // The refusal of a change to an object that is missing or has another
+  // version.
+  static std::optional<reply> RefuseChange(const object_map& objects,
+                                           std::string_view name,
+                                           std::uint64_t version);
   reply Apply(const http_exchange& exchange,
               std::string_view kind,
               std::string_view name);
@@ -67,7 +79,7 @@
   fault_switch faults_;
   std::mutex mutex_;
   std::uint64_t version_ = 1;
-  std::map<std::string, std::map<std::string, held_object>> kinds_;
+  std::map<std::string, object_map> kinds_;
   std::deque<change> changes_;
 };
 
--- a/standins/serve_main.h
+++ b/standins/serve_main.h
@@ -1,8 +1,10 @@
-// Defines ServeUntilSignal, the common main loop of the stand-in programs.
+// Defines RunStandin, the main function that the stand-in programs share.
 #ifndef STANDINS_SERVE_MAIN_H_
 #define STANDINS_SERVE_MAIN_H_
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+#include <concepts>
 #include <cstddef>
 #include <iostream>
 #include <string>
@@ -30,6 +32,35 @@
   return 0;
 }
 
+// Reads the command line into `all`, the options that a stand-in has beside
+// --help and --listen, then serves the handler that `make` returns. Returns the
+// exit code; 2 if the command line is not valid or `make` throws.
+template <std::invocable Make>
+int RunStandin(int argc,
+               char** argv,
+               boost::program_options::options_description all,
+               Make make) {
+  namespace options = boost::program_options;
+  std::string address;
+  all.add_options()("help", "Prints this text.")(
+      "listen", options::value(&address)->default_value("127.0.0.1:0"),
+      "IP address and port to listen on.");
+  try {
+    options::variables_map values;
+    options::store(options::parse_command_line(argc, argv, all), values);
+    options::notify(values);
+    if (values.contains("help")) {
+      std::cout << all;
+      return 0;
+    }
+    auto handler = make();
+    return ServeUntilSignal(address, 1, handler);
+  } catch (const std::exception& failure) {
+    std::cerr << failure.what() << '\n';
+    return 2;
+  }
+}
+
 }  // namespace anvilloom
 
 #endif  // STANDINS_SERVE_MAIN_H_
--- a/test/correctness/answer_check_test.cc
+++ b/test/correctness/answer_check_test.cc
@@ -4,73 +4,56 @@
 
 #include <catch2/catch.hpp>
 
-namespace anvilloom {
-
-namespace {
-
-answer_chunk Token(std::string_view request_id, std::uint32_t index) {
-  answer_chunk chunk;
-  chunk.request_id = request_id;
-  chunk.model_version = "v1";
-  chunk.text = "word ";
-  chunk.token_index = index;
-  return chunk;
-}
+#include "test/support/answer_chunks.h"
 
-answer_chunk Finish(std::string_view request_id, std::uint32_t tokens) {
-  answer_chunk chunk;
-  chunk.request_id = request_id;
-  chunk.model_version = "v1";
-  chunk.finished = true;
-  chunk.reported_tokens = tokens;
-  return chunk;
-}
-
-}  // namespace
+namespace anvilloom {
 
 SCENARIO("An answer is followed chunk by chunk", "[answer_check]") {
   GIVEN("a check for request r1") {
     answer_check check("r1", 0);
 
     WHEN("two tokens and the finish arrive in order") {
-      REQUIRE(check.Observe(Token("r1", 0)) == chunk_verdict::kAccept);
-      REQUIRE(check.Observe(Token("r1", 1)) == chunk_verdict::kAccept);
+      REQUIRE(check.Observe(TokenChunk("r1", 0)) == chunk_verdict::kAccept);
+      REQUIRE(check.Observe(TokenChunk("r1", 1)) == chunk_verdict::kAccept);
       REQUIRE_FALSE(check.complete());
-      REQUIRE(check.Observe(Finish("r1", 2)) == chunk_verdict::kAccept);
+      REQUIRE(check.Observe(FinishChunk("r1", 2)) == chunk_verdict::kAccept);
 
       THEN("the answer is complete") {
         REQUIRE(check.complete());
       }
       AND_WHEN("another token follows") {
         THEN("it is refused") {
-          REQUIRE(check.Observe(Token("r1", 2)) == chunk_verdict::kAfterFinish);
+          REQUIRE(check.Observe(TokenChunk("r1", 2)) ==
+                  chunk_verdict::kAfterFinish);
         }
       }
     }
 
     WHEN("a chunk of another request arrives") {
       THEN("it is told apart") {
-        REQUIRE(check.Observe(Token("r2", 0)) == chunk_verdict::kWrongRequest);
+        REQUIRE(check.Observe(TokenChunk("r2", 0)) ==
+                chunk_verdict::kWrongRequest);
       }
     }
 
     WHEN("a token is repeated") {
-      REQUIRE(check.Observe(Token("r1", 0)) == chunk_verdict::kAccept);
+      REQUIRE(check.Observe(TokenChunk("r1", 0)) == chunk_verdict::kAccept);
 
       THEN("the copy is a duplicate") {
-        REQUIRE(check.Observe(Token("r1", 0)) == chunk_verdict::kDuplicate);
+        REQUIRE(check.Observe(TokenChunk("r1", 0)) ==
+                chunk_verdict::kDuplicate);
       }
     }
 
     WHEN("a token is missing") {
       THEN("the gap is found") {
-        REQUIRE(check.Observe(Token("r1", 1)) == chunk_verdict::kGap);
+        REQUIRE(check.Observe(TokenChunk("r1", 1)) == chunk_verdict::kGap);
       }
     }
 
     WHEN("the usage counts more tokens than arrived") {
-      REQUIRE(check.Observe(Token("r1", 0)) == chunk_verdict::kAccept);
-      REQUIRE(check.Observe(Finish("r1", 2)) == chunk_verdict::kAccept);
+      REQUIRE(check.Observe(TokenChunk("r1", 0)) == chunk_verdict::kAccept);
+      REQUIRE(check.Observe(FinishChunk("r1", 2)) == chunk_verdict::kAccept);
 
       THEN("the answer is not complete") {
         REQUIRE_FALSE(check.complete());
@@ -78,8 +61,8 @@
     }
 
     WHEN("the model version changes in mid-answer") {
-      REQUIRE(check.Observe(Token("r1", 0)) == chunk_verdict::kAccept);
-      answer_chunk other = Token("r1", 1);
+      REQUIRE(check.Observe(TokenChunk("r1", 0)) == chunk_verdict::kAccept);
+      answer_chunk other = TokenChunk("r1", 1);
       other.model_version = "v2";
 
       THEN("the change is found") {
@@ -92,8 +75,8 @@
     answer_check check("r1", 5);
 
     THEN("token 5 is the next one, and token 0 a duplicate") {
-      REQUIRE(check.Observe(Token("r1", 0)) == chunk_verdict::kDuplicate);
-      REQUIRE(check.Observe(Token("r1", 5)) == chunk_verdict::kAccept);
+      REQUIRE(check.Observe(TokenChunk("r1", 0)) == chunk_verdict::kDuplicate);
+      REQUIRE(check.Observe(TokenChunk("r1", 5)) == chunk_verdict::kAccept);
     }
   }
 }
