Build a sentence of a test without temporary strings

Change: the expected sentence is appended part by part; the check is the same.

Conclusion: no change in what is tested.

--- a/test/error/operator_commands_test.cc
+++ b/test/error/operator_commands_test.cc
@@ -370,11 +370,14 @@
             system, setting(value) + R"(,"admin_listen":"127.0.0.1:0")");
         CAPTURE(run.output);
         REQUIRE(run.code == 2);
-        REQUIRE(run.output.find("The settings file " +
-                                std::string(system.folder()) +
-                                "/entry.json must give " + range +
-                                " for the key \"limits/" + key + "\".") !=
-                std::string::npos);
+        std::string sentence = "The settings file ";
+        sentence += system.folder();
+        sentence += "/entry.json must give ";
+        sentence += range;
+        sentence += " for the key \"limits/";
+        sentence += key;
+        sentence += "\".";
+        REQUIRE(run.output.find(sentence) != std::string::npos);
       }
     }
   }
