Fix the build of the claim explorer

Cause: with the warnings of the build, GCC 12 refused the designated initializer of the start state, and took the claim in an optional for uninitialized when a state is moved, which it is not. Change: a state has a constructor, and states share the claim by a pointer. Conclusion: builds without warnings.

--- a/test/support/claim_explorer.h
+++ b/test/support/claim_explorer.h
@@ -131,7 +131,7 @@
 };
 
 struct held_claim {
-  std::uint64_t version;
+  std::uint64_t version = 0;
   claim_record record;
 };
 
@@ -144,8 +144,11 @@
 
 template <claim_policy Policy>
 struct world_state {
+  explicit world_state(std::size_t attempt_count) : attempts(attempt_count) {}
+
   ticks now = 0;
-  std::optional<held_claim> claim;
+  // Shared, as most steps leave it as it is. Null if there is none.
+  std::shared_ptr<const held_claim> claim;
   std::uint64_t last_version = 0;
   std::vector<late_write> late;
   attempt_list<Policy> attempts;
@@ -213,7 +216,7 @@
   print.Add(world.now).Add(world.last_version).Add(world.faults);
   print.Add(world.sends);
   print.Add(world.closed_at);
-  print.Add(world.released).Add(world.claim.has_value());
+  print.Add(world.released).Add(world.claim != nullptr);
   if (world.claim) {
     print.Add(world.claim->version).Add(world.claim->record);
   }
@@ -244,7 +247,7 @@
   explicit claim_explorer(const exploration& limits) : limits_(limits) {}
 
   findings Run() {
-    world start{.attempts = attempt_list<Policy>(limits_.patience.size())};
+    world start(limits_.patience.size());
     start.faults = limits_.faults;
     Visit(std::move(start));
     while (!open_.empty() && found_.first == violation::kNone) {
@@ -521,7 +524,8 @@
       return {written::kConflict};
     }
     NoteTransition(next, write.record);
-    next.claim = held_claim{++next.last_version, write.record};
+    next.claim = std::make_shared<const held_claim>(
+        held_claim{++next.last_version, write.record});
     return {written::kApplied, next.last_version};
   }
 
