Wait for the results of claims in a planned stop

Cause: an entry instance that could not store a claim's result answers its caller and goes on trying in the background. A planned stop did not wait for that, so the claim stayed open and a duplicate was told "unknown" although the operation had run and its answer was known. Change: unfinished_work counts requests and such writes alike; the stop waits for both, up to its deadline. Before: with the earlier program the new scenario of claim_faults_test fails, as no claim is "done" after the stop. Conclusion: a planned stop loses no result while the store comes back in time.

--- a/entry/claim_runner.h
+++ b/entry/claim_runner.h
@@ -2,6 +2,7 @@
 #ifndef ENTRY_CLAIM_RUNNER_H_
 #define ENTRY_CLAIM_RUNNER_H_
 
+#include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,6 +10,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <concepts>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,6 +20,7 @@
 #include "common/log.h"
 #include "common/time.h"
 #include "contracts/claim_attempt.h"
+#include "entry/unfinished_work.h"
 #include "wire/claim_json.h"
 #include "wire/object_store.h"
 #include "wire/steady_clock.h"
@@ -55,10 +58,13 @@
 template <object_store Store, clock_source Clock>
 class claim_runner {
  public:
-  // `name` is the name of the claim object. All references must outlive the
-  // runner.
-  claim_runner(Store& store, const Clock& clock, std::string_view name)
-      : store_(store), clock_(clock), name_(name) {}
+  // `name` is the name of the claim object. What goes on in the background is
+  // counted in `unfinished`. All references must outlive the runner.
+  claim_runner(Store& store,
+               const Clock& clock,
+               std::atomic<std::uint32_t>& unfinished,
+               std::string_view name)
+      : store_(store), clock_(clock), unfinished_(unfinished), name_(name) {}
 
   // Reads the claim without acquiring it.
   awaitable<claim_reading> Read(deadline answer_by) {
@@ -68,7 +74,7 @@
   }
 
   // Runs the attempt until its caller can be told. What is left to store after
-  // that goes on in the background; the store and the clock must outlive it.
+  // that goes on in the background; the references must outlive it too.
   // `answer_by` bounds every wait before the send.
   template <claim_sender Send>
   awaitable<claim_verdict> Run(claim_identity identity,
@@ -104,9 +110,11 @@
     LogClaimEnd(name_, attempt.progress(), verdict);
     auto more = attempt.FollowUp(clock_.Now());
     if (more) {
+      const auto executor = co_await boost::asio::this_coro::executor;
       boost::asio::co_spawn(
-          co_await boost::asio::this_coro::executor,
-          FollowUp(*this, std::move(attempt), std::move(*more)),
+          executor,
+          FollowUp(*this, std::move(attempt), std::move(*more),
+                   unfinished_work(unfinished_)),
           boost::asio::detached);
     }
     co_return verdict;
@@ -115,7 +123,8 @@
   // Works on a copy of the runner, since the call has ended.
   static awaitable<void> FollowUp(claim_runner self,
                                   claim_attempt<> attempt,
-                                  claim_effect next) {
+                                  claim_effect next,
+                                  unfinished_work /*counted*/) {
     while (!std::holds_alternative<tell_answer>(next) &&
            !std::holds_alternative<tell_refusal>(next)) {
       next = co_await self.Perform(attempt, std::move(next), deadline::Never());
@@ -183,6 +192,7 @@
 
   Store& store_;
   const Clock& clock_;
+  std::atomic<std::uint32_t>& unfinished_;
   std::string name_;
 };
 
--- a/entry/plain_handler.cc
+++ b/entry/plain_handler.cc
@@ -244,7 +244,8 @@
     request.set("Idempotency-Key", operation->name);
   }
   claimed_send send(self, target, std::move(request), tell_by);
-  claim_runner runner(self.objects(), process.clock, operation->name);
+  claim_runner runner(self.objects(), process.clock, process.unfinished,
+                      operation->name);
   claim_identity identity{self.NextAttemptToken(), process.settings.name,
                           operation->request_digest};
   const claim_verdict verdict =
@@ -264,12 +265,13 @@
                                             const refusal& why,
                                             deadline tell_by) {
   ++self.metrics().refused;
-  claim_runner runner(self.objects(), self.process().clock, operation.name);
+  process_state& process = self.process();
+  claim_runner runner(self.objects(), process.clock, process.unfinished,
+                      operation.name);
   const claim_reading reading = co_await runner.Read(tell_by);
   const claim_verdict verdict =
       RefuseUnsent(reading, operation.request_digest, why);
-  co_await TellVerdict(exchange, verdict, from.request_id,
-                       self.process().clock.Now());
+  co_await TellVerdict(exchange, verdict, from.request_id, process.clock.Now());
 }
 
 }  // namespace anvilloom
--- a/entry/process_state.h
+++ b/entry/process_state.h
@@ -53,8 +53,9 @@
   // Null if this instance works alone.
   peer_service* peers = nullptr;
   drain_gate drain;
-  // Requests that have arrived and have not been answered to the end.
-  std::atomic<std::uint32_t> requests_in_flight{0};
+  // Requests that have not been answered to the end, and claims whose result is
+  // still being stored. A planned stop waits for them.
+  std::atomic<std::uint32_t> unfinished{0};
 
   // Whether the balancer may send new requests here. Not before the hold-down
   // of the limits ends: callers of limited workspaces would be refused.
--- a/entry/request_handler.cc
+++ b/entry/request_handler.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "entry/refusal_reply.h"
+#include "entry/unfinished_work.h"
 
 namespace anvilloom {
 
@@ -16,29 +17,12 @@
 constexpr std::string_view kServicesPath = "/s/";
 constexpr std::string_view kReadyPath = "/readyz";
 
-// Counts a request for as long as it is being answered, so that a planned stop
-// can wait for it.
-class request_in_flight {
- public:
-  explicit request_in_flight(process_state& process) : process_(process) {
-    process_.requests_in_flight.fetch_add(1, std::memory_order_relaxed);
-  }
-  ~request_in_flight() {
-    process_.requests_in_flight.fetch_sub(1, std::memory_order_release);
-  }
-  request_in_flight(const request_in_flight&) = delete;
-  request_in_flight& operator=(const request_in_flight&) = delete;
-
- private:
-  process_state& process_;
-};
-
 }  // namespace
 
 awaitable<void> request_handler::Handle(http_exchange& exchange,
                                         std::size_t thread) {
-  const request_in_flight counted(workers_[thread]->process());
   worker& self = *workers_[thread];
+  const unfinished_work counted(self.process().unfinished);
   const process_state& process = self.process();
   const std::string_view path = exchange.path();
   if (path == kReadyPath) {
--- a/test/error/claim_faults_test.cc
+++ b/test/error/claim_faults_test.cc
@@ -6,6 +6,7 @@
 #include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <csignal>
 #include <cstdint>
 #include <future>
 #include <map>
@@ -26,6 +27,8 @@
 constexpr std::string_view kBody = R"({"amount":100})";
 constexpr std::string_view kKey = "key-1";
 constexpr std::chrono::milliseconds kWholeLease{10'000};
+// Longer than a planned stop takes that has nothing to wait for.
+constexpr std::chrono::milliseconds kStopWithoutWork{2'000};
 
 // Two entry instances in front of one service that counts its runs.
 class deposit_system {
@@ -288,6 +291,30 @@
   }
 }
 
+SCENARIO("A planned stop waits for the result of a deposit", "[claim_faults]") {
+  GIVEN("a deposit that ran while no update of its claim succeeds") {
+    deposit_system system;
+    system.FaultStore(
+        R"({"action":"refuse","method":"PUT","path":"/objects/claims",)"
+        R"("count":100000})");
+    REQUIRE(Told(Deposit(system.entry_a(), 8000)) == "ran");
+    REQUIRE(system.HasClaim("open"));
+
+    WHEN("its entry instance is told to stop before the store is well again") {
+      system.processes().process("entry-a").Signal(SIGTERM);
+      std::this_thread::sleep_for(kStopWithoutWork);
+      system.EndFaults();
+      REQUIRE(system.processes().process("entry-a").Wait() == 0);
+
+      THEN("the result is stored, and a duplicate gets it at once") {
+        REQUIRE(system.HasClaim("done"));
+        REQUIRE(Told(Deposit(system.entry_b(), 2000)) == "ran");
+        REQUIRE(system.Runs() == 1);
+      }
+    }
+  }
+}
+
 SCENARIO("A deposit survives the loss or pause of its owner",
          "[claim_faults]") {
   GIVEN("two entry instances") {
