--- a/entry/entry_instance.cc
+++ b/entry/entry_instance.cc
@@ -132,9 +132,8 @@
       callers_->Close();
     }
     const std::size_t running = HandOver(until);
-    const bool idle =
-        !accepting && running == 0 &&
-        process_.unfinished.load(std::memory_order_acquire) == 0;
+    const bool idle = !accepting && running == 0 &&
+                      process_.unfinished.load(std::memory_order_acquire) == 0;
     if (idle || until.Expired(now)) {
       return;
     }
