Measure the overhead on an idle machine

Cause: the overhead had only been measured beside builds, and with 560 streams the limit of 512 open requests a workspace refused 48 of them. Change: the script raises that limit; docs/CAPACITY.md has two runs. Before, on a busy machine: 49 us added at the median, 140 streams at 9.2% and 11.8% of a core. After, on an idle one: 56 and 58 us, 14.0% and 12.7%. Conclusion: the latency aim is met, the aim of 10% of a core is missed; which of the parts added since costs the difference is not known.

--- a/scripts/measure_overhead.sh
+++ b/scripts/measure_overhead.sh
@@ -27,6 +27,7 @@
 # ms, whatever its batch; the target is far above, so that nothing is refused.
 echo '{"upstreams": {"engine-2": null, "engine-1": {"slots": 4096}},
        "services": {"styling-plan": {"first_token_ms": 20000, "token_interval_ms": 10000}},
+       "limits": {"open_requests_per_workspace": 4096},
        "workspaces": {"studio-one": {"requests_per_second": 0, "tokens_per_second": 0}}}' \
   >"$folder/90-measure.json"
 sleep 1
