--- a/ctl/publisher.cc
+++ b/ctl/publisher.cc
@@ -1,10 +1,6 @@
 #include "ctl/publisher.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -15,12 +11,12 @@
 
 #include "common/hash.h"
 #include "wire/json_text.h"
+#include "wire/pause.h"
 
 namespace anvilloom::internal {
 
 namespace {
 
-namespace net = boost::asio;
 namespace leaf = boost::leaf;
 
 // Manifests that one clean-up removes at most, so that a publish after a long
@@ -152,9 +148,7 @@
 awaitable<void> PauseBeforeRetry() {
   std::random_device source;
   std::uniform_int_distribution<int> pause_ms(kLeastPauseMs, kMostPauseMs);
-  net::steady_timer timer(co_await net::this_coro::executor);
-  timer.expires_after(std::chrono::milliseconds(pause_ms(source)));
-  co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+  return Pause(std::chrono::milliseconds(pause_ms(source)));
 }
 
 cleanup_plan PlanCleanup(const object_list& history,
--- a/entry/chat_handler.cc
+++ b/entry/chat_handler.cc
@@ -1,10 +1,8 @@
 #include "entry/chat_handler.h"
 
 #include <array>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <charconv>
@@ -18,6 +16,7 @@
 #include "entry/stream_handover.h"
 #include "entry/stream_runner.h"
 #include "wire/chat_codec.h"
+#include "wire/pause.h"
 
 namespace anvilloom {
 
@@ -410,9 +409,7 @@
     end = co_await ResumeElsewhere(exchange, self, stream_id,
                                    std::move(moved_to));
     if (end == resume_end::kHolderSilent) {
-      net::steady_timer pause(self.context());
-      pause.expires_after(kResumePause);
-      co_await pause.async_wait(net::as_tuple(net::use_awaitable));
+      co_await Pause(kResumePause);
     }
   }
   std::string moved_to;
--- a/entry/claim_runner.h
+++ b/entry/claim_runner.h
@@ -3,12 +3,9 @@
 #define ENTRY_CLAIM_RUNNER_H_
 
 #include <atomic>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <concepts>
 #include <cstdint>
 #include <optional>
@@ -23,7 +20,7 @@
 #include "entry/unfinished_work.h"
 #include "wire/claim_json.h"
 #include "wire/object_store.h"
-#include "wire/steady_clock.h"
+#include "wire/pause.h"
 
 namespace anvilloom {
 
@@ -160,7 +157,7 @@
       co_return co_await Update(attempt, std::move(*update), until);
     }
     if (const auto* wait = std::get_if<wait_for_claim>(&effect)) {
-      co_await Wait(wait->until);
+      co_await PauseUntil(wait->until);
       co_return attempt.OnWaited(clock_.Now());
     }
     const claim_reading reading =
@@ -183,13 +180,6 @@
     co_return attempt.OnWritten(clock_.Now(), result);
   }
 
-  awaitable<void> Wait(deadline until) {
-    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
-    timer.expires_at(ToSteady(until));
-    co_await timer.async_wait(
-        boost::asio::as_tuple(boost::asio::use_awaitable));
-  }
-
   Store& store_;
   const Clock& clock_;
   std::atomic<std::uint32_t>& unfinished_;
--- a/entry/configuration_follower.cc
+++ b/entry/configuration_follower.cc
@@ -1,12 +1,9 @@
 #include "entry/configuration_follower.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <span>
 #include <utility>
@@ -14,6 +11,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "wire/json_text.h"
+#include "wire/pause.h"
 
 namespace anvilloom {
 
@@ -317,10 +315,4 @@
   }
 }
 
-awaitable<void> configuration_follower::Pause(duration span) {
-  net::steady_timer timer(executor_);
-  timer.expires_after(span);
-  co_await timer.async_wait(net::as_tuple(net::use_awaitable));
-}
-
 }  // namespace anvilloom
--- a/entry/configuration_follower.h
+++ b/entry/configuration_follower.h
@@ -59,7 +59,6 @@
   configuration_fetch_answer Serve(const configuration_fetch& asked);
   void PutInForce(const configuration& accepted,
                   const configuration_manifest& manifest);
-  awaitable<void> Pause(duration span);
 
   process_state& process_;
   boost::asio::any_io_executor executor_;
--- a/entry/entry_instance.cc
+++ b/entry/entry_instance.cc
@@ -57,7 +57,7 @@
       admin_handler_(process_, workers_, fleet_),
       follower_(process_, control_pool_.context(0).get_executor()),
       notices_(process_, workers_, control_pool_.context(0).get_executor()),
-      health_(process_, control_pool_.context(0).get_executor()),
+      health_(process_),
       loads_(process_, control_pool_.context(0).get_executor()),
       signals_(control_pool_.context(0), SIGINT, SIGTERM) {
   const http_server_limits& limits = process_.settings.limits;
--- a/entry/fleet_runner.cc
+++ b/entry/fleet_runner.cc
@@ -1,11 +1,8 @@
 #include "entry/fleet_runner.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <functional>
 #include <optional>
@@ -14,6 +11,7 @@
 #include "common/log.h"
 #include "entry/claim_sweeper.h"
 #include "wire/engine_orders.h"
+#include "wire/pause.h"
 
 namespace anvilloom {
 
@@ -40,12 +38,6 @@
 constexpr duration kReportLimit = std::chrono::milliseconds(500);
 constexpr duration kOrderLimit = std::chrono::seconds(1);
 
-awaitable<void> Pause(net::any_io_executor executor, duration time) {
-  net::steady_timer timer(executor);
-  timer.expires_after(time);
-  co_await timer.async_wait(net::as_tuple(net::use_awaitable));
-}
-
 // The slots of each model that the configuration asks for.
 std::vector<fleet_need> NeedsOf(std::span<const fleet_engine> engines) {
   std::vector<fleet_need> needs;
@@ -130,8 +122,8 @@
       LogChange(found);
     }
     const bool holds = held_;
-    co_await Pause(executor_, holds ? terms_.renew_interval / kLooksPerRenewal
-                                    : terms_.renew_interval);
+    co_await Pause(holds ? terms_.renew_interval / kLooksPerRenewal
+                         : terms_.renew_interval);
   }
 }
 
@@ -177,7 +169,7 @@
       next = deadline::After(process_.clock.Now(),
                              swept ? kSweepInterval : kSweepRetry);
     }
-    co_await Pause(executor_, kSweepLook);
+    co_await Pause(kSweepLook);
   }
 }
 
@@ -205,8 +197,7 @@
     if (MayAct()) {
       co_await RunRound();
     }
-    co_await Pause(executor_,
-                   std::chrono::milliseconds(process_.settings.fleet_round_ms));
+    co_await Pause(std::chrono::milliseconds(process_.settings.fleet_round_ms));
   }
 }
 
--- a/entry/health_reviewer.cc
+++ b/entry/health_reviewer.cc
@@ -1,19 +1,15 @@
 #include "entry/health_reviewer.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "common/log.h"
+#include "wire/pause.h"
 
 namespace anvilloom {
 
 namespace {
 
-namespace net = boost::asio;
-
 // Bounds how long an upstream that went wrong still gets new work.
 constexpr duration kReviewInterval = std::chrono::milliseconds(50);
 // A refusal that says "leaving" holds this long; then a few requests find out
@@ -70,16 +66,10 @@
 
 }  // namespace
 
-health_reviewer::health_reviewer(process_state& process,
-                                 net::any_io_executor executor)
-    : process_(process), executor_(std::move(executor)) {}
-
 awaitable<void> health_reviewer::Run() {
-  net::steady_timer timer(executor_);
   for (;;) {
     ReviewAll();
-    timer.expires_after(kReviewInterval);
-    co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+    co_await Pause(kReviewInterval);
   }
 }
 
--- a/entry/health_reviewer.h
+++ b/entry/health_reviewer.h
@@ -15,8 +15,7 @@
 // Runs on the control thread, the only one that sets conditions.
 class health_reviewer {
  public:
-  health_reviewer(process_state& process,
-                  boost::asio::any_io_executor executor);
+  explicit health_reviewer(process_state& process) : process_(process) {}
 
   // Reviews all links at intervals until the context stops.
   awaitable<void> Run();
@@ -34,7 +33,6 @@
   void EndRefusal(reviewed& held, link& path, time_point now);
 
   process_state& process_;
-  boost::asio::any_io_executor executor_;
   std::map<std::string, reviewed, std::less<>> reviewed_;
 };
 
--- a/entry/load_poller.cc
+++ b/entry/load_poller.cc
@@ -12,6 +12,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "entry/peer_service.h"
+#include "wire/pause.h"
 
 namespace anvilloom {
 
@@ -55,13 +56,11 @@
   if (interval == duration::zero()) {
     co_return;
   }
-  net::steady_timer timer(executor_);
   for (;;) {
     const deadline next = deadline::After(process_.clock.Now(), interval);
     FollowTopology();
     co_await PollOwned();
-    timer.expires_at(ToSteady(next));
-    co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+    co_await PauseUntil(next);
   }
 }
 
--- a/entry/notice_follower.cc
+++ b/entry/notice_follower.cc
@@ -1,15 +1,13 @@
 #include "entry/notice_follower.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <optional>
 #include <utility>
 
 #include "common/log.h"
+#include "wire/pause.h"
 
 namespace anvilloom {
 
@@ -27,12 +25,6 @@
 // instance of the same name is a new one.
 constexpr duration kLongestListLag = std::chrono::seconds(30);
 
-awaitable<void> Pause(const net::any_io_executor& executor, duration time) {
-  net::steady_timer timer(executor);
-  timer.expires_after(time);
-  co_await timer.async_wait(net::as_tuple(net::use_awaitable));
-}
-
 }  // namespace
 
 notice_follower::notice_follower(
@@ -61,7 +53,7 @@
     if (!batch) {
       Log(log_level::kWarning, log_event::kInstanceApiUnavailable,
           {{"call", "notices"}});
-      co_await Pause(executor_, kRetryPause);
+      co_await Pause(kRetryPause);
       continue;
     }
     from = batch->next;
@@ -86,7 +78,7 @@
           {{"call", "list"}});
     }
     ApplyNotices();
-    co_await Pause(executor_, kListInterval);
+    co_await Pause(kListInterval);
   }
 }
 
--- a/entry/stream_handover.cc
+++ b/entry/stream_handover.cc
@@ -2,10 +2,8 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 #include <vector>
@@ -14,6 +12,7 @@
 #include "entry/peer_service.h"
 #include "entry/stream_runner.h"
 #include "instances/drain.h"
+#include "wire/pause.h"
 
 namespace anvilloom {
 
@@ -168,9 +167,7 @@
                             std::string stream,
                             std::string peer_address) {
   const process_state& process = self.process();
-  net::steady_timer pause(self.context());
-  pause.expires_after(kConfirmPause);
-  co_await pause.async_wait(net::as_tuple(net::use_awaitable));
+  co_await Pause(kConfirmPause);
   for (int i = 0; i < kConfirmTries; ++i) {
     std::vector<std::string> addresses = {peer_address};
     peer_body question = stream_locate{stream};
@@ -215,9 +212,7 @@
     // The caller gets what was generated meanwhile before the next attempt.
     session->Unfreeze();
   }
-  net::steady_timer pause(self.context());
-  pause.expires_after(kOfferPause);
-  co_await pause.async_wait(net::as_tuple(net::use_awaitable));
+  co_await Pause(kOfferPause);
   session->SetOffered(false);
 }
 
@@ -364,9 +359,7 @@
     if (best != nullptr) {
       co_return best->http_address;
     }
-    net::steady_timer pause(self.context());
-    pause.expires_after(kLocatePause);
-    co_await pause.async_wait(net::as_tuple(net::use_awaitable));
+    co_await Pause(kLocatePause);
   }
   co_return std::nullopt;
 }
--- a/entry/stream_runner.cc
+++ b/entry/stream_runner.cc
@@ -1,9 +1,6 @@
 #include "entry/stream_runner.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <optional>
 #include <string>
 #include <utility>
@@ -12,13 +9,12 @@
 #include "entry/cache_move.h"
 #include "entry/chosen_upstream.h"
 #include "entry/stream_attempt.h"
+#include "wire/pause.h"
 
 namespace anvilloom {
 
 namespace {
 
-namespace net = boost::asio;
-
 // How long a finished stream is kept for a caller that reconnects.
 constexpr duration kKeepFinished = std::chrono::seconds(30);
 // Pause when no upstream takes the stream, or when the retry budget is spent;
@@ -272,9 +268,7 @@
                           std::shared_ptr<stream_session> session) {
   stream_driver driver(self, session);
   co_await driver.Run();
-  net::steady_timer keep(self.context());
-  keep.expires_after(kKeepFinished);
-  co_await keep.async_wait(net::as_tuple(net::use_awaitable));
+  co_await Pause(kKeepFinished);
   self.RemoveStream(session->order().stream_id);
 }
 
--- a/standins/fault_switch.cc
+++ b/standins/fault_switch.cc
@@ -1,22 +1,17 @@
 #include "standins/fault_switch.h"
 
 #include <array>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <string_view>
 #include <utility>
 
 #include "wire/json_text.h"
+#include "wire/pause.h"
 
 namespace anvilloom {
 
 namespace {
 
-namespace net = boost::asio;
-
 constexpr std::string_view kFaultsPath = "/faults";
 
 struct action_name {
@@ -120,9 +115,7 @@
 }
 
 awaitable<void> PassFaultDelay(const fault_rule& rule) {
-  net::steady_timer timer(co_await net::this_coro::executor);
-  timer.expires_after(std::chrono::milliseconds(rule.delay_ms));
-  co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+  return Pause(std::chrono::milliseconds(rule.delay_ms));
 }
 
 }  // namespace anvilloom
--- a/standins/instance_api.cc
+++ b/standins/instance_api.cc
@@ -1,21 +1,17 @@
 #include "standins/instance_api.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 #include <charconv>
 
 #include "wire/json_text.h"
+#include "wire/pause.h"
 
 namespace anvilloom {
 
 namespace {
 
-namespace net = boost::asio;
 namespace json = boost::json;
 
 constexpr std::string_view kJsonType = "application/json";
@@ -142,15 +138,13 @@
   const clock::time_point end =
       clock::now() + std::chrono::milliseconds(ToNumber(
                          exchange.Query("timeout_ms"), kDefaultWaitMs));
-  net::steady_timer timer(co_await net::this_coro::executor);
   for (;;) {
     const bool waits = exchange.Query("wait") == "1" && clock::now() < end;
     if (const auto text = EncodeNotices(from, !waits)) {
       co_await exchange.Respond(http_status::ok, kJsonType, *text);
       co_return;
     }
-    timer.expires_after(kWaitPollInterval);
-    co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+    co_await Pause(kWaitPollInterval);
   }
 }
 
--- a/standins/model_engine.cc
+++ b/standins/model_engine.cc
@@ -12,6 +12,7 @@
 
 #include "common/hash.h"
 #include "wire/json_text.h"
+#include "wire/pause.h"
 
 namespace anvilloom {
 
@@ -51,12 +52,6 @@
          json::serialize(json::string(version));
 }
 
-awaitable<void> Pass(std::chrono::microseconds time) {
-  net::steady_timer timer(co_await net::this_coro::executor);
-  timer.expires_after(time);
-  co_await timer.async_wait(net::as_tuple(net::use_awaitable));
-}
-
 }  // namespace
 
 std::string EngineToken(std::string_view messages, std::uint32_t index) {
@@ -167,7 +162,7 @@
     co_await exchange.Respond(http_status::conflict, kJsonType, "{}");
     co_return;
   }
-  co_await Pass(behaviour_.import_per_token * imported->tokens);
+  co_await Pause(behaviour_.import_per_token * imported->tokens);
   imports_.Import(std::move(*imported));
   co_await exchange.Respond(http_status::ok, kJsonType, "{}");
 }
--- a/standins/object_api.cc
+++ b/standins/object_api.cc
@@ -1,21 +1,17 @@
 #include "standins/object_api.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/serialize.hpp>
 #include <charconv>
 #include <chrono>
 #include <utility>
 
 #include "wire/json_text.h"
+#include "wire/pause.h"
 
 namespace anvilloom {
 
 namespace {
 
-namespace net = boost::asio;
 namespace json = boost::json;
 
 // Changes kept for watches; a watch from before the oldest one gets 410.
@@ -258,7 +254,6 @@
     co_await exchange.Respond(http_status::gone, kJsonType, "{}");
     co_return;
   }
-  net::steady_timer timer(co_await net::this_coro::executor);
   bool open = co_await exchange.BeginStream(http_status::ok, kJsonType);
   while (open && std::chrono::steady_clock::now() < end) {
     const change_batch batch = ChangesAfter(kind, version);
@@ -272,8 +267,7 @@
       open = co_await exchange.WriteChunk(batch.lines);
       continue;
     }
-    timer.expires_after(kWatchPollInterval);
-    co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+    co_await Pause(kWatchPollInterval);
   }
   if (open) {
     open = co_await exchange.WriteChunk(R"({"type":"bookmark","version":)" +
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -5,7 +5,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
@@ -20,6 +19,7 @@
 
 #include "common/log.h"
 #include "wire/endpoint.h"
+#include "wire/pause.h"
 
 namespace anvilloom {
 
@@ -181,7 +181,6 @@
 }
 
 awaitable<void> http_server::Accept() {
-  net::steady_timer pause(pool_.context(0));
   while (!closing_.load(std::memory_order_relaxed)) {
     const std::size_t thread = pool_.NextIndex();
     auto [error, socket] =
@@ -190,8 +189,7 @@
       co_return;
     }
     if (error) {
-      pause.expires_after(kAcceptPause);
-      co_await pause.async_wait(kAwaitTuple);
+      co_await Pause(kAcceptPause);
       continue;
     }
     if (open_.load(std::memory_order_relaxed) >= limits_.connections) {
