Look services up and describe streams in one place each

Cause: three handlers copied a service out of the topology by the same lines, two overloads of ChooseUpstream differed only in the request they made, and the chat handler built the request for admission, with its own copy of the bytes that decide a prompt's placement, beside the one for routing. Change: process_state::FindService, one Choose() behind both overloads, and MakeRouteRequest for admission, routing and moves. The prefix of a prompt has one size.

--- a/entry/chat_handler.cc
+++ b/entry/chat_handler.cc
@@ -10,8 +10,8 @@
 #include <string>
 #include <utility>
 
-#include "common/hash.h"
 #include "entry/admission_gate.h"
+#include "entry/chosen_upstream.h"
 #include "entry/refusal_reply.h"
 #include "entry/stream_handover.h"
 #include "entry/stream_runner.h"
@@ -25,8 +25,6 @@
 namespace net = boost::asio;
 namespace leaf = boost::leaf;
 
-// Bytes of the prompt that decide its placement by prefix.
-constexpr std::size_t kPrefixBytes = 512;
 constexpr std::string_view kStreamsPath = "/v1/streams/";
 // Longest time for which a resumed stream is passed on.
 constexpr duration kResumeLimit = std::chrono::minutes(10);
@@ -55,17 +53,6 @@
       [] { return decoded_body{}; });
 }
 
-std::optional<service> FindModelService(const process_state& process,
-                                        std::string_view name) {
-  const rcu_read_guard guard;
-  const topology& world = process.world.Read(guard);
-  const auto found = world.FindService(name);
-  if (!found || world.at(*found).kind != service_kind::kModel) {
-    return std::nullopt;
-  }
-  return world.at(*found);
-}
-
 answer_identity IdentityOf(const stream_session& session) {
   return {session.order().request_id, session.order().request.service,
           session.model_version()};
@@ -159,17 +146,6 @@
   }
 }
 
-route_request MakeWish(const stream_order& order) {
-  route_request wish;
-  wish.prefix_hash =
-      Hash64(std::string_view(order.request.messages).substr(0, kPrefixBytes));
-  wish.prompt_tokens = EstimatePromptTokens(order.request);
-  wish.answer_tokens = order.request.max_tokens;
-  wish.first_token_by = order.first_token_by;
-  wish.answer_by = order.answer_by;
-  return wish;
-}
-
 // Holds the ticket until the stream has ended, whether or not its caller is
 // still there, and settles it with the tokens that were used.
 awaitable<void> HoldTicket(std::shared_ptr<stream_session> session,
@@ -212,8 +188,8 @@
   if (!body.request) {
     return Refused({refusal_code::kMalformedRequest}, Sentence(body.fault));
   }
-  const auto target = FindModelService(process, body.request->service);
-  if (!target) {
+  const auto target = process.FindService(body.request->service);
+  if (!target || target->kind != service_kind::kModel) {
     return Refused({refusal_code::kUnknownService});
   }
   const auto answer_by = AnswerDeadline(exchange, target->terms, now);
@@ -233,8 +209,8 @@
   order.accepted_at = now;
   order.first_token_by = deadline::After(now, target->terms.first_token_target);
   order.answer_by = *answer_by;
-  admission_result admission =
-      AdmitRequest(process, order.workspace, *target, MakeWish(order), now);
+  admission_result admission = AdmitRequest(process, order.workspace, *target,
+                                            MakeRouteRequest(order, 0), now);
   if (admission.refused) {
     return Refused(*admission.refused);
   }
--- a/entry/chosen_upstream.cc
+++ b/entry/chosen_upstream.cc
@@ -26,27 +26,33 @@
   return positions;
 }
 
-route_request MakeRouteRequest(const stream_session& session,
-                               service_index wanted,
-                               std::span<const upstream_index> excluded) {
-  const stream_order& order = session.order();
-  route_request request;
-  request.wanted = wanted;
-  request.prefix_hash = PrefixHash(session);
-  request.prompt_tokens =
-      EstimatePromptTokens(order.request) + session.tokens();
-  request.answer_tokens = order.request.max_tokens - session.tokens();
-  request.rank = order.target.terms.rank;
-  request.first_token_by = order.first_token_by;
-  request.answer_by = order.answer_by;
-  request.excluded = excluded;
-  return request;
-}
-
 chosen_upstream CopyOut(const topology& world, upstream_index index) {
   return {world.at(index).address, world.shared_link_at(index)};
 }
 
+// Chooses by the routing policy. The service and the excluded upstreams of
+// `request` are filled in here.
+std::optional<chosen_upstream> Choose(process_state& process,
+                                      std::string_view service_name,
+                                      route_request request,
+                                      const shared_links& excluded) {
+  const rcu_read_guard guard;
+  const topology& world = process.world.Read(guard);
+  const auto wanted = world.FindService(service_name);
+  if (!wanted) {
+    return std::nullopt;
+  }
+  const std::vector<upstream_index> positions = PositionsOf(world, excluded);
+  request.wanted = *wanted;
+  request.excluded = positions;
+  const auto chosen =
+      process.policy.Choose(world, request, process.clock.Now());
+  if (!chosen) {
+    return std::nullopt;
+  }
+  return CopyOut(world, *chosen);
+}
+
 moving_stream MakeMovingStream(const stream_session& session,
                                const link& source,
                                time_point now,
@@ -69,23 +75,35 @@
 
 }  // namespace
 
-std::uint64_t PromptHash(const stream_session& session) {
-  return Hash64(session.order().request.messages, kWholeSeed);
+std::uint64_t PromptHash(const chat_request& request) {
+  return Hash64(request.messages, kWholeSeed);
+}
+
+std::uint64_t PrefixHash(const chat_request& request) {
+  return Hash64(std::string_view(request.messages).substr(0, kPrefixBytes));
 }
 
-std::uint64_t PrefixHash(const stream_session& session) {
-  return Hash64(std::string_view(session.order().request.messages)
-                    .substr(0, kPrefixBytes));
+route_request MakeRouteRequest(const stream_order& order,
+                               std::uint32_t generated) {
+  route_request request;
+  request.prefix_hash = PrefixHash(order.request);
+  request.prompt_tokens = EstimatePromptTokens(order.request) + generated;
+  request.answer_tokens = order.request.max_tokens - generated;
+  request.rank = order.target.terms.rank;
+  request.first_token_by = order.first_token_by;
+  request.answer_by = order.answer_by;
+  return request;
 }
 
 std::uint32_t CachedTokens(const process_state& process,
                            const stream_session& session,
                            const link& path) {
-  const std::uint32_t prompt = EstimatePromptTokens(session.order().request);
-  if (process.policy.IsCached(PromptHash(session), path)) {
+  const chat_request& request = session.order().request;
+  const std::uint32_t prompt = EstimatePromptTokens(request);
+  if (process.policy.IsCached(PromptHash(request), path)) {
     return prompt;
   }
-  return process.policy.IsCached(PrefixHash(session), path)
+  return process.policy.IsCached(PrefixHash(request), path)
              ? std::min(prompt, kPrefixTokens)
              : 0;
 }
@@ -93,44 +111,18 @@
 std::optional<chosen_upstream> ChooseUpstream(process_state& process,
                                               const stream_session& session,
                                               const shared_links& excluded) {
-  const rcu_read_guard guard;
-  const topology& world = process.world.Read(guard);
-  const auto wanted = world.FindService(session.order().target.name);
-  if (!wanted) {
-    return std::nullopt;
-  }
-  const std::vector<upstream_index> positions = PositionsOf(world, excluded);
-  const auto chosen = process.policy.Choose(
-      world, MakeRouteRequest(session, *wanted, positions),
-      process.clock.Now());
-  if (!chosen) {
-    return std::nullopt;
-  }
-  return CopyOut(world, *chosen);
+  return Choose(process, session.order().target.name,
+                MakeRouteRequest(session.order(), session.tokens()), excluded);
 }
 
 std::optional<chosen_upstream> ChooseUpstream(process_state& process,
                                               const service& target,
                                               deadline answer_by,
                                               const shared_links& excluded) {
-  const rcu_read_guard guard;
-  const topology& world = process.world.Read(guard);
-  const auto wanted = world.FindService(target.name);
-  if (!wanted) {
-    return std::nullopt;
-  }
-  const std::vector<upstream_index> positions = PositionsOf(world, excluded);
   route_request request;
-  request.wanted = *wanted;
   request.rank = target.terms.rank;
   request.answer_by = answer_by;
-  request.excluded = positions;
-  const auto chosen =
-      process.policy.Choose(world, request, process.clock.Now());
-  if (!chosen) {
-    return std::nullopt;
-  }
-  return CopyOut(world, *chosen);
+  return Choose(process, target.name, request, excluded);
 }
 
 bool HasUpstreams(process_state& process, const stream_session& session) {
@@ -157,7 +149,9 @@
     return std::nullopt;
   }
   const std::vector<upstream_index> positions = PositionsOf(world, excluded);
-  const route_request request = MakeRouteRequest(session, *wanted, positions);
+  route_request request = MakeRouteRequest(session.order(), session.tokens());
+  request.wanted = *wanted;
+  request.excluded = positions;
   const std::uint64_t version = Hash64(session.model_version());
   const time_point now = process.clock.Now();
   std::vector<move_target> targets;
--- a/entry/chosen_upstream.h
+++ b/entry/chosen_upstream.h
@@ -3,6 +3,7 @@
 #ifndef ENTRY_CHOSEN_UPSTREAM_H_
 #define ENTRY_CHOSEN_UPSTREAM_H_
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <span>
@@ -23,6 +24,11 @@
 
 using shared_links = std::vector<std::shared_ptr<link>>;
 
+// What a stream needs of an upstream once `generated` tokens of its answer are
+// there. The service and excluded upstreams are left to the choice.
+route_request MakeRouteRequest(const stream_order& order,
+                               std::uint32_t generated);
+
 // Chooses by the routing policy, among upstreams that are not in `excluded`.
 std::optional<chosen_upstream> ChooseUpstream(process_state& process,
                                               const stream_session& session,
@@ -55,8 +61,8 @@
 
 // Hashes under which the policy knows a prompt: the whole and its leading
 // part.
-std::uint64_t PromptHash(const stream_session& session);
-std::uint64_t PrefixHash(const stream_session& session);
+std::uint64_t PromptHash(const chat_request& request);
+std::uint64_t PrefixHash(const chat_request& request);
 // Tokens of the prompt that an upstream has probably cached.
 std::uint32_t CachedTokens(const process_state& process,
                            const stream_session& session,
--- a/entry/plain_handler.cc
+++ b/entry/plain_handler.cc
@@ -19,17 +19,6 @@
 // Attempts at one repeatable call, the first included.
 constexpr std::uint32_t kMaxAttempts = 3;
 
-std::optional<service> FindPlainService(const process_state& process,
-                                        std::string_view name) {
-  const rcu_read_guard guard;
-  const topology& world = process.world.Read(guard);
-  const auto found = world.FindService(name);
-  if (!found || world.at(*found).kind != service_kind::kPlain) {
-    return std::nullopt;
-  }
-  return world.at(*found);
-}
-
 // Whether a repeatable call that may have run is sent once more.
 bool MayRepeat(process_state& process, deadline answer_by) {
   retry_question question;
@@ -144,8 +133,8 @@
                                        std::string_view path) {
   process_state& process = self.process();
   const time_point now = process.clock.Now();
-  const auto target = FindPlainService(process, service_name);
-  if (!target) {
+  const auto target = process.FindService(service_name);
+  if (!target || target->kind != service_kind::kPlain) {
     ++self.metrics().refused;
     co_await RespondRefusal(exchange, {refusal_code::kUnknownService},
                             from.request_id, now);
--- a/entry/process_state.cc
+++ b/entry/process_state.cc
@@ -31,6 +31,13 @@
          share.held_until().Expired(clock.Now());
 }
 
+std::optional<service> process_state::FindService(std::string_view name) const {
+  const rcu_read_guard guard;
+  const topology& in_force = world.Read(guard);
+  const auto found = in_force.FindService(name);
+  return found ? std::optional(in_force.at(*found)) : std::nullopt;
+}
+
 void process_state::ObserveMembers(std::uint32_t live_members) {
   const std::uint32_t before = share.divisor();
   share.Update(live_members, clock.Now());
--- a/entry/process_state.h
+++ b/entry/process_state.h
@@ -5,7 +5,9 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "common/rcu.h"
 #include "contracts/limit_share.h"
@@ -61,6 +63,10 @@
   // of the limits ends: callers of limited workspaces would be refused.
   bool ready() const;
 
+  // A copy of the service in force under this name, which stays valid when the
+  // topology changes.
+  std::optional<service> FindService(std::string_view name) const;
+
   // Takes over the number of live entry instances, this one included. Called by
   // one control thread at least once a second.
   void ObserveMembers(std::uint32_t live_members);
--- a/entry/stream_attempt.cc
+++ b/entry/stream_attempt.cc
@@ -57,8 +57,9 @@
 std::uint32_t EstimatePrefill(const process_state& process,
                               const stream_session& session,
                               const link& path) {
-  const std::uint32_t prompt = EstimatePromptTokens(session.order().request);
-  const bool cached = process.policy.IsCached(PromptHash(session), path);
+  const chat_request& request = session.order().request;
+  const std::uint32_t prompt = EstimatePromptTokens(request);
+  const bool cached = process.policy.IsCached(PromptHash(request), path);
   return (cached ? 0 : prompt) + session.tokens();
 }
 
@@ -232,8 +233,9 @@
     first_token_latency_ = now - started_at_;
     chosen_.path->ObserveFirstToken(first_token_latency_);
     const std::string_view upstream = chosen_.path->upstream_name();
-    self_.process().policy.CacheStored(PromptHash(*session_), upstream, now);
-    self_.process().policy.CacheStored(PrefixHash(*session_), upstream, now);
+    const chat_request& request = session_->order().request;
+    self_.process().policy.CacheStored(PromptHash(request), upstream, now);
+    self_.process().policy.CacheStored(PrefixHash(request), upstream, now);
     if (session_->tokens() == 0) {
       self_.metrics().first_token.Add(now - session_->order().accepted_at);
     }
--- a/entry/stream_handover.cc
+++ b/entry/stream_handover.cc
@@ -44,17 +44,6 @@
   return process.members.Read(guard);
 }
 
-std::optional<service> FindService(const process_state& process,
-                                   std::string_view name) {
-  const rcu_read_guard guard;
-  const topology& world = process.world.Read(guard);
-  const auto found = world.FindService(name);
-  if (!found) {
-    return std::nullopt;
-  }
-  return world.at(*found);
-}
-
 stream_handover MakeOffer(stream_session& session, time_point now) {
   const stream_order& order = session.order();
   stream_handover offer;
@@ -280,7 +269,7 @@
     return held->phase() != stream_phase::kHandedOver &&
            held->transfer() >= offered.transfer;
   }
-  const auto target = FindService(process, offered.service);
+  const auto target = process.FindService(offered.service);
   const bool has_ended = HasAllTokens(offered);
   const bool in_time = offered.answer_remaining > duration::zero();
   if (!process.ready() || !target || (!in_time && !has_ended)) {
