Keep the stored form of the configuration in one place

Cause: the publisher and the configuration follower each had the names of the object kinds and the encoding of a stored file. Change: wire/configuration_json has both. One test names the constants without the publisher's namespace. Behaviour is the same.

--- a/ctl/publisher.cc
+++ b/ctl/publisher.cc
@@ -1,8 +1,6 @@
 #include "ctl/publisher.h"
 
 #include <algorithm>
-#include <boost/json/serialize.hpp>
-#include <boost/json/value.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <charconv>
 #include <chrono>
@@ -10,7 +8,6 @@
 #include <random>
 
 #include "common/hash.h"
-#include "wire/json_text.h"
 #include "wire/pause.h"
 
 namespace anvilloom::internal {
@@ -53,17 +50,6 @@
 
 }  // namespace
 
-std::string EncodeFileObject(std::string_view text) {
-  return boost::json::serialize(
-      boost::json::value{{"text", std::string(text)}});
-}
-
-std::optional<std::string> DecodeFileObject(std::string_view value) {
-  const auto parsed = ParseJson(value);
-  const auto text = parsed ? StringMember(*parsed, "text") : std::nullopt;
-  return text ? std::optional(std::string(*text)) : std::nullopt;
-}
-
 configuration_manifest ManifestOf(std::span<const configuration_file> files) {
   configuration_manifest manifest;
   for (const configuration_file& file : files) {
--- a/ctl/publisher.h
+++ b/ctl/publisher.h
@@ -21,11 +21,6 @@
 
 namespace internal {
 
-inline constexpr std::string_view kManifestKind = "configuration";
-inline constexpr std::string_view kManifestName = "manifest";
-inline constexpr std::string_view kFileKind = "configuration-files";
-inline constexpr std::string_view kHistoryKind = "configuration-history";
-
 // The accepted manifest and its version in the store; version 0 if there is
 // none yet.
 struct held_manifest {
@@ -36,9 +31,6 @@
 // Whether a write of ours took effect.
 enum class write_outcome { kWritten, kLost };
 
-std::string EncodeFileObject(std::string_view text);
-std::optional<std::string> DecodeFileObject(std::string_view value);
-
 // The manifest of the files, without a revision.
 configuration_manifest ManifestOf(std::span<const configuration_file> files);
 
@@ -117,8 +109,8 @@
   // The accepted manifest.
   awaitable<publish_result<internal::held_manifest>> ReadManifest() {
     for (;;) {
-      const auto held = co_await store_.Get(
-          internal::kManifestKind, internal::kManifestName, CallDeadline());
+      const auto held =
+          co_await store_.Get(kManifestKind, kManifestName, CallDeadline());
       if (held) {
         auto manifest = DecodeManifest(held->value);
         if (!manifest) {
@@ -183,8 +175,7 @@
     }
     const std::string name = std::to_string(revision);
     for (;;) {
-      const auto kept =
-          co_await store_.Get(internal::kHistoryKind, name, CallDeadline());
+      const auto kept = co_await store_.Get(kHistoryKind, name, CallDeadline());
       if (kept) {
         co_return DecodeManifest(kept->value);
       }
@@ -251,7 +242,7 @@
     }
     if (held.version != 0) {
       const auto archived = co_await CreateOnce(
-          internal::kHistoryKind, std::to_string(held.manifest.revision),
+          kHistoryKind, std::to_string(held.manifest.revision),
           EncodeManifest(held.manifest));
       if (!archived) {
         co_return archived.error();
@@ -296,10 +287,10 @@
       co_return own->text;
     }
     for (;;) {
-      const auto object = co_await store_.Get(internal::kFileKind, entry.digest,
-                                              CallDeadline());
+      const auto object =
+          co_await store_.Get(kFileKind, entry.digest, CallDeadline());
       if (object) {
-        auto text = internal::DecodeFileObject(object->value);
+        auto text = DecodeFileObject(object->value);
         if (!text) {
           co_return Failure(publish_error::kUnreadable);
         }
@@ -324,9 +315,8 @@
       if (own == nullptr) {
         continue;
       }
-      const auto created =
-          co_await CreateOnce(internal::kFileKind, entry.digest,
-                              internal::EncodeFileObject(own->text));
+      const auto created = co_await CreateOnce(kFileKind, entry.digest,
+                                               EncodeFileObject(own->text));
       if (!created) {
         co_return created.error();
       }
@@ -358,12 +348,10 @@
   awaitable<store_result<std::uint64_t>> WriteOnce(const held_manifest& held,
                                                    std::string value) {
     if (held.version == 0) {
-      co_return co_await store_.Create(internal::kManifestKind,
-                                       internal::kManifestName, value,
+      co_return co_await store_.Create(kManifestKind, kManifestName, value,
                                        CallDeadline());
     }
-    co_return co_await store_.Update(internal::kManifestKind,
-                                     internal::kManifestName, held.version,
+    co_return co_await store_.Update(kManifestKind, kManifestName, held.version,
                                      value, CallDeadline());
   }
 
@@ -445,8 +433,7 @@
     for (const manifest_entry& entry : next.files) {
       const configuration_file* own = FindOwn(source, entry);
       if (own != nullptr && !IsInBase(source, entry)) {
-        co_await RefreshFile(entry.digest,
-                             internal::EncodeFileObject(own->text));
+        co_await RefreshFile(entry.digest, EncodeFileObject(own->text));
       }
     }
   }
@@ -458,14 +445,12 @@
   }
 
   awaitable<void> RefreshFile(std::string digest, std::string value) {
-    const auto held =
-        co_await store_.Get(internal::kFileKind, digest, CallDeadline());
+    const auto held = co_await store_.Get(kFileKind, digest, CallDeadline());
     if (held) {
-      co_await store_.Update(internal::kFileKind, digest, held->version, value,
+      co_await store_.Update(kFileKind, digest, held->version, value,
                              CallDeadline());
     } else if (held.error() == store_error::kNotFound) {
-      co_await store_.Create(internal::kFileKind, digest, value,
-                             CallDeadline());
+      co_await store_.Create(kFileKind, digest, value, CallDeadline());
     }
   }
 
@@ -473,8 +458,7 @@
   // to the next clean-up.
   awaitable<void> CleanUp() {
     const auto accepted = co_await ReadManifest();
-    const auto history =
-        co_await store_.List(internal::kHistoryKind, CallDeadline());
+    const auto history = co_await store_.List(kHistoryKind, CallDeadline());
     if (!accepted || !history) {
       co_return;
     }
@@ -492,13 +476,13 @@
     }
     for (const stored_object& file : unused) {
       if (!named.contains(file.name)) {
-        co_await store_.Delete(internal::kFileKind, file.name, file.version,
+        co_await store_.Delete(kFileKind, file.name, file.version,
                                CallDeadline());
       }
     }
     for (const stored_object& manifest : plan.manifests) {
-      co_await store_.Delete(internal::kHistoryKind, manifest.name,
-                             manifest.version, CallDeadline());
+      co_await store_.Delete(kHistoryKind, manifest.name, manifest.version,
+                             CallDeadline());
     }
   }
 
@@ -506,8 +490,7 @@
       const std::set<std::string>& digests) {
     std::vector<stored_object> files;
     for (const std::string& digest : digests) {
-      auto file =
-          co_await store_.Get(internal::kFileKind, digest, CallDeadline());
+      auto file = co_await store_.Get(kFileKind, digest, CallDeadline());
       if (file) {
         files.push_back({digest, file->version, {}});
       }
--- a/entry/configuration_follower.cc
+++ b/entry/configuration_follower.cc
@@ -10,7 +10,6 @@
 
 #include "common/hash.h"
 #include "common/log.h"
-#include "wire/json_text.h"
 #include "wire/pause.h"
 
 namespace anvilloom {
@@ -20,9 +19,6 @@
 namespace net = boost::asio;
 namespace leaf = boost::leaf;
 
-constexpr std::string_view kManifestKind = "configuration";
-constexpr std::string_view kManifestName = "manifest";
-constexpr std::string_view kFileKind = "configuration-files";
 constexpr duration kCallLimit = std::chrono::seconds(3);
 constexpr duration kWatchLimit = std::chrono::seconds(30);
 // Pause after a failed call; short against the 10 s in which a change must be
@@ -201,14 +197,13 @@
   const auto object =
       co_await store_.Get(kFileKind, entry.digest,
                           deadline::After(process_.clock.Now(), kCallLimit));
-  const auto parsed = object ? ParseJson(object->value) : std::nullopt;
-  const auto body = parsed ? StringMember(*parsed, "text") : std::nullopt;
-  if (!body || Sha256Hex(*body) != entry.digest) {
+  auto text = object ? DecodeFileObject(object->value) : std::nullopt;
+  if (!text || Sha256Hex(*text) != entry.digest) {
     Log(log_level::kWarning, log_event::kObjectApiUnavailable,
         {{"file", entry.name}});
     co_return std::nullopt;
   }
-  co_return std::string(*body);
+  co_return text;
 }
 
 awaitable<std::optional<std::string>> configuration_follower::AskPeer(
--- a/test/error/operator_races_test.cc
+++ b/test/error/operator_races_test.cc
@@ -376,7 +376,7 @@
                                                 std::uint64_t version,
                                                 std::string_view value,
                                                 deadline until) {
-    if (kind != internal::kManifestKind) {
+    if (kind != kManifestKind) {
       co_return co_await store_.Update(kind, name, version, value, until);
     }
     if (const hook act = std::exchange(before_update_, nullptr)) {
@@ -512,8 +512,8 @@
       THEN("old manifests and their files are gone, and the others are held") {
         const auto history = RunCoroutine(
             context, store.List(internal::kHistoryKind, Options().until));
-        const auto files = RunCoroutine(
-            context, store.List(internal::kFileKind, Options().until));
+        const auto files =
+            RunCoroutine(context, store.List(kFileKind, Options().until));
         REQUIRE(history.has_value());
         REQUIRE(history->objects.size() == 3);
         REQUIRE(files.has_value());
@@ -528,7 +528,7 @@
           const std::string digest =
               internal::ManifestOf(source.files).files.front().digest;
           const auto held = RunCoroutine(
-              context, store.Get(internal::kFileKind, digest, Options().until));
+              context, store.Get(kFileKind, digest, Options().until));
           REQUIRE(held.has_value());
         }
       }
--- a/wire/configuration_json.cc
+++ b/wire/configuration_json.cc
@@ -527,6 +527,16 @@
 
 }  // namespace
 
+std::string EncodeFileObject(std::string_view text) {
+  return json::serialize(json::value{{"text", std::string(text)}});
+}
+
+std::optional<std::string> DecodeFileObject(std::string_view value) {
+  const auto parsed = ParseJson(value);
+  const auto text = parsed ? StringMember(*parsed, "text") : std::nullopt;
+  return text ? std::optional(std::string(*text)) : std::nullopt;
+}
+
 std::string EncodeManifest(const configuration_manifest& manifest) {
   json::array files;
   for (const manifest_entry& entry : manifest.files) {
--- a/wire/configuration_json.h
+++ b/wire/configuration_json.h
@@ -37,6 +37,17 @@
   std::string attempt;
 };
 
+// Where the configuration lies in the object API: the accepted manifest, the
+// files by their digest, and earlier manifests by their revision.
+inline constexpr std::string_view kManifestKind = "configuration";
+inline constexpr std::string_view kManifestName = "manifest";
+inline constexpr std::string_view kFileKind = "configuration-files";
+inline constexpr std::string_view kHistoryKind = "configuration-history";
+
+// The stored object of a file.
+std::string EncodeFileObject(std::string_view text);
+std::optional<std::string> DecodeFileObject(std::string_view value);
+
 std::string EncodeManifest(const configuration_manifest& manifest);
 std::optional<configuration_manifest> DecodeManifest(std::string_view text);
 
