Answer readiness, tokens and stop requests in one place each

Cause: both ports answered /readyz and read bearer tokens with lines of their own, and a stop was asked for by the same three lines on a signal and at the admin port. Change: RespondReadiness, http_exchange::BearerToken and process_state::RequestDrain. Behaviour is the same.

--- a/entry/admin_handler.cc
+++ b/entry/admin_handler.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "common/hash.h"
+#include "entry/readiness.h"
 #include "links/load_owner.h"
 
 namespace anvilloom {
@@ -19,8 +20,6 @@
 namespace net = boost::asio;
 namespace json = boost::json;
 
-constexpr std::string_view kBearer = "Bearer ";
-
 std::string_view ConditionName(link_condition condition) {
   switch (condition) {
     case link_condition::kHealthy:
@@ -133,11 +132,8 @@
     co_await exchange.Respond(http_status::ok, "text/plain", "alive\n");
     co_return;
   }
-  if (path == "/readyz") {
-    const bool ready = process_.ready();
-    co_await exchange.Respond(
-        ready ? http_status::ok : http_status::service_unavailable,
-        "text/plain", ready ? "ready\n" : "not ready\n");
+  if (path == kReadyPath) {
+    co_await RespondReadiness(exchange, process_);
     co_return;
   }
   if (!Authorized(exchange)) {
@@ -147,9 +143,7 @@
   }
   if (path == "/drain" &&
       exchange.request().method() == boost::beast::http::verb::post) {
-    process_.drain.Request(deadline::After(
-        process_.clock.Now(),
-        std::chrono::milliseconds(process_.settings.drain_limit_ms)));
+    process_.RequestDrain();
     co_await exchange.Respond(http_status::accepted, "text/plain",
                               "draining\n");
   } else if (path == "/metrics") {
@@ -167,9 +161,8 @@
   if (expected.empty()) {
     return true;
   }
-  const std::string_view authorization = exchange.Header("Authorization");
-  return authorization.starts_with(kBearer) &&
-         Sha256Hex(authorization.substr(kBearer.size())) == expected;
+  const auto token = exchange.BearerToken();
+  return token && Sha256Hex(*token) == expected;
 }
 
 awaitable<std::string> admin_handler::Metrics() {
--- a/entry/caller.cc
+++ b/entry/caller.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::string_view kBearer = "Bearer ";
 constexpr std::size_t kMaxRequestIdBytes = 128;
 
 bool IsPrintable(std::string_view text) {
@@ -27,11 +26,11 @@
 
 std::optional<caller> IdentifyCaller(const process_state& process,
                                      const http_exchange& exchange) {
-  const std::string_view authorization = exchange.Header("Authorization");
-  if (!authorization.starts_with(kBearer)) {
+  const auto credential = exchange.BearerToken();
+  if (!credential) {
     return std::nullopt;
   }
-  const std::string digest = Sha256Hex(authorization.substr(kBearer.size()));
+  const std::string digest = Sha256Hex(*credential);
   const rcu_read_guard guard;
   const topology& world = process.world.Read(guard);
   const auto found = world.FindWorkspace(digest);
--- a/entry/entry_instance.cc
+++ b/entry/entry_instance.cc
@@ -72,9 +72,7 @@
   }
   signals_.async_wait([this](const boost::system::error_code& error, int) {
     if (!error) {
-      process_.drain.Request(deadline::After(
-          process_.clock.Now(),
-          std::chrono::milliseconds(process_.settings.drain_limit_ms)));
+      process_.RequestDrain();
     }
   });
   boost::asio::co_spawn(control_pool_.context(0), follower_.Run(),
--- a/entry/process_state.cc
+++ b/entry/process_state.cc
@@ -31,6 +31,11 @@
          share.held_until().Expired(clock.Now());
 }
 
+void process_state::RequestDrain() {
+  drain.Request(deadline::After(
+      clock.Now(), std::chrono::milliseconds(settings.drain_limit_ms)));
+}
+
 std::optional<service> process_state::FindService(std::string_view name) const {
   const rcu_read_guard guard;
   const topology& in_force = world.Read(guard);
--- a/entry/process_state.h
+++ b/entry/process_state.h
@@ -63,6 +63,9 @@
   // of the limits ends: callers of limited workspaces would be refused.
   bool ready() const;
 
+  // Asks for a planned stop within the limit of the settings.
+  void RequestDrain();
+
   // A copy of the service in force under this name, which stays valid when the
   // topology changes.
   std::optional<service> FindService(std::string_view name) const;
--- /dev/null
+++ b/entry/readiness.h
@@ -0,0 +1,22 @@
+// Defines RespondReadiness, which tells a balancer whether this instance takes
+// new requests.
+#ifndef ENTRY_READINESS_H_
+#define ENTRY_READINESS_H_
+
+#include <string_view>
+
+#include "entry/process_state.h"
+#include "wire/http_exchange.h"
+
+namespace anvilloom {
+
+// Served at both ports.
+inline constexpr std::string_view kReadyPath = "/readyz";
+
+// Answers with 200, or with 503 if the balancer must send no new requests.
+awaitable<void> RespondReadiness(http_exchange& exchange,
+                                 const process_state& process);
+
+}  // namespace anvilloom
+
+#endif  // ENTRY_READINESS_H_
--- a/entry/request_handler.cc
+++ b/entry/request_handler.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <string_view>
 
+#include "entry/readiness.h"
 #include "entry/refusal_reply.h"
 #include "entry/unfinished_work.h"
 
@@ -15,7 +16,6 @@
 constexpr std::string_view kChatPath = "/v1/chat/completions";
 constexpr std::string_view kStreamsPath = "/v1/streams/";
 constexpr std::string_view kServicesPath = "/s/";
-constexpr std::string_view kReadyPath = "/readyz";
 
 }  // namespace
 
@@ -26,9 +26,7 @@
   const process_state& process = self.process();
   const std::string_view path = exchange.path();
   if (path == kReadyPath) {
-    co_await exchange.Respond(
-        process.ready() ? http_status::ok : http_status::service_unavailable,
-        "text/plain", process.ready() ? "ready\n" : "not ready\n");
+    co_await RespondReadiness(exchange, process);
     co_return;
   }
   const auto from = IdentifyCaller(process, exchange);
--- a/wire/http_exchange.cc
+++ b/wire/http_exchange.cc
@@ -72,6 +72,15 @@
   return found == request_.end() ? std::string_view{} : ToStd(found->value());
 }
 
+std::optional<std::string_view> http_exchange::BearerToken() const {
+  constexpr std::string_view kScheme = "Bearer ";
+  const std::string_view authorization = Header("Authorization");
+  if (!authorization.starts_with(kScheme)) {
+    return std::nullopt;
+  }
+  return authorization.substr(kScheme.size());
+}
+
 awaitable<bool> http_exchange::Respond(http_status status,
                                        std::string_view content_type,
                                        std::string_view body,
--- a/wire/http_exchange.h
+++ b/wire/http_exchange.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -57,6 +58,9 @@
   std::string_view Query(std::string_view name) const;
   // The value of a request header, or an empty view.
   std::string_view Header(std::string_view name) const;
+  // The token of an Authorization header of the scheme "Bearer"; nothing if
+  // there is none.
+  std::optional<std::string_view> BearerToken() const;
 
   // Answers with a whole body.
   awaitable<bool> Respond(http_status status,
