Remove counters and functions that nothing reads

Cause: each request changed two atomics of its link, the outstanding tokens and the requests since a report, that no decision and no page reads; the HTTP object store had a branch for reads in a function that only writes; a few accessors had no caller. Change: they are gone, and with them the token count of link::Begin() and End(). Tests pass no count any more; their checks are the same.

--- a/entry/plain_handler.cc
+++ b/entry/plain_handler.cc
@@ -85,11 +85,11 @@
       if (!chosen) {
         break;
       }
-      chosen->path->Begin(0);
+      chosen->path->Begin();
       auto answer = co_await self_.client().Exchange(
           chosen->address, request_, answer_by_, connection_use::kFresh,
           send_by);
-      chosen->path->End(0);
+      chosen->path->End();
       if (answer) {
         chosen->path->Succeeded();
         co_return claim_answer{answer->result_int(), ContentType(*answer),
@@ -178,10 +178,10 @@
     if (!chosen) {
       break;
     }
-    chosen->path->Begin(0);
+    chosen->path->Begin();
     auto answer = co_await self.client().Exchange(
         chosen->address, MakeForwarded(exchange, path), answer_by);
-    chosen->path->End(0);
+    chosen->path->End();
     if (answer) {
       chosen->path->Succeeded();
       ++self.metrics().completed;
--- a/entry/stream_attempt.cc
+++ b/entry/stream_attempt.cc
@@ -24,17 +24,15 @@
 // Counts an attempt on its link for as long as it runs.
 class link_use {
  public:
-  link_use(link& path, std::uint32_t tokens, priority rank)
-      : path_(path), tokens_(tokens), rank_(rank) {
-    path_.Begin(tokens_, rank_);
+  link_use(link& path, priority rank) : path_(path), rank_(rank) {
+    path_.Begin(rank_);
   }
-  ~link_use() { path_.End(tokens_, rank_); }
+  ~link_use() { path_.End(rank_); }
   link_use(const link_use&) = delete;
   link_use& operator=(const link_use&) = delete;
 
  private:
   link& path_;
-  std::uint32_t tokens_;
   priority rank_;
 };
 
@@ -105,8 +103,7 @@
 awaitable<void> stream_attempt::Run(std::shared_ptr<stream_attempt> keep_alive,
                                     std::string cache_handle) {
   const std::shared_ptr<link> path = chosen_.path;
-  const stream_order& order = session_->order();
-  const link_use use(*path, order.request.max_tokens, order.target.terms.rank);
+  const link_use use(*path, session_->order().target.terms.rank);
   Finish(co_await ReadAnswer(std::move(cache_handle)));
   keep_alive->answer_.reset();
 }
--- a/entry/worker.h
+++ b/entry/worker.h
@@ -44,7 +44,6 @@
   void AddStream(std::shared_ptr<stream_session> session);
   void RemoveStream(std::string_view stream_id);
   std::shared_ptr<stream_session> FindStream(std::string_view stream_id) const;
-  std::size_t open_streams() const { return streams_.size(); }
 
   template <std::invocable<stream_session&> Visit>
   void ForEachStream(Visit visit) const {
--- a/instances/instance.cc
+++ b/instances/instance.cc
@@ -2,12 +2,6 @@
 
 namespace anvilloom {
 
-instance instance::WithNotice(deadline reclaim_at) const {
-  instance copy = *this;
-  copy.reclaim_at_ = reclaim_at;
-  return copy;
-}
-
 instance_builder::instance_builder(std::string_view name) {
   built_.name_ = name;
 }
--- a/instances/instance.h
+++ b/instances/instance.h
@@ -1,15 +1,12 @@
 // Defines instance, a machine that the cloud lends out: where it stands, what
-// it costs, whether it can be reclaimed, and the notice it has received.
+// it costs and whether it can be reclaimed.
 #ifndef INSTANCES_INSTANCE_H_
 #define INSTANCES_INSTANCE_H_
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 
-#include "common/time.h"
-
 namespace anvilloom {
 
 // Price in millionths of a currency unit per hour, so that sums are exact.
@@ -24,11 +21,6 @@
   std::string_view machine_class() const { return machine_class_; }
   micro_price price_per_hour() const { return price_per_hour_; }
   bool reclaimable() const { return reclaimable_; }
-  // When the cloud takes the instance back, once a notice has arrived.
-  std::optional<deadline> reclaim_at() const { return reclaim_at_; }
-
-  // A copy that carries the notice. Source: the cloud API's notices.
-  instance WithNotice(deadline reclaim_at) const;
 
  private:
   friend class instance_builder;
@@ -38,7 +30,6 @@
   std::string machine_class_;
   micro_price price_per_hour_ = 0;
   bool reclaimable_ = false;
-  std::optional<deadline> reclaim_at_;
 };
 
 // Builds an instance field by field.
--- a/lessons/lesson_01_route.cc
+++ b/lessons/lesson_01_route.cc
@@ -65,8 +65,7 @@
   anvilloom::least_outstanding policy;
   const auto first = policy.Choose(*world, request, now);
   Expect(first.has_value(), "some engine takes the request.");
-  constexpr std::uint32_t kTokens = 100;
-  world->link_at(*first).Begin(kTokens);
+  world->link_at(*first).Begin();
 
   // The first engine has work now, so the other one is chosen.
   const auto second = policy.Choose(*world, request, now);
--- a/links/link.cc
+++ b/links/link.cc
@@ -34,21 +34,18 @@
     : upstream_name_(upstream_name),
       reclaim_at_(time_point::max().time_since_epoch().count()) {}
 
-void link::Begin(std::uint32_t tokens, priority rank) {
+void link::Begin(priority rank) {
   if (rank == priority::kBatch) {
     outstanding_batch_.fetch_add(1, kRelaxed);
   }
   outstanding_requests_.fetch_add(1, kRelaxed);
-  outstanding_tokens_.fetch_add(tokens, kRelaxed);
-  sent_since_report_.fetch_add(1, kRelaxed);
 }
 
-void link::End(std::uint32_t tokens, priority rank) {
+void link::End(priority rank) {
   if (rank == priority::kBatch) {
     outstanding_batch_.fetch_sub(1, kRelaxed);
   }
   outstanding_requests_.fetch_sub(1, kRelaxed);
-  outstanding_tokens_.fetch_sub(tokens, kRelaxed);
 }
 
 void link::Report(const load_report& report, time_point observed_at) {
@@ -56,7 +53,6 @@
   waiting_.store(report.waiting, kRelaxed);
   cache_permille_.store(report.cache_permille, kRelaxed);
   own_at_report_.store(outstanding_requests_.load(kRelaxed), kRelaxed);
-  sent_since_report_.store(0, kRelaxed);
   reported_at_.store(observed_at.time_since_epoch().count(), kRelaxed);
 }
 
@@ -141,14 +137,6 @@
                     std::memory_order_release);
 }
 
-std::uint32_t link::outstanding_tokens() const {
-  return outstanding_tokens_.load(kRelaxed);
-}
-
-std::uint32_t link::sent_since_report() const {
-  return sent_since_report_.load(kRelaxed);
-}
-
 load_report link::last_report() const {
   return {running_.load(kRelaxed), waiting_.load(kRelaxed),
           cache_permille_.load(kRelaxed)};
--- a/links/link.h
+++ b/links/link.h
@@ -72,13 +72,13 @@
     __builtin_prefetch(&own_at_report_);
   }
 
-  // Counts a request of `tokens` estimated tokens as outstanding.
-  void Begin(std::uint32_t tokens, priority rank = priority::kNormal);
-  // Ends what Begin() counted, with the same estimate and rank.
-  void End(std::uint32_t tokens, priority rank = priority::kNormal);
+  // Counts a request as outstanding.
+  void Begin(priority rank = priority::kNormal);
+  // Ends what Begin() counted, with the same rank.
+  void End(priority rank = priority::kNormal);
 
-  // Stores a report, remembers how many of the reported requests are this
-  // entry instance's own, and forgets what was sent before it.
+  // Stores a report, and remembers how many of the reported requests are this
+  // entry instance's own.
   void Report(const load_report& report, time_point observed_at);
 
   // Records the time to the first token of one answer.
@@ -125,7 +125,6 @@
   std::uint32_t outstanding_requests() const {
     return outstanding_requests_.load(kRelaxed);
   }
-  std::uint32_t outstanding_tokens() const;
   // Outstanding requests of rank kBatch.
   std::uint32_t outstanding_batch() const {
     return outstanding_batch_.load(kRelaxed);
@@ -145,8 +144,6 @@
         others_then + (std::int64_t{members} - 1) * (own - own_then);
     return static_cast<std::uint32_t>(own + std::max<std::int64_t>(0, others));
   }
-  // Requests begun since the latest load report.
-  std::uint32_t sent_since_report() const;
   load_report last_report() const;
   time_point reported_at() const;
   // Moving averages in microseconds; zero until first observed.
@@ -199,9 +196,7 @@
   std::string upstream_name_;
   // Written for each request; kept apart from what is written less often.
   alignas(kCacheLine) std::atomic<std::uint32_t> outstanding_requests_{0};
-  std::atomic<std::uint32_t> outstanding_tokens_{0};
   std::atomic<std::uint32_t> outstanding_batch_{0};
-  std::atomic<std::uint32_t> sent_since_report_{0};
   // What routing reads, in one cache line; written for each report, token
   // interval, prefill or change of condition.
   alignas(kCacheLine) std::atomic<std::uint32_t> own_at_report_{0};
--- a/test/correctness/least_cost_test.cc
+++ b/test/correctness/least_cost_test.cc
@@ -17,7 +17,7 @@
 
 void Fill(const topology& world, upstream_index index, std::uint32_t requests) {
   for (std::uint32_t i = 0; i < requests; ++i) {
-    world.link_at(index).Begin(100);
+    world.link_at(index).Begin();
   }
 }
 
@@ -244,14 +244,14 @@
   GIVEN("an upstream whose report counts ten requests, four of them ours") {
     link path("engine");
     for (int i = 0; i < 4; ++i) {
-      path.Begin(100);
+      path.Begin();
     }
     path.Report({.running = 8, .waiting = 2}, kNow);
     REQUIRE(path.expected_requests(1) == 10);
 
     WHEN("this entry instance sends three more") {
       for (int i = 0; i < 3; ++i) {
-        path.Begin(100);
+        path.Begin();
       }
 
       THEN("they are added") {
@@ -264,7 +264,7 @@
 
     WHEN("all four of ours end") {
       for (int i = 0; i < 4; ++i) {
-        path.End(100);
+        path.End();
       }
 
       THEN("the others' six remain") {
@@ -320,7 +320,7 @@
   GIVEN("an upstream with more batch requests than slots") {
     const auto world = small_world().Upstream("a", 1'000'000).Build();
     for (int i = 0; i < 20; ++i) {
-      world->link_at(kFirst).Begin(100, priority::kBatch);
+      world->link_at(kFirst).Begin(priority::kBatch);
     }
 
     THEN("an interactive request expects no queue, a batch request does") {
--- a/test/correctness/router_test.cc
+++ b/test/correctness/router_test.cc
@@ -34,8 +34,8 @@
     }
 
     WHEN("one upstream has less outstanding than the others") {
-      world->link_at(upstream_index{0}).Begin(10);
-      world->link_at(upstream_index{2}).Begin(10);
+      world->link_at(upstream_index{0}).Begin();
+      world->link_at(upstream_index{2}).Begin();
 
       THEN("least outstanding chooses it") {
         least_outstanding policy;
--- a/test/correctness/upstream_health_test.cc
+++ b/test/correctness/upstream_health_test.cc
@@ -85,8 +85,8 @@
 
         THEN("it takes no more than a few requests at once") {
           REQUIRE(upstream.path().takes_new_work());
-          upstream.path().Begin(1);
-          upstream.path().Begin(1);
+          upstream.path().Begin();
+          upstream.path().Begin();
           REQUIRE(!upstream.path().takes_new_work());
         }
 
@@ -124,7 +124,7 @@
 
     WHEN("its tokens take longer because its load grew") {
       for (int i = 0; i < 8; ++i) {
-        upstream.path().Begin(1);
+        upstream.path().Begin();
       }
       for (int i = 0; i < 100; ++i) {
         upstream.Answer(milliseconds(60));
--- a/test/error/admission_gate_test.cc
+++ b/test/error/admission_gate_test.cc
@@ -147,7 +147,7 @@
       const rcu_read_guard guard;
       const topology& world = process.world.Read(guard);
       for (int i = 0; i < 32; ++i) {
-        world.link_at(upstream_index{0}).Begin(0);
+        world.link_at(upstream_index{0}).Begin();
         world.accounts()[1]->BeginCall(now);
       }
     }
@@ -181,7 +181,7 @@
       const rcu_read_guard guard;
       const topology& world = process.world.Read(guard);
       for (int i = 0; i < 16; ++i) {
-        world.link_at(upstream_index{0}).Begin(0);
+        world.link_at(upstream_index{0}).Begin();
         world.accounts()[1]->BeginCall(now);
       }
     }
--- a/test/performance/routing_cost_test.cc
+++ b/test/performance/routing_cost_test.cc
@@ -89,17 +89,17 @@
     const auto chosen = policy.Choose(
         world, request, time_point(std::chrono::microseconds(100'000'000 + i)));
     link& path = world.link_at(*chosen);
-    path.Begin(600);
+    path.Begin();
     link*& slot = running[i % running.size()];
     if (slot != nullptr) {
-      slot->End(600);
+      slot->End();
     }
     slot = &path;
   }
   const double spent = ThreadProcessorUs() - before;
   const std::uint64_t allocated = t_allocations - allocations_before;
   for (link* path : running) {
-    path->End(600);
+    path->End();
   }
   return {spent / kDecisions, static_cast<double>(allocated) / kDecisions};
 }
--- a/tools/simulation.h
+++ b/tools/simulation.h
@@ -296,7 +296,7 @@
     const route_request& wish = request.wish;
     request.engine = static_cast<std::uint32_t>(chosen);
     request.sent_at = now_;
-    LinkOf(request).Begin(wish.prompt_tokens + wish.answer_tokens, wish.rank);
+    LinkOf(request).Begin(wish.rank);
     fake_sequence sequence;
     sequence.id = id;
     sequence.rank = wish.rank;
@@ -319,8 +319,7 @@
   }
 
   void EndUse(const request_state& request) {
-    LinkOf(request).End(request.wish.prompt_tokens + request.wish.answer_tokens,
-                        request.wish.rank);
+    LinkOf(request).End(request.wish.rank);
   }
 
   void Step(std::uint32_t index) {
--- a/wire/http_object_store.cc
+++ b/wire/http_object_store.cc
@@ -178,10 +178,9 @@
 awaitable<store_result<std::uint64_t>> http_object_store::Write(
     http_request request,
     deadline until) {
-  const bool may_reuse = request.method() == http_verb::get;
-  const auto answer = co_await client_.Exchange(
-      address_, std::move(request), until,
-      may_reuse ? connection_use::kPooled : connection_use::kFresh);
+  // A fresh connection, because a pooled one may send the write twice.
+  const auto answer = co_await client_.Exchange(address_, std::move(request),
+                                                until, connection_use::kFresh);
   if (!answer) {
     co_return ForFailure(answer.error());
   }
--- a/wire/http_server.h
+++ b/wire/http_server.h
@@ -56,9 +56,6 @@
 
   // The bound port, useful when the address asked for port 0.
   std::uint16_t port() const { return port_; }
-  std::size_t open_connections() const {
-    return open_.load(std::memory_order_relaxed);
-  }
 
   // Accepts no more connections. Idle ones are closed; the others end with
   // their current request.
--- a/wire/line_splitter.h
+++ b/wire/line_splitter.h
@@ -18,9 +18,6 @@
   // The next whole line without its line end; nothing until more arrives.
   std::optional<std::string_view> NextLine();
 
-  // Bytes of the line that is still incomplete.
-  std::size_t pending_bytes() const { return buffer_.size() - begin_; }
-
  private:
   std::string buffer_;
   std::size_t begin_ = 0;
