Apply a stand-in's faults before the effect in one function

Cause: the object API and the plain service began with the same lines for the delay, the refusal and the dropped connection of a scripted fault. Change: ApplyBeforeEffect in standins/fault_switch. Behaviour is the same.

--- a/standins/fault_switch.cc
+++ b/standins/fault_switch.cc
@@ -118,4 +118,24 @@
   return Pause(std::chrono::milliseconds(rule.delay_ms));
 }
 
+awaitable<bool> ApplyBeforeEffect(http_exchange& exchange,
+                                  std::optional<fault_rule> rule) {
+  if (!rule) {
+    co_return false;
+  }
+  co_await PassFaultDelay(*rule);
+  switch (rule->action) {
+    case fault_action::kRefuse:
+      co_await exchange.Respond(http_status::service_unavailable,
+                                "application/json", "{}");
+      co_return true;
+    case fault_action::kDropBefore:
+    case fault_action::kHang:
+      exchange.Abort();
+      co_return true;
+    default:
+      co_return false;
+  }
+}
+
 }  // namespace anvilloom
--- a/standins/fault_switch.h
+++ b/standins/fault_switch.h
@@ -63,6 +63,11 @@
 // Lets time pass as kDelay and kHang ask for.
 awaitable<void> PassFaultDelay(const fault_rule& rule);
 
+// Passes the delay of a rule and does what it asks for before the request takes
+// effect. Whether that ended the exchange: the request then has no effect.
+awaitable<bool> ApplyBeforeEffect(http_exchange& exchange,
+                                  std::optional<fault_rule> rule);
+
 }  // namespace anvilloom
 
 #endif  // STANDINS_FAULT_SWITCH_H_
--- a/standins/object_api.cc
+++ b/standins/object_api.cc
@@ -59,17 +59,7 @@
                                     ? std::string_view{}
                                     : path.substr(slash + 1);
   const std::optional<fault_rule> fault = faults_.Take(exchange);
-  if (fault) {
-    co_await PassFaultDelay(*fault);
-  }
-  if (fault && fault->action == fault_action::kRefuse) {
-    co_await exchange.Respond(http_status::service_unavailable, kJsonType,
-                              "{}");
-    co_return;
-  }
-  if (fault && (fault->action == fault_action::kDropBefore ||
-                fault->action == fault_action::kHang)) {
-    exchange.Abort();
+  if (co_await ApplyBeforeEffect(exchange, fault)) {
     co_return;
   }
   if (exchange.Query("watch") == "1") {
--- a/standins/plain_service.cc
+++ b/standins/plain_service.cc
@@ -70,17 +70,7 @@
     co_return;
   }
   const std::optional<fault_rule> fault = faults_.Take(exchange);
-  if (fault) {
-    co_await PassFaultDelay(*fault);
-  }
-  if (fault && fault->action == fault_action::kRefuse) {
-    co_await exchange.Respond(http_status::service_unavailable, kJsonType,
-                              "{}");
-    co_return;
-  }
-  if (fault && (fault->action == fault_action::kDropBefore ||
-                fault->action == fault_action::kHang)) {
-    exchange.Abort();
+  if (co_await ApplyBeforeEffect(exchange, fault)) {
     co_return;
   }
   const std::string key(exchange.Header("Idempotency-Key"));
