Split the export out of the plan for a leaving upstream

Cause: stream_driver::Leave() decided and carried out three kinds of moves over forty lines with an optional handle passed between them. Change: Leave() chooses, ExportTo() moves the KV cache. Behaviour is the same.

--- a/entry/stream_runner.cc
+++ b/entry/stream_runner.cc
@@ -178,39 +178,41 @@
       co_await AwaitReplan(kReplanInterval);
       co_return;
     }
-    const bool export_now =
-        planned->choice.action == reclaim_action::kExport &&
-        attempt_->path()->TryBeginExport(CacheTokens(), Now());
-    if (!export_now && planned->choice.action != reclaim_action::kReprefill) {
+    if (planned->choice.action == reclaim_action::kReprefill) {
+      MoveTo(*planned, {});
+    } else if (planned->choice.action == reclaim_action::kExport &&
+               attempt_->path()->TryBeginExport(CacheTokens(), Now())) {
+      co_await ExportTo(*planned);
+    } else {
       co_await AwaitReplan(kExportWait);
-      co_return;
     }
-    std::string handle;
-    if (export_now) {
-      const deadline until =
-          attempt_->path()->reclaim_at().Earlier(order().answer_by);
-      // Copied: the session's version changes if the attempt's does.
-      const std::string version(session_->model_version());
-      const std::shared_ptr<link> source = attempt_->path();
-      const std::uint32_t tokens = CacheTokens();
-      const time_point begun = Now();
-      auto moved = co_await MoveCache(self_.client(), attempt_->address(),
-                                      planned->target->address, attempt_->id(),
-                                      version, until);
-      source->EndExport(tokens, Now() - begun, moved.has_value());
-      if (attempt_->end() != attempt_end::kRunning) {
-        co_return;  // It ended or broke while the cache travelled.
-      }
-      if (!moved) {
-        may_export_ = false;
-        Log(log_level::kWarning, log_event::kCacheMoveFailed,
-            {{"stream", order().stream_id},
-             {"upstream", std::string(attempt_->path()->upstream_name())}});
-        co_return;
-      }
-      handle = std::move(*moved);
+  }
+
+  // Moves the stream with its KV cache, after TryBeginExport(). `planned` must
+  // outlive the call.
+  awaitable<void> ExportTo(const planned_move& planned) {
+    const deadline until =
+        attempt_->path()->reclaim_at().Earlier(order().answer_by);
+    // Copied: the session's version changes if the attempt's does.
+    const std::string version(session_->model_version());
+    const std::shared_ptr<link> source = attempt_->path();
+    const std::uint32_t tokens = CacheTokens();
+    const time_point begun = Now();
+    auto moved = co_await MoveCache(self_.client(), attempt_->address(),
+                                    planned.target->address, attempt_->id(),
+                                    version, until);
+    source->EndExport(tokens, Now() - begun, moved.has_value());
+    if (attempt_->end() != attempt_end::kRunning) {
+      co_return;  // It ended or broke while the cache travelled.
+    }
+    if (!moved) {
+      may_export_ = false;
+      Log(log_level::kWarning, log_event::kCacheMoveFailed,
+          {{"stream", order().stream_id},
+           {"upstream", std::string(attempt_->path()->upstream_name())}});
+      co_return;
     }
-    MoveTo(*planned, std::move(handle));
+    MoveTo(planned, std::move(*moved));
   }
 
   // Tokens whose KV cache the stream has.
