--- a/test/error/operator_races_test.cc
+++ b/test/error/operator_races_test.cc
@@ -510,8 +510,8 @@
       }
 
       THEN("old manifests and their files are gone, and the others are held") {
-        const auto history = RunCoroutine(
-            context, store.List(internal::kHistoryKind, Options().until));
+        const auto history =
+            RunCoroutine(context, store.List(kHistoryKind, Options().until));
         const auto files =
             RunCoroutine(context, store.List(kFileKind, Options().until));
         REQUIRE(history.has_value());
