--- a/domains/failure_domain.h
+++ b/domains/failure_domain.h
@@ -23,11 +23,6 @@
   std::string region_;
 };
 
-// How close two failure domains are; a smaller value is closer.
-enum class proximity { kSameDomain, kSameRegion, kOtherRegion };
-
-proximity Proximity(const failure_domain& left, const failure_domain& right);
-
 }  // namespace anvilloom
 
 #endif  // DOMAINS_FAILURE_DOMAIN_H_
