Wait for engines to announce themselves before the first plan

The plan now waits until the number of announced engines rests for 1.5 s, and engines on demand stand in for reclaimable ones that the cloud refuses.

--- a/entry/duty_runner.h
+++ b/entry/duty_runner.h
@@ -71,6 +71,10 @@
   static constexpr std::uint64_t kOlderWindows = 2;
   // An order that brought nothing is repeated after the boot time and this.
   static constexpr duration kOrderSlack = std::chrono::seconds(3);
+  // Engines announce themselves within a second or two of a start.
+  static constexpr duration kSettleTime = std::chrono::milliseconds(1500);
+  // Longer than kUnavailablePause, so that refusals in a row count as one.
+  static constexpr duration kRefusedMemory = std::chrono::milliseconds(3500);
   // Between two tries for engines that were not to be had.
   static constexpr duration kUnavailablePause = std::chrono::seconds(2);
 
@@ -230,10 +234,18 @@
     }
     const std::uint64_t read = pool->meter->read_tokens.load() +
                                board_.ReadElsewhere(service.name);
+    if (!Settled(service.name, engines)) {
+      co_return;
+    }
     demand_estimate& demand = demand_[service.name];
     demand.Take(read, engines, state_.costs.read_us_per_token, Now());
-    const auto wanted = PlanEngines(
-        *service.scaling, demand.busy_engines(), engine_plan_terms{});
+    engine_need need;
+    need.busy_engines = demand.busy_engines();
+    if (!refused_[service.name].until.Expired(Now())) {
+      need.reclaimable_obtainable = reclaimable;
+    }
+    const auto wanted =
+        PlanEngines(*service.scaling, need, engine_plan_terms{});
     std::uint32_t wanted_reclaimable = 0;
     for (const wanted_engines& each : wanted) {
       wanted_reclaimable += each.reclaimable;
@@ -248,7 +260,8 @@
                                each.reclaimable};
       co_await Order(service, cheap, now.reclaimable);
       // Engines on demand are given back once the reclaimable ones serve.
-      const bool replaced = reclaimable >= wanted_reclaimable;
+      const bool replaced = need.reclaimable_obtainable == reclaimable ||
+                            reclaimable >= wanted_reclaimable;
       if (each.on_demand >= now.on_demand || replaced) {
         const engine_order lasting{service.name, each.domain, false,
                                    each.on_demand};
@@ -257,6 +270,22 @@
     }
   }
 
+  // Whether the engines that were present at the start have announced
+  // themselves: the first plan would see too few of them otherwise.
+  bool Settled(const std::string& service, std::uint32_t engines) {
+    settling_state& state = settling_[service];
+    if (state.settled) {
+      return true;
+    }
+    if (engines != state.engines || engines == 0) {
+      state.engines = engines;
+      state.settled_at = deadline::After(Now(), kSettleTime);
+      return false;
+    }
+    state.settled = state.settled_at.Expired(Now());
+    return state.settled;
+  }
+
   static std::map<std::string, domain_engines, std::less<>> Count(
       const upstream_pool& pool) {
     std::map<std::string, domain_engines, std::less<>> counts;
@@ -271,6 +300,17 @@
     return counts;
   }
 
+  struct settling_state {
+    bool settled = false;
+    std::uint32_t engines = 0;
+    deadline settled_at = deadline::Never();
+  };
+
+  // Until when the cloud is taken to have no reclaimable engines.
+  struct refusal_memory {
+    deadline until = deadline(time_point::min());
+  };
+
   struct order_state {
     std::uint32_t count = 0;
     bool given = false;
@@ -301,6 +341,10 @@
                               ? service.scaling->boot_time + kOrderSlack
                               : kUnavailablePause;
     last.repeat_at = deadline::After(Now(), wait);
+    if (order.reclaimable && result == duty_result::kUnavailable) {
+      refused_[order.service].until =
+          deadline::After(Now(), kRefusedMemory);
+    }
     Log(result == duty_result::kDone ? log_level::kInfo : log_level::kWarning,
         log_event::kEnginesOrdered,
         {{"service", order.service},
@@ -326,6 +370,8 @@
   std::set<std::uint64_t> reported_;
   std::map<std::string, demand_estimate> demand_;
   std::map<std::string, order_state> orders_;
+  std::map<std::string, settling_state> settling_;
+  std::map<std::string, refusal_memory> refused_;
 };
 
 }  // namespace anvilloom
--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -132,6 +132,7 @@
                                         call_.prompt.answer_tokens
                                   : workspace_->tokens_of_plain_call;
     }
+    asked_units_ = units;
     if (!allowance->Admit(units, terms, arrived_)) {
       return call_refusal{refusal_reason::kOverLimit,
                           allowance->FreeAt(terms, arrived_) - arrived_};
@@ -523,6 +524,13 @@
                           : "none"},
          {"upstream", placed ? place_.target->announced().id : "none"},
          {"attempts", std::to_string(attempts_)},
+         {"units", std::to_string(asked_units_)},
+         {"limit_per_s", workspace_ == nullptr
+                             ? "0"
+                             : std::to_string(workspace_->units_per_second)},
+         {"burst", workspace_ == nullptr
+                       ? "0"
+                       : std::to_string(workspace_->burst_units)},
          {"wait_us", std::to_string(place_.expected_wait.count())},
          {"unread", std::to_string(place_.unread_tokens)},
          {"fetched", std::to_string(place_.fetched_tokens)},
@@ -547,6 +555,8 @@
   const manifest_route* route_ = nullptr;
   const manifest_workspace* workspace_ = nullptr;
   const upstream_pool* pool_ = nullptr;
+  // Units of the workspace's limit that the call asks for, and those it holds.
+  std::uint64_t asked_units_ = 0;
   std::uint64_t taken_units_ = 0;
 
   placement place_;
--- a/instances/engine_plan.cc
+++ b/instances/engine_plan.cc
@@ -33,7 +33,7 @@
 }  // namespace
 
 std::vector<wanted_engines> PlanEngines(const scaling_terms& terms,
-                                        double busy_engines,
+                                        const engine_need& need,
                                         const engine_plan_terms& plan) {
   std::vector<std::pair<double, std::string>> by_price;
   for (const auto& [domain, price] : terms.domain_prices) {
@@ -44,16 +44,17 @@
   for (const auto& [price, domain] : by_price) {
     wanted.push_back({domain, 0, 0});
   }
-  const std::uint32_t on_demand =
-      std::max(Engines(busy_engines, plan.reclaim_utilization), 1U);
-  const std::uint32_t all = std::max(
-      Engines(busy_engines, plan.target_utilization), on_demand);
-  Spread(wanted, &wanted_engines::on_demand, on_demand, terms.max_engines);
-  // A domain may fall, so the others carry what it held as well.
-  const std::size_t domains = std::max<std::size_t>(wanted.size(), 2);
-  const auto reclaimable = static_cast<std::uint32_t>(std::ceil(
-      static_cast<double>(all - on_demand) * static_cast<double>(domains) /
-      static_cast<double>(domains - 1)));
+  const std::uint32_t least =
+      std::max(Engines(need.busy_engines, plan.reclaim_utilization), 1U);
+  const std::uint32_t all =
+      std::max(Engines(need.busy_engines, plan.target_utilization), least);
+  const std::uint32_t reclaimable = all - least;
+  const std::uint32_t missing =
+      reclaimable > need.reclaimable_obtainable
+          ? reclaimable - need.reclaimable_obtainable
+          : 0;
+  Spread(wanted, &wanted_engines::on_demand, least + missing,
+         terms.max_engines);
   Spread(wanted, &wanted_engines::reclaimable, reclaimable, terms.max_engines);
   for (wanted_engines& each : wanted) {
     const std::uint32_t sum = each.on_demand + each.reclaimable;
--- a/instances/engine_plan.h
+++ b/instances/engine_plan.h
@@ -24,12 +24,21 @@
   // Share of an engine's reading time that is planned to be busy. Calls come in
   // bursts of three times the mean, and a call that waits longer than its
   // latency target earns a tenth.
-  double target_utilization = 0.35;
+  double target_utilization = 0.3;
   // The engines on demand carry the load with this utilization when the cloud
-  // takes all reclaimable ones.
+  // takes all reclaimable ones at once.
   double reclaim_utilization = 0.8;
 };
 
+// What the plan is made for.
+struct engine_need {
+  // Reading time that calls ask for, per second of time.
+  double busy_engines = 0;
+  // Reclaimable engines that can be had: those that serve while the cloud
+  // refuses further ones, and otherwise no less than could be wanted.
+  std::uint32_t reclaimable_obtainable = UINT32_MAX;
+};
+
 // Engines wanted in one failure domain.
 struct wanted_engines {
   std::string domain;
@@ -39,12 +48,12 @@
   friend bool operator==(const wanted_engines&, const wanted_engines&) = default;
 };
 
-// `busy_engines` is the load: reading time asked for per second of time.
 // Engines on demand go to the cheapest failure domains first, reclaimable ones
 // are spread evenly, since the cloud takes those of a whole domain at once.
-// Returns one entry for each domain with a price.
+// Engines on demand stand in for reclaimable ones that can't be had. Returns
+// one entry for each domain with a price.
 std::vector<wanted_engines> PlanEngines(const scaling_terms& terms,
-                                        double busy_engines,
+                                        const engine_need& need,
                                         const engine_plan_terms& plan);
 
 }  // namespace anvilloom
