Compare what is known of the store with the store itself

One instance at a time reads the manifest and the upstreams from the store twice a second; its reports carry the version and a digest, and the others read when theirs differ. A list that is older than an event seen meanwhile is dropped.

--- a/entry/announced_upstreams.cc
+++ b/entry/announced_upstreams.cc
@@ -36,13 +36,7 @@
     }
   }
   for (const upstream_announcement& each : announced) {
-    held_.erase(each.id);
-    if (builder_.Announce(each)) {
-      LogChange(each.draining ? log_event::kUpstreamDraining
-                              : log_event::kUpstreamJoined,
-                each.id, each);
-      changed = true;
-    }
+    changed = Announce(each) || changed;
   }
   if (changed) {
     changed_();
@@ -55,16 +49,7 @@
     time_point now) {
   bool changed = false;
   if (announced) {
-    const auto held = held_.find(id);
-    if (held != held_.end()) {
-      held_.erase(held);
-    }
-    changed = builder_.Announce(*announced);
-    if (changed) {
-      LogChange(announced->draining ? log_event::kUpstreamDraining
-                                    : log_event::kUpstreamJoined,
-                id, *announced);
-    }
+    changed = Announce(*announced);
   } else {
     changed = Missing(id, now);
   }
@@ -80,7 +65,33 @@
   }
 }
 
+std::uint64_t announced_upstreams::digest() const {
+  std::uint64_t digest = 0;
+  for (const auto& [id, entry] : entries_) {
+    digest ^= entry;
+  }
+  return digest;
+}
+
+bool announced_upstreams::Announce(const upstream_announcement& announced) {
+  held_.erase(announced.id);
+  entries_[announced.id] = CombineHash(
+      CombineHash(Hash64(announced.id), announced.born_ms),
+      announced.draining ? 1 : 0);
+  if (!builder_.Announce(announced)) {
+    return false;
+  }
+  LogChange(announced.draining ? log_event::kUpstreamDraining
+                               : log_event::kUpstreamJoined,
+            announced.id, announced);
+  return true;
+}
+
 bool announced_upstreams::Missing(std::string_view id, time_point now) {
+  const auto entry = entries_.find(id);
+  if (entry != entries_.end()) {
+    entries_.erase(entry);
+  }
   const pooled_upstream* known = builder_.Find(id);
   if (known == nullptr) {
     return false;
--- a/entry/announced_upstreams.h
+++ b/entry/announced_upstreams.h
@@ -3,6 +3,7 @@
 #ifndef ENTRY_ANNOUNCED_UPSTREAMS_H_
 #define ENTRY_ANNOUNCED_UPSTREAMS_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -38,6 +39,9 @@
   // The store stopped answering or answers again.
   void NoteStore(bool reachable, time_point now);
 
+  // Of all entries, so that instances can compare what they know.
+  std::uint64_t digest() const;
+
   // Drops entries that are held for too long.
   void Sweep(time_point now);
   // Sweeps for ever.
@@ -51,10 +55,13 @@
   static constexpr duration kSettle = std::chrono::milliseconds(2500);
   static constexpr duration kSweepPause = std::chrono::milliseconds(100);
 
+  bool Announce(const upstream_announcement& announced);
   bool Missing(std::string_view id, time_point now);
 
   serving_view_builder& builder_;
   std::function<void()> changed_;
+  // Digest of each entry of the store.
+  std::map<std::string, std::uint64_t, std::less<>> entries_;
   // Missing entries, until the given time.
   std::map<std::string, deadline, std::less<>> held_;
   bool reachable_ = true;
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -97,7 +97,9 @@
     Spawn(upstreams_.Run());
     Spawn(Register());
     Spawn(reporter_.Receive());
-    Spawn(reporter_.Report([this] { return duties_.fencing(); }));
+    Spawn(reporter_.Report(
+        [this](instance_report& report) { CompleteReport(report); }));
+    Spawn(Verify());
     if (!state_.settings.cloud.empty()) {
       Spawn(duties_.Run());
     }
@@ -174,6 +176,59 @@
 
   void PublishView() { state_.Publish(builder_.Build()); }
 
+  void CompleteReport(instance_report& report) const {
+    report.duty_fencing = duties_.fencing();
+    report.manifest_version = ManifestVersion();
+    report.upstream_digest = upstreams_.digest();
+    report.verified = verified_until_.Remaining(state_.clock.Now()) >
+                      duration::zero();
+  }
+
+  std::uint64_t ManifestVersion() const {
+    return builder_.manifest() == nullptr ? 0 : builder_.manifest()->version();
+  }
+
+  // A watch may miss changes while the store drops its history. One instance
+  // compares its state with the store, and the others compare theirs with what
+  // it reports.
+  awaitable<void> Verify() {
+    for (;;) {
+      co_await Pause(kVerifyPause);
+      const time_point now = state_.clock.Now();
+      const instance_report* verified = reporter_.board().Verified(now);
+      if (verified == nullptr || reporter_.board().RankForDuties(now) == 0) {
+        co_await VerifyWithStore();
+        continue;
+      }
+      const bool behind =
+          ManifestVersion() < reporter_.board().NewestManifest() ||
+          upstreams_.digest() != verified->upstream_digest;
+      // A single difference may be a change on its way.
+      if (behind && behind_before_) {
+        co_await VerifyWithStore();
+      }
+      behind_before_ = behind && !behind_before_;
+    }
+  }
+
+  awaitable<void> VerifyWithStore() {
+    const deadline until =
+        deadline::After(state_.clock.Now(), kVerifyCall);
+    const auto main = co_await store_.Get(Platform::kManifestKind,
+                                          Platform::kManifestName, until);
+    if (!main) {
+      co_return;  // The follower logs an outage.
+    }
+    const object_event event{object_event_kind::kPut, *main};
+    TakeManifest(event);
+    const auto list = co_await store_.List(Platform::kUpstreamKind, until);
+    if (!list) {
+      co_return;
+    }
+    TakeUpstreams(*list);
+    verified_until_ = deadline::After(state_.clock.Now(), kVerifiedFor);
+  }
+
   void TakeManifests(const object_list& list) {
     for (const stored_object& object : list.objects) {
       TakeManifest({object_event_kind::kPut, object});
@@ -212,6 +267,11 @@
   }
 
   void TakeUpstreams(const object_list& list) {
+    // A list may have been made before an event that came meanwhile.
+    if (list.version < upstreams_version_) {
+      return;
+    }
+    upstreams_version_ = list.version;
     std::vector<upstream_announcement> announced;
     for (const stored_object& object : list.objects) {
       if (auto each = Platform::DecodeUpstream(object.name, object.value)) {
@@ -222,6 +282,7 @@
   }
 
   void TakeUpstream(const object_event& event) {
+    upstreams_version_ = std::max(upstreams_version_, event.object.version);
     const auto announced =
         event.kind == object_event_kind::kDelete
             ? std::nullopt
@@ -252,6 +313,11 @@
     }
   }
 
+  // A change has to be in force within two seconds of its acknowledgement.
+  static constexpr duration kVerifyPause = std::chrono::milliseconds(500);
+  static constexpr duration kVerifyCall = std::chrono::milliseconds(800);
+  static constexpr duration kVerifiedFor = std::chrono::milliseconds(1200);
+
   gateway_state state_;
   io_pool control_;
   io_pool callers_;
@@ -259,6 +325,9 @@
   typename Platform::store store_;
   typename Platform::cloud cloud_;
   instance_reporter reporter_;
+  deadline verified_until_ = deadline(time_point::min());
+  bool behind_before_ = false;
+  std::uint64_t upstreams_version_ = 0;
   duty_runner<typename Platform::store, typename Platform::cloud> duties_;
   serving_view_builder builder_;
   announced_upstreams upstreams_;
--- a/entry/instance_reporter.cc
+++ b/entry/instance_reporter.cc
@@ -75,14 +75,16 @@
 }
 
 awaitable<void> instance_reporter::Report(
-    std::function<std::uint64_t()> duty_fencing) {
+    std::function<void(instance_report&)> complete) {
   for (;;) {
     const time_point now = state_.clock.Now();
     board_.Sweep(now);
     ChargeSilent(now);
     ShareRetries();
     SpreadLoad(now);
-    const std::string message = EncodeReport(Compose(duty_fencing()));
+    instance_report report = Compose();
+    complete(report);
+    const std::string message = EncodeReport(report);
     for (const std::string& address : board_.Addresses()) {
       socket_.Send(address, message);
     }
@@ -90,13 +92,12 @@
   }
 }
 
-instance_report instance_reporter::Compose(std::uint64_t duty_fencing) {
+instance_report instance_reporter::Compose() {
   instance_report report;
   report.name = state_.settings.name;
   report.epoch = epoch_;
   report.sequence = ++sequence_;
   report.address = state_.settings.report_listen;
-  report.duty_fencing = duty_fencing;
   report.wall_us = static_cast<std::uint64_t>(WallClockMicros());
   report.leaving = state_.draining.load(std::memory_order_relaxed);
   const auto view = state_.View();
--- a/entry/instance_reporter.h
+++ b/entry/instance_reporter.h
@@ -30,12 +30,12 @@
 
   // Receives reports for ever.
   awaitable<void> Receive();
-  // Sends reports for ever. `duty_fencing` gives the fencing number under which
-  // this instance acts, or 0.
-  awaitable<void> Report(std::function<std::uint64_t()> duty_fencing);
+  // Sends reports for ever. `complete` fills in what other parts know: the
+  // fencing number under which this instance acts, and its state of the store.
+  awaitable<void> Report(std::function<void(instance_report&)> complete);
 
  private:
-  instance_report Compose(std::uint64_t duty_fencing);
+  instance_report Compose();
   void Take(const instance_report& report);
   // Charges the even share of silent instances for the time since the last
   // call.
--- a/instances/instance_report.cc
+++ b/instances/instance_report.cc
@@ -136,6 +136,21 @@
   return highest;
 }
 
+const instance_report* report_board::Verified(time_point now) const {
+  const auto found = std::ranges::find_if(peers_, [&](const auto& entry) {
+    return !IsSilent(entry.second, now) && entry.second.last.verified;
+  });
+  return found == peers_.end() ? nullptr : &found->second.last;
+}
+
+std::uint64_t report_board::NewestManifest() const {
+  std::uint64_t newest = 0;
+  for (const auto& [name, each] : peers_) {
+    newest = std::max(newest, each.last.manifest_version);
+  }
+  return newest;
+}
+
 std::size_t report_board::RankForDuties(time_point now) const {
   return static_cast<std::size_t>(
       std::ranges::count_if(peers_, [&](const auto& entry) {
--- a/instances/instance_report.h
+++ b/instances/instance_report.h
@@ -59,6 +59,11 @@
   // Wall clock of the sender, microseconds since 1970.
   std::uint64_t wall_us = 0;
   bool leaving = false;
+  // What the sender knows of the store, and whether it has compared that with
+  // the store lately.
+  std::uint64_t manifest_version = 0;
+  std::uint64_t upstream_digest = 0;
+  bool verified = false;
   std::vector<granted_units> granted;
   std::vector<begun_requests> begun;
   std::vector<sent_work> sent;
@@ -118,7 +123,12 @@
   // The highest fencing number that another instance reports to act under, if
   // it reported within `silent_after`; 0 if none.
   std::uint64_t DutyFencingElsewhere(time_point now) const;
-  // Whether another instance that was heard lately precedes this one in the
+  // The last report of an instance that compares its state with the store, if
+  // one was heard lately; null otherwise.
+  const instance_report* Verified(time_point now) const;
+  // The newest manifest that another instance has.
+  std::uint64_t NewestManifest() const;
+  // Number of instances heard lately that precede this one in the
   // order in which instances try for the duty lease.
   std::size_t RankForDuties(time_point now) const;
 
--- a/wire/report_codec.cc
+++ b/wire/report_codec.cc
@@ -13,6 +13,9 @@
   message.set_duty_fencing(report.duty_fencing);
   message.set_wall_us(report.wall_us);
   message.set_leaving(report.leaving);
+  message.set_manifest_version(report.manifest_version);
+  message.set_upstream_digest(report.upstream_digest);
+  message.set_verified(report.verified);
   for (const granted_units& each : report.granted) {
     wire::Granted* granted = message.add_granted();
     granted->set_workspace(each.workspace);
@@ -52,6 +55,9 @@
   report.duty_fencing = message.duty_fencing();
   report.wall_us = message.wall_us();
   report.leaving = message.leaving();
+  report.manifest_version = message.manifest_version();
+  report.upstream_digest = message.upstream_digest();
+  report.verified = message.verified();
   for (const wire::Granted& each : message.granted()) {
     report.granted.push_back({each.workspace(), each.units()});
   }
