--- a/common/log.cc
+++ b/common/log.cc
@@ -88,8 +88,8 @@
 }  // namespace
 
 void InitializeLog() {
-  el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
-      "DefaultLogDispatchCallback");
+  el::Helpers::uninstallLogDispatchCallback<
+      el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
   el::Helpers::installLogDispatchCallback<bounded_writer>("bounded_writer");
   el::Configurations configuration;
   configuration.setToDefault();
--- a/contracts/manifest.cc
+++ b/contracts/manifest.cc
@@ -40,10 +40,9 @@
   if (found == by_host_.end()) {
     return nullptr;
   }
-  const auto match =
-      std::ranges::find_if(found->second, [path](const auto* each) {
-        return path.starts_with(each->path_prefix);
-      });
+  const auto match = std::ranges::find_if(
+      found->second,
+      [path](const auto* each) { return path.starts_with(each->path_prefix); });
   return match == found->second.end() ? nullptr : *match;
 }
 
--- a/entry/announced_upstreams.cc
+++ b/entry/announced_upstreams.cc
@@ -75,9 +75,9 @@
 
 bool announced_upstreams::Announce(const upstream_announcement& announced) {
   held_.erase(announced.id);
-  entries_[announced.id] = CombineHash(
-      CombineHash(Hash64(announced.id), announced.born_ms),
-      announced.draining ? 1 : 0);
+  entries_[announced.id] =
+      CombineHash(CombineHash(Hash64(announced.id), announced.born_ms),
+                  announced.draining ? 1 : 0);
   if (!builder_.Announce(announced)) {
     return false;
   }
--- a/entry/call_refusal.cc
+++ b/entry/call_refusal.cc
@@ -55,8 +55,7 @@
 std::string RetryAfterSeconds(duration pause) {
   const duration base = std::max(pause, kLeastPause);
   const double spread = split_mix(thread_random().Next()).NextUnit() / 2;
-  const double seconds =
-      static_cast<double>(base.count()) * (1 + spread) / 1e6;
+  const double seconds = static_cast<double>(base.count()) * (1 + spread) / 1e6;
   char text[32];
   std::snprintf(text, sizeof(text), "%.3f", seconds);
   return text;
--- a/entry/caller_call.h
+++ b/entry/caller_call.h
@@ -61,20 +61,19 @@
 
 // Translates calls of one kind of front end.
 template <typename T>
-concept call_codec =
-    requires(const http_exchange& exchange,
-             const http_request& request,
-             const upstream_orders& orders,
-             const boost::beast::http::fields& fields,
-             std::string_view name) {
-      { T::DecodeCall(exchange) } -> std::same_as<caller_call>;
-      { T::EncodeCall(request, orders) } -> std::same_as<http_request>;
-      { T::DecodeAnswer(fields) } -> std::same_as<upstream_answer>;
-      // Whether a header of an answer goes on to the caller.
-      { T::PassesToCaller(name) } -> std::same_as<bool>;
-      // Name of the header that carries the id of a request.
-      { T::RequestIdHeader() } -> std::same_as<std::string_view>;
-    };
+concept call_codec = requires(const http_exchange& exchange,
+                              const http_request& request,
+                              const upstream_orders& orders,
+                              const boost::beast::http::fields& fields,
+                              std::string_view name) {
+  { T::DecodeCall(exchange) } -> std::same_as<caller_call>;
+  { T::EncodeCall(request, orders) } -> std::same_as<http_request>;
+  { T::DecodeAnswer(fields) } -> std::same_as<upstream_answer>;
+  // Whether a header of an answer goes on to the caller.
+  { T::PassesToCaller(name) } -> std::same_as<bool>;
+  // Name of the header that carries the id of a request.
+  { T::RequestIdHeader() } -> std::same_as<std::string_view>;
+};
 
 }  // namespace anvilloom
 
--- a/entry/cloud_duties.h
+++ b/entry/cloud_duties.h
@@ -44,10 +44,10 @@
                                 deadline until) {
   {
     cloud.ReportUsage(usage, fencing, until)
-  } -> std::same_as<awaitable<duty_result>>;
+    } -> std::same_as<awaitable<duty_result>>;
   {
     cloud.OrderEngines(order, fencing, until)
-  } -> std::same_as<awaitable<duty_result>>;
+    } -> std::same_as<awaitable<duty_result>>;
 };
 
 }  // namespace anvilloom
--- a/entry/duty_runner.h
+++ b/entry/duty_runner.h
@@ -20,7 +20,7 @@
 #include "entry/usage_record.h"
 #include "instances/demand_estimate.h"
 #include "instances/engine_plan.h"
-#include "instances/instance_report.h"
+#include "instances/peer_report.h"
 #include "wire/object_store.h"
 #include "wire/pause.h"
 #include "wire/wall_clock.h"
@@ -183,8 +183,7 @@
         kUsageKind, name, EncodeUsage(report), CallLimit());
     if (!created) {
       const auto stored = co_await store_.Get(kUsageKind, name, CallLimit());
-      const auto decided =
-          stored ? DecodeUsage(stored->value) : std::nullopt;
+      const auto decided = stored ? DecodeUsage(stored->value) : std::nullopt;
       if (!decided) {
         co_return;  // Not decided yet; the next round tries again.
       }
@@ -232,8 +231,8 @@
       engines += counted.on_demand + counted.reclaimable;
       reclaimable += counted.reclaimable;
     }
-    const std::uint64_t read = pool->meter->read_tokens.load() +
-                               board_.ReadElsewhere(service.name);
+    const std::uint64_t read =
+        pool->meter->read_tokens.load() + board_.ReadElsewhere(service.name);
     if (!Settled(service.name, engines)) {
       co_return;
     }
@@ -294,8 +293,7 @@
         continue;
       }
       domain_engines& domain = counts[each->announced().domain];
-      ++(each->announced().reclaimable ? domain.reclaimable
-                                       : domain.on_demand);
+      ++(each->announced().reclaimable ? domain.reclaimable : domain.on_demand);
     }
     return counts;
   }
@@ -326,8 +324,8 @@
     order_state& last =
         orders_[order.service + '/' + order.domain +
                 (order.reclaimable ? "/reclaimable" : "/on-demand")];
-    const bool changed = last.given ? last.count != order.count
-                                    : serving != order.count;
+    const bool changed =
+        last.given ? last.count != order.count : serving != order.count;
     const bool missing =
         serving != order.count && last.given && last.repeat_at.Expired(Now());
     if (!changed && !missing) {
@@ -342,8 +340,7 @@
                               : kUnavailablePause;
     last.repeat_at = deadline::After(Now(), wait);
     if (order.reclaimable && result == duty_result::kUnavailable) {
-      refused_[order.service].until =
-          deadline::After(Now(), kRefusedMemory);
+      refused_[order.service].until = deadline::After(Now(), kRefusedMemory);
     }
     Log(result == duty_result::kDone ? log_level::kInfo : log_level::kWarning,
         log_event::kEnginesOrdered,
@@ -352,9 +349,8 @@
          {"reclaimable", order.reclaimable ? "yes" : "no"},
          {"wanted", std::to_string(order.count)},
          {"serving", std::to_string(serving)},
-         {"busy_permille",
-          std::to_string(static_cast<int>(
-              demand_[order.service].busy_engines() * 1000))},
+         {"busy_permille", std::to_string(static_cast<int>(
+                               demand_[order.service].busy_engines() * 1000))},
          {"fencing", std::to_string(lease_.fencing())},
          {"result", std::to_string(static_cast<int>(result))}});
   }
--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -90,18 +90,17 @@
       return Unknown(refusal_reason::kNoRoute);
     }
     if (!route_->anonymous && !view_->manifest->source().workspaces.empty()) {
-      workspace_ = call_.key ? view_->manifest->FindWorkspace(*call_.key)
-                             : nullptr;
+      workspace_ =
+          call_.key ? view_->manifest->FindWorkspace(*call_.key) : nullptr;
       if (workspace_ == nullptr) {
         return Unknown(refusal_reason::kUnknownKey);
       }
     }
-    const duration patience =
-        std::min(call_.patience.value_or(route_->answer_limit),
-                 route_->answer_limit);
+    const duration patience = std::min(
+        call_.patience.value_or(route_->answer_limit), route_->answer_limit);
     answer_by_ = deadline::After(arrived_, patience);
-    const auto* target =
-        ChooseTarget(route_->targets, split_mix(thread_random().Next()).NextUnit());
+    const auto* target = ChooseTarget(
+        route_->targets, split_mix(thread_random().Next()).NextUnit());
     pool_ = target == nullptr ? nullptr : view_->FindPool(target->service);
     if (pool_ == nullptr) {
       return call_refusal{refusal_reason::kNoUpstream, kNoUpstreamPause};
@@ -165,8 +164,7 @@
   // The latest time at which a call is worth beginning: its latency target, or
   // what is left of its caller's patience.
   duration FirstLimit() const {
-    return std::min(route_->latency_target,
-                    answer_by_.Remaining(Now()));
+    return std::min(route_->latency_target, answer_by_.Remaining(Now()));
   }
 
   awaitable<attempt_end> Attempt() {
@@ -246,8 +244,8 @@
     const deadline limit = AttemptLimit();
     sent_at_ = Now();
     auto opened = co_await client_.Open(
-        target.announced().address, Codec::EncodeCall(exchange_.request(), orders),
-        limit, use, &handle_);
+        target.announced().address,
+        Codec::EncodeCall(exchange_.request(), orders), limit, use, &handle_);
     if (!opened) {
       co_return EndOf(opened.error());
     }
@@ -354,9 +352,8 @@
       state_.counters.first_byte.Add(Now() - arrived_);
       first_byte_at_ = Now();
       const auto headers = AnswerHeaders();
-      if (!co_await exchange_.BeginStream(answer_->status(),
-                                          answer_->Header("Content-Type"),
-                                          headers)) {
+      if (!co_await exchange_.BeginStream(
+              answer_->status(), answer_->Header("Content-Type"), headers)) {
         co_return false;
       }
     }
@@ -382,8 +379,7 @@
                                   field.name_string().size());
       if (Codec::PassesToCaller(name) &&
           field.name() != boost::beast::http::field::content_type) {
-        headers.push_back(
-            {name, {field.value().data(), field.value().size()}});
+        headers.push_back({name, {field.value().data(), field.value().size()}});
       }
     }
     return headers;
@@ -502,9 +498,9 @@
          {"upstream", target.announced().id},
          {"attempt", std::to_string(attempts_)},
          {"end", std::string(Name(end))},
-         {"status", answer_ ? std::to_string(static_cast<unsigned>(
-                                  answer_->status()))
-                            : "none"},
+         {"status",
+          answer_ ? std::to_string(static_cast<unsigned>(answer_->status()))
+                  : "none"},
          {"next", std::string(Name(step))},
          {"sent_us_ago", std::to_string((Now() - sent_at_).count())},
          {"retries_permille",
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -19,8 +19,8 @@
 #include "entry/forwarded_call.h"
 #include "entry/gateway_admin.h"
 #include "entry/gateway_state.h"
-#include "entry/instance_reporter.h"
 #include "entry/kind_follower.h"
+#include "entry/peer_reporter.h"
 #include "wire/http_client.h"
 #include "wire/http_server.h"
 #include "wire/io_pool.h"
@@ -29,17 +29,17 @@
 
 // What a gateway runs on.
 template <typename T>
-concept serving_platform =
-    object_store<typename T::store> && cloud_duties<typename T::cloud> &&
-    call_codec<typename T::codec> && requires(std::string_view text) {
-      { T::DecodeManifest(text) } -> std::same_as<std::optional<manifest>>;
-      {
-        T::DecodeUpstream(text, text)
-      } -> std::same_as<std::optional<upstream_announcement>>;
-      { T::kManifestKind } -> std::convertible_to<std::string_view>;
-      { T::kManifestName } -> std::convertible_to<std::string_view>;
-      { T::kUpstreamKind } -> std::convertible_to<std::string_view>;
-    };
+concept serving_platform = object_store<typename T::store> &&
+    cloud_duties<typename T::cloud> && call_codec<typename T::codec> &&
+    requires(std::string_view text) {
+  { T::DecodeManifest(text) } -> std::same_as<std::optional<manifest>>;
+  {
+    T::DecodeUpstream(text, text)
+    } -> std::same_as<std::optional<upstream_announcement>>;
+  { T::kManifestKind } -> std::convertible_to<std::string_view>;
+  { T::kManifestName } -> std::convertible_to<std::string_view>;
+  { T::kUpstreamKind } -> std::convertible_to<std::string_view>;
+};
 
 // Kind under which the instances list themselves.
 inline constexpr std::string_view kInstanceKind = "instances";
@@ -62,14 +62,15 @@
         reporter_(state_, control_.context(0).get_executor()),
         duties_(state_, reporter_.board(), store_, cloud_, identity_),
         upstreams_(builder_, [this] { PublishView(); }),
-        manifests_(store_,
-                   Platform::kManifestKind,
-                   [this](const object_list& list) { TakeManifests(list); },
-                   [this](const object_event& event) {
-                     TakeManifest(event);
-                     return true;
-                   },
-                   [this](bool reachable) { NoteManifestStore(reachable); }),
+        manifests_(
+            store_,
+            Platform::kManifestKind,
+            [this](const object_list& list) { TakeManifests(list); },
+            [this](const object_event& event) {
+              TakeManifest(event);
+              return true;
+            },
+            [this](bool reachable) { NoteManifestStore(reachable); }),
         announcements_(
             store_,
             Platform::kUpstreamKind,
@@ -98,7 +99,7 @@
     Spawn(Register());
     Spawn(reporter_.Receive());
     Spawn(reporter_.Report(
-        [this](instance_report& report) { CompleteReport(report); }));
+        [this](peer_report& report) { CompleteReport(report); }));
     Spawn(Verify());
     if (!state_.settings.cloud.empty()) {
       Spawn(duties_.Run());
@@ -167,21 +168,20 @@
     limits.idle_limit = stated.idle_time;
     // The body follows the header within the same time again.
     limits.read_limit = stated.header_time * 2;
-    limits.connections =
-        state_.settings.descriptors > 2 * kOwnDescriptors
-            ? state_.settings.descriptors - kOwnDescriptors
-            : state_.settings.descriptors / 2;
+    limits.connections = state_.settings.descriptors > 2 * kOwnDescriptors
+                             ? state_.settings.descriptors - kOwnDescriptors
+                             : state_.settings.descriptors / 2;
     return limits;
   }
 
   void PublishView() { state_.Publish(builder_.Build()); }
 
-  void CompleteReport(instance_report& report) const {
+  void CompleteReport(peer_report& report) const {
     report.duty_fencing = duties_.fencing();
     report.manifest_version = ManifestVersion();
     report.upstream_digest = upstreams_.digest();
-    report.verified = verified_until_.Remaining(state_.clock.Now()) >
-                      duration::zero();
+    report.verified =
+        verified_until_.Remaining(state_.clock.Now()) > duration::zero();
   }
 
   std::uint64_t ManifestVersion() const {
@@ -195,7 +195,7 @@
     for (;;) {
       co_await Pause(kVerifyPause);
       const time_point now = state_.clock.Now();
-      const instance_report* verified = reporter_.board().Verified(now);
+      const peer_report* verified = reporter_.board().Verified(now);
       if (verified == nullptr || reporter_.board().RankForDuties(now) == 0) {
         co_await VerifyWithStore();
         continue;
@@ -212,8 +212,7 @@
   }
 
   awaitable<void> VerifyWithStore() {
-    const deadline until =
-        deadline::After(state_.clock.Now(), kVerifyCall);
+    const deadline until = deadline::After(state_.clock.Now(), kVerifyCall);
     const auto main = co_await store_.Get(Platform::kManifestKind,
                                           Platform::kManifestName, until);
     if (!main) {
@@ -324,7 +323,7 @@
   std::string identity_;
   typename Platform::store store_;
   typename Platform::cloud cloud_;
-  instance_reporter reporter_;
+  peer_reporter reporter_;
   deadline verified_until_ = deadline(time_point::min());
   bool behind_before_ = false;
   std::uint64_t upstreams_version_ = 0;
--- a/entry/gateway_admin.cc
+++ b/entry/gateway_admin.cc
@@ -31,8 +31,8 @@
     out += "anvilloom_";
     out += name;
     out += "_bucket{le_us=\"";
-    out += last ? "inf"
-                : std::to_string(latency_histogram::UpperBound(i).count());
+    out +=
+        last ? "inf" : std::to_string(latency_histogram::UpperBound(i).count());
     out += "\"} " + std::to_string(sum) + '\n';
   }
 }
@@ -92,17 +92,16 @@
   json::array upstreams;
   for (const auto& [service, pool] : view->pools) {
     for (const auto& each : pool.members) {
-      upstreams.push_back(
-          {{"id", each->announced().id},
-           {"service", service},
-           {"address", each->announced().address},
-           {"failure_domain", each->announced().domain},
-           {"reclaimable", each->announced().reclaimable},
-           {"leaving", each->leaving()},
-           {"running", each->running()},
-           {"running_in_all", each->total_running()},
-           {"unread_tokens", each->total_unread_tokens()},
-           {"failed_permille", each->failed_permille()}});
+      upstreams.push_back({{"id", each->announced().id},
+                           {"service", service},
+                           {"address", each->announced().address},
+                           {"failure_domain", each->announced().domain},
+                           {"reclaimable", each->announced().reclaimable},
+                           {"leaving", each->leaving()},
+                           {"running", each->running()},
+                           {"running_in_all", each->total_running()},
+                           {"unread_tokens", each->total_unread_tokens()},
+                           {"failed_permille", each->failed_permille()}});
     }
   }
   dump["upstreams"] = std::move(upstreams);
--- a/entry/gateway_settings.cc
+++ b/entry/gateway_settings.cc
@@ -15,10 +15,10 @@
 namespace leaf = boost::leaf;
 
 constexpr std::array<std::string_view, 18> kKeys = {
-    "name",           "failure_domain", "listen",         "ready_listen",
-    "admin_listen",   "report_listen",  "store",          "cloud",
-    "threads",        "descriptors",    "stop_limit_s",   "lease_ms",
-    "usage_window_s", "usage_due_s",    "retry_share",    "retry_extra",
+    "name",           "failure_domain",    "listen",       "ready_listen",
+    "admin_listen",   "report_listen",     "store",        "cloud",
+    "threads",        "descriptors",       "stop_limit_s", "lease_ms",
+    "usage_window_s", "usage_due_s",       "retry_share",  "retry_extra",
     "retry_window_s", "report_interval_ms"};
 constexpr std::size_t kMostThreads = 64;
 // Below this, listeners and connections to upstreams leave none for callers.
--- a/entry/gateway_state.h
+++ b/entry/gateway_state.h
@@ -62,8 +62,8 @@
     return view.Read(guard);
   }
   void Publish(std::shared_ptr<const serving_view> next) {
-    view.Publish(std::make_unique<std::shared_ptr<const serving_view>>(
-        std::move(next)));
+    view.Publish(
+        std::make_unique<std::shared_ptr<const serving_view>>(std::move(next)));
   }
 
   gateway_settings settings;
--- a/entry/kind_follower.h
+++ b/entry/kind_follower.h
@@ -119,9 +119,8 @@
     }
     // Spread over half of the pause, so that instances do not call together.
     const double spread = 0.5 + split_mix(thread_random().Next()).NextUnit();
-    co_await Pause(duration(
-        static_cast<std::int64_t>(static_cast<double>(pause_.count()) *
-                                  spread)));
+    co_await Pause(duration(static_cast<std::int64_t>(
+        static_cast<double>(pause_.count()) * spread)));
     pause_ = std::min(pause_ * 2, terms_.longest_pause);
   }
 
--- a/entry/instance_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -1,4 +1,4 @@
-#include "entry/instance_reporter.h"
+#include "entry/peer_reporter.h"
 
 #include <algorithm>
 #include <boost/json/object.hpp>
@@ -23,21 +23,21 @@
 
 }  // namespace
 
-instance_reporter::instance_reporter(gateway_state& state,
-                                     boost::asio::any_io_executor executor)
+peer_reporter::peer_reporter(gateway_state& state,
+                             boost::asio::any_io_executor executor)
     : state_(state),
       socket_(std::move(executor), state.settings.report_listen),
       board_(state.settings.name),
       epoch_(static_cast<std::uint64_t>(WallClockMicros())),
       charged_at_(state.clock.Now()) {}
 
-std::string instance_reporter::EncodeSelf() const {
+std::string peer_reporter::EncodeSelf() const {
   return json::serialize(
       json::object{{"address", state_.settings.report_listen},
                    {"failure_domain", state_.settings.failure_domain}});
 }
 
-void instance_reporter::Expect(std::span<const stored_object> entries) {
+void peer_reporter::Expect(std::span<const stored_object> entries) {
   for (const stored_object& entry : entries) {
     const auto parsed = ParseJson(entry.value);
     const auto address =
@@ -48,16 +48,16 @@
   }
 }
 
-awaitable<void> instance_reporter::Receive() {
+awaitable<void> peer_reporter::Receive() {
   for (;;) {
     const std::string_view message = co_await socket_.Receive();
-    if (const auto report = DecodeReport(message)) {
+    if (const auto report = DecodePeerReport(message)) {
       Take(*report);
     }
   }
 }
 
-void instance_reporter::Take(const instance_report& report) {
+void peer_reporter::Take(const peer_report& report) {
   const time_point now = state_.clock.Now();
   const auto view = state_.View();
   board_.Take(report, now,
@@ -74,17 +74,17 @@
               });
 }
 
-awaitable<void> instance_reporter::Report(
-    std::function<void(instance_report&)> complete) {
+awaitable<void> peer_reporter::Report(
+    std::function<void(peer_report&)> complete) {
   for (;;) {
     const time_point now = state_.clock.Now();
     board_.Sweep(now);
     ChargeSilent(now);
     ShareRetries();
     SpreadLoad(now);
-    instance_report report = Compose();
+    peer_report report = Compose();
     complete(report);
-    const std::string message = EncodeReport(report);
+    const std::string message = EncodePeerReport(report);
     for (const std::string& address : board_.Addresses()) {
       socket_.Send(address, message);
     }
@@ -92,8 +92,8 @@
   }
 }
 
-instance_report instance_reporter::Compose() {
-  instance_report report;
+peer_report peer_reporter::Compose() {
+  peer_report report;
   report.name = state_.settings.name;
   report.epoch = epoch_;
   report.sequence = ++sequence_;
@@ -112,15 +112,15 @@
         {service, pool.meter->read_tokens.load(std::memory_order_relaxed)});
     for (const auto& upstream : pool.members) {
       if (upstream->running() > 0) {
-        report.sent.push_back({upstream->hash(), upstream->running(),
-                               upstream->unread_tokens()});
+        report.sent.push_back(
+            {upstream->hash(), upstream->running(), upstream->unread_tokens()});
       }
     }
   }
   return report;
 }
 
-void instance_reporter::ChargeSilent(time_point now) {
+void peer_reporter::ChargeSilent(time_point now) {
   const auto passed = static_cast<double>((now - charged_at_).count()) / 1e6;
   charged_at_ = now;
   const std::size_t silent = board_.Silent(now);
@@ -141,7 +141,7 @@
   }
 }
 
-void instance_reporter::ShareRetries() {
+void peer_reporter::ShareRetries() {
   const auto repeats = static_cast<std::uint32_t>(
       state_.settings.retry_extra / kSavedRepeatsDivisor / board_.Members());
   const auto view = state_.View();
@@ -150,7 +150,7 @@
   }
 }
 
-void instance_reporter::SpreadLoad(time_point now) {
+void peer_reporter::SpreadLoad(time_point now) {
   const auto elsewhere = board_.SentElsewhere(now);
   const auto view = state_.View();
   for (const auto& [service, pool] : view->pools) {
--- a/entry/instance_reporter.h
+++ b/entry/peer_reporter.h
@@ -1,25 +1,24 @@
-// Defines instance_reporter, which exchanges reports with the other instances
+// Defines peer_reporter, which exchanges reports with the other instances
 // and charges what they have granted.
-#ifndef ENTRY_INSTANCE_REPORTER_H_
-#define ENTRY_INSTANCE_REPORTER_H_
+#ifndef ENTRY_PEER_REPORTER_H_
+#define ENTRY_PEER_REPORTER_H_
 
 #include <functional>
 #include <span>
 #include <string>
 
 #include "entry/gateway_state.h"
-#include "instances/instance_report.h"
+#include "instances/peer_report.h"
 #include "wire/datagram_socket.h"
 #include "wire/object_store.h"
 
 namespace anvilloom {
 
 // Belongs to the control thread.
-class instance_reporter {
+class peer_reporter {
  public:
   // Throws boost::system::system_error if the address can't be bound.
-  instance_reporter(gateway_state& state,
-                    boost::asio::any_io_executor executor);
+  peer_reporter(gateway_state& state, boost::asio::any_io_executor executor);
 
   const report_board& board() const { return board_; }
 
@@ -32,11 +31,11 @@
   awaitable<void> Receive();
   // Sends reports for ever. `complete` fills in what other parts know: the
   // fencing number under which this instance acts, and its state of the store.
-  awaitable<void> Report(std::function<void(instance_report&)> complete);
+  awaitable<void> Report(std::function<void(peer_report&)> complete);
 
  private:
-  instance_report Compose();
-  void Take(const instance_report& report);
+  peer_report Compose();
+  void Take(const peer_report& report);
   // Charges the even share of silent instances for the time since the last
   // call.
   void ChargeSilent(time_point now);
@@ -53,4 +52,4 @@
 
 }  // namespace anvilloom
 
-#endif  // ENTRY_INSTANCE_REPORTER_H_
+#endif  // ENTRY_PEER_REPORTER_H_
--- a/entry/program/main.cc
+++ b/entry/program/main.cc
@@ -84,7 +84,8 @@
   std::string settings_path;
   bool on_platform = false;
   options::options_description all(
-      "Usage: anvilloom [--platform] --settings FILE\n\nServes callers in front of "
+      "Usage: anvilloom [--platform] --settings FILE\n\nServes callers in "
+      "front of "
       "upstreams until SIGTERM, then drains.\n\nOptions");
   all.add_options()("help", "Prints this text.")(
       "settings", options::value(&settings_path),
--- a/entry/serving_view.cc
+++ b/entry/serving_view.cc
@@ -77,8 +77,7 @@
       }
       view->pools[service.name] = {service.name, service.model, meter, {}};
     }
-    for (const manifest_workspace& workspace :
-         manifest_->source().workspaces) {
+    for (const manifest_workspace& workspace : manifest_->source().workspaces) {
       auto& allowance = allowances_[workspace.name];
       if (!allowance) {
         allowance = std::make_shared<shared_allowance>();
--- a/instances/demand_estimate.cc
+++ b/instances/demand_estimate.cc
@@ -20,8 +20,7 @@
   if (now - sampled_at_ < kSample) {
     return;
   }
-  const std::uint64_t grown =
-      read_tokens > tokens_ ? read_tokens - tokens_ : 0;
+  const std::uint64_t grown = read_tokens > tokens_ ? read_tokens - tokens_ : 0;
   const auto passed = static_cast<double>((now - sampled_at_).count());
   tokens_ = read_tokens;
   sampled_at_ = now;
--- a/instances/engine_plan.cc
+++ b/instances/engine_plan.cc
@@ -49,10 +49,9 @@
   const std::uint32_t all =
       std::max(Engines(need.busy_engines, plan.target_utilization), least);
   const std::uint32_t reclaimable = all - least;
-  const std::uint32_t missing =
-      reclaimable > need.reclaimable_obtainable
-          ? reclaimable - need.reclaimable_obtainable
-          : 0;
+  const std::uint32_t missing = reclaimable > need.reclaimable_obtainable
+                                    ? reclaimable - need.reclaimable_obtainable
+                                    : 0;
   Spread(wanted, &wanted_engines::on_demand, least + missing,
          terms.max_engines);
   Spread(wanted, &wanted_engines::reclaimable, reclaimable, terms.max_engines);
--- a/instances/engine_plan.h
+++ b/instances/engine_plan.h
@@ -45,7 +45,8 @@
   std::uint32_t on_demand = 0;
   std::uint32_t reclaimable = 0;
 
-  friend bool operator==(const wanted_engines&, const wanted_engines&) = default;
+  friend bool operator==(const wanted_engines&,
+                         const wanted_engines&) = default;
 };
 
 // Engines on demand go to the cheapest failure domains first, reclaimable ones
--- a/instances/instance_report.cc
+++ b/instances/peer_report.cc
@@ -1,4 +1,4 @@
-#include "instances/instance_report.h"
+#include "instances/peer_report.h"
 
 #include <algorithm>
 
@@ -30,18 +30,18 @@
   peers_.emplace(name, std::move(expected));
 }
 
-void report_board::Take(const instance_report& report,
+void report_board::Take(const peer_report& report,
                         time_point now,
                         const charge_sink& charge) {
   if (report.name == own_name_) {
     return;
   }
   peer& sender = peers_[report.name];
-  const bool same_process =
-      sender.heard && sender.last.epoch == report.epoch;
+  const bool same_process = sender.heard && sender.last.epoch == report.epoch;
   const bool stale =
-      sender.heard && (report.epoch < sender.last.epoch ||
-                       (same_process && report.sequence <= sender.last.sequence));
+      sender.heard &&
+      (report.epoch < sender.last.epoch ||
+       (same_process && report.sequence <= sender.last.sequence));
   if (stale) {
     return;
   }
@@ -136,7 +136,7 @@
   return highest;
 }
 
-const instance_report* report_board::Verified(time_point now) const {
+const peer_report* report_board::Verified(time_point now) const {
   const auto found = std::ranges::find_if(peers_, [&](const auto& entry) {
     return !IsSilent(entry.second, now) && entry.second.last.verified;
   });
--- a/instances/instance_report.h
+++ b/instances/peer_report.h
@@ -1,7 +1,7 @@
-// Defines instance_report, what an entry instance tells the others several
+// Defines peer_report, what an entry instance tells the others several
 // times a second, and report_board, what this instance knows from them.
-#ifndef INSTANCES_INSTANCE_REPORT_H_
-#define INSTANCES_INSTANCE_REPORT_H_
+#ifndef INSTANCES_PEER_REPORT_H_
+#define INSTANCES_PEER_REPORT_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -46,7 +46,7 @@
 
 // Every report carries whole values, never differences, so a lost or repeated
 // report does no harm.
-struct instance_report {
+struct peer_report {
   std::string name;
   // Start of the process, microseconds since 1970; tells restarts apart.
   std::uint64_t epoch = 0;
@@ -97,7 +97,7 @@
 
   // Takes in a report; older ones than the last are dropped. Calls `charge` for
   // what was granted since the last report of the same process.
-  void Take(const instance_report& report,
+  void Take(const peer_report& report,
             time_point now,
             const charge_sink& charge);
 
@@ -115,8 +115,8 @@
   std::map<std::uint64_t, sent_work> SentElsewhere(time_point now) const;
   // Requests of all others by window and workspace, those of processes that
   // have ended included.
-  std::map<std::pair<std::uint64_t, std::string>, std::uint64_t> BegunElsewhere()
-      const;
+  std::map<std::pair<std::uint64_t, std::string>, std::uint64_t>
+  BegunElsewhere() const;
   // Tokens that the others' calls to a service had upstreams read. Drops when a
   // process restarts.
   std::uint64_t ReadElsewhere(std::string_view service) const;
@@ -125,7 +125,7 @@
   std::uint64_t DutyFencingElsewhere(time_point now) const;
   // The last report of an instance that compares its state with the store, if
   // one was heard lately; null otherwise.
-  const instance_report* Verified(time_point now) const;
+  const peer_report* Verified(time_point now) const;
   // The newest manifest that another instance has.
   std::uint64_t NewestManifest() const;
   // Number of instances heard lately that precede this one in the
@@ -137,7 +137,7 @@
     std::string address;
     time_point heard_at;
     bool heard = false;
-    instance_report last;
+    peer_report last;
     // Counts of earlier processes under the same name.
     std::vector<begun_requests> begun_before;
   };
@@ -153,4 +153,4 @@
 
 }  // namespace anvilloom
 
-#endif  // INSTANCES_INSTANCE_REPORT_H_
+#endif  // INSTANCES_PEER_REPORT_H_
--- a/links/attempt_policy.cc
+++ b/links/attempt_policy.cc
@@ -16,8 +16,7 @@
   const bool allowed = !question.may_have_run ||
                        question.repeat == repeat_rule::kRepeatable ||
                        question.repeat == repeat_rule::kResumable;
-  const bool in_time =
-      question.answer_by.Remaining(now) > question.least_time;
+  const bool in_time = question.answer_by.Remaining(now) > question.least_time;
   if (allowed && in_time && question.attempts < question.most_attempts) {
     return next_step::kRepeat;
   }
--- a/links/pooled_upstream.h
+++ b/links/pooled_upstream.h
@@ -95,9 +95,9 @@
     if (row < kToleratedFailures) {
       return;
     }
-    const std::uint32_t doublings =
-        row - kToleratedFailures < kMostDoublings ? row - kToleratedFailures
-                                                  : kMostDoublings;
+    const std::uint32_t doublings = row - kToleratedFailures < kMostDoublings
+                                        ? row - kToleratedFailures
+                                        : kMostDoublings;
     const duration wait = kFirstAvoidance * (1U << doublings);
     avoid_until_us_.store((now + wait).time_since_epoch().count(),
                           std::memory_order_relaxed);
--- /dev/null
+++ b/test/correctness/engine_plan_test.cc
@@ -0,0 +1,134 @@
+// Guards against plans that leave too few engines when the cloud takes the
+// reclaimable ones, and against paying for engines that nobody needs.
+
+#include "instances/engine_plan.h"
+
+#include <catch2/catch.hpp>
+#include <numeric>
+
+#include "instances/demand_estimate.h"
+
+namespace anvilloom {
+
+namespace {
+
+scaling_terms Terms() {
+  scaling_terms terms;
+  terms.min_engines = 1;
+  terms.max_engines = 6;
+  terms.boot_time = std::chrono::seconds(4);
+  terms.reclaimable_price = 0.22;
+  terms.domain_prices = {{"a", 0.85}, {"b", 1.2}, {"c", 1.0}};
+  return terms;
+}
+
+std::uint32_t Sum(std::span<const wanted_engines> plan,
+                  std::uint32_t wanted_engines::*kind) {
+  return std::accumulate(
+      plan.begin(), plan.end(), 0U,
+      [kind](std::uint32_t sum, const auto& each) { return sum + each.*kind; });
+}
+
+}  // namespace
+
+SCENARIO("A plan covers its load with the cheapest engines", "[engine_plan]") {
+  const engine_plan_terms plan;
+
+  GIVEN("a load of two busy engines") {
+    const engine_need need{.busy_engines = 2.0};
+    const auto wanted = PlanEngines(Terms(), need, plan);
+
+    THEN("all engines together run at the planned utilization") {
+      const auto all = Sum(wanted, &wanted_engines::on_demand) +
+                       Sum(wanted, &wanted_engines::reclaimable);
+      REQUIRE(2.0 / all <= plan.target_utilization);
+      REQUIRE(2.0 / (all - 1) > plan.target_utilization);
+    }
+
+    THEN("the engines on demand carry the load alone") {
+      const auto lasting = Sum(wanted, &wanted_engines::on_demand);
+      REQUIRE(2.0 / lasting <= plan.reclaim_utilization);
+    }
+
+    THEN("the cheapest failure domain comes first") {
+      REQUIRE(wanted.front().domain == "a");
+      REQUIRE(wanted.front().on_demand >= wanted.back().on_demand);
+    }
+
+    WHEN("the cloud refuses reclaimable engines") {
+      const engine_need dry{.busy_engines = 2.0, .reclaimable_obtainable = 1};
+      const auto instead = PlanEngines(Terms(), dry, plan);
+
+      THEN("engines on demand stand in for those that are missing") {
+        REQUIRE(Sum(instead, &wanted_engines::on_demand) + 1 >=
+                Sum(wanted, &wanted_engines::on_demand) +
+                    Sum(wanted, &wanted_engines::reclaimable));
+      }
+    }
+  }
+
+  GIVEN("no load") {
+    const auto wanted = PlanEngines(Terms(), {}, plan);
+
+    THEN("each failure domain keeps its least number") {
+      for (const auto& each : wanted) {
+        REQUIRE(each.on_demand + each.reclaimable >= 1);
+      }
+    }
+  }
+
+  GIVEN("more load than the cloud allows engines for") {
+    const auto wanted =
+        PlanEngines(Terms(), engine_need{.busy_engines = 50}, plan);
+
+    THEN("no failure domain has more than its bound") {
+      for (const auto& each : wanted) {
+        REQUIRE(each.on_demand + each.reclaimable <= 6);
+      }
+    }
+  }
+}
+
+SCENARIO("The estimate of demand rises at once and falls late",
+         "[demand_estimate]") {
+  constexpr time_point kStart{std::chrono::seconds(1000)};
+  demand_estimate demand;
+  demand.Take(0, 8, 26.0, kStart);
+  REQUIRE(demand.busy_engines() == Approx(2.0));
+
+  std::uint64_t tokens = 0;
+  const auto run = [&](int from_s, int to_s, std::uint64_t per_second) {
+    for (int s = from_s; s < to_s; ++s) {
+      tokens += per_second;
+      demand.Take(tokens, 8, 26.0, kStart + std::chrono::seconds(s + 1));
+    }
+  };
+
+  WHEN("the load is three engines' worth") {
+    run(0, 6, 3'000'000 / 26);
+
+    THEN("the estimate says so within seconds") {
+      REQUIRE(demand.busy_engines() == Approx(3.0).epsilon(0.05));
+    }
+
+    AND_WHEN("it falls to one") {
+      run(6, 16, 1'000'000 / 26);
+      REQUIRE(demand.busy_engines() == Approx(3.0).epsilon(0.05));
+      run(16, 40, 1'000'000 / 26);
+
+      THEN("the estimate follows after its memory") {
+        REQUIRE(demand.busy_engines() == Approx(1.0).epsilon(0.05));
+      }
+    }
+
+    AND_WHEN("a process restarts and the sum drops") {
+      demand.Take(0, 8, 26.0, kStart + std::chrono::seconds(12));
+
+      THEN("the estimate does not jump") {
+        REQUIRE(demand.busy_engines() == Approx(3.0).epsilon(0.05));
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
--- a/test/correctness/pages_test.cc
+++ b/test/correctness/pages_test.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "common/log.h"
+#include "entry/gateway_settings.h"
 #include "entry/settings.h"
 #include "wire/configuration_json.h"
 
@@ -79,12 +80,21 @@
 
   GIVEN("the page of settings") {
     const std::string page = ReadPage("settings.md");
+    const std::size_t gateway = page.find("## Settings of a gateway");
     const std::size_t split = page.find("## Configuration files");
+    REQUIRE(gateway != std::string::npos);
     REQUIRE(split != std::string::npos);
+    REQUIRE(gateway < split);
 
     THEN("the first table lists the settings keys") {
       const auto known = KnownSettingsKeys();
-      REQUIRE(KeysOf(std::string_view(page).substr(0, split)) ==
+      REQUIRE(KeysOf(std::string_view(page).substr(0, gateway)) ==
+              std::set<std::string>(known.begin(), known.end()));
+    }
+
+    THEN("the table of the gateway lists its settings keys") {
+      const auto known = KnownGatewaySettingsKeys();
+      REQUIRE(KeysOf(std::string_view(page).substr(gateway, split - gateway)) ==
               std::set<std::string>(known.begin(), known.end()));
     }
 
--- /dev/null
+++ b/test/correctness/peer_report_test.cc
@@ -0,0 +1,167 @@
+// Guards against limits that are charged twice or forgotten when reports are
+// lost, repeated or come from a restarted process, and against usage that a
+// dead instance counted being lost.
+
+#include "instances/peer_report.h"
+
+#include <catch2/catch.hpp>
+
+#include "wire/report_codec.h"
+
+namespace anvilloom {
+
+namespace {
+
+constexpr time_point kStart{std::chrono::seconds(1000)};
+
+peer_report Report(std::string name,
+                   std::uint64_t epoch,
+                   std::uint64_t sequence,
+                   std::uint64_t granted) {
+  peer_report report;
+  report.name = std::move(name);
+  report.epoch = epoch;
+  report.sequence = sequence;
+  report.address = "10.0.0.1:7600";
+  report.granted = {{"studio", granted}};
+  return report;
+}
+
+}  // namespace
+
+SCENARIO("The board charges what others have granted once", "[report_board]") {
+  report_board board("self");
+  std::uint64_t charged = 0;
+  const auto charge = [&](std::string_view workspace, std::uint64_t units) {
+    REQUIRE(workspace == "studio");
+    charged += units;
+  };
+  board.Take(Report("other", 5, 1, 100), kStart, charge);
+  REQUIRE(charged == 100);
+
+  WHEN("reports are lost, repeated and overtake each other") {
+    board.Take(Report("other", 5, 4, 700), kStart, charge);
+    board.Take(Report("other", 5, 4, 700), kStart, charge);
+    board.Take(Report("other", 5, 2, 300), kStart, charge);
+
+    THEN("the sum is that of the newest report") {
+      REQUIRE(charged == 700);
+    }
+  }
+
+  WHEN("the process restarts and counts from zero") {
+    peer_report before = Report("other", 5, 2, 100);
+    before.begun = {{40, "studio", 9}};
+    board.Take(before, kStart, charge);
+    board.Take(Report("other", 6, 1, 30), kStart, charge);
+
+    THEN("its new grants are charged too") {
+      REQUIRE(charged == 130);
+    }
+
+    THEN("the usage that it counted before is kept") {
+      REQUIRE(board.BegunElsewhere().at({40, "studio"}) == 9);
+    }
+
+    AND_WHEN("a late report of the old process arrives") {
+      board.Take(Report("other", 5, 9, 5'000), kStart, charge);
+
+      THEN("it is dropped") {
+        REQUIRE(charged == 130);
+      }
+    }
+  }
+
+  WHEN("its own report comes back") {
+    board.Take(Report("self", 1, 1, 1'000), kStart, charge);
+
+    THEN("it is not charged") {
+      REQUIRE(charged == 100);
+      REQUIRE(board.Members() == 2);
+    }
+  }
+}
+
+SCENARIO("The board knows who is silent", "[report_board]") {
+  report_board board("self");
+  const auto ignore = [](std::string_view, std::uint64_t) {};
+  board.Expect("listed", "10.0.0.9:7600", kStart);
+  peer_report leader = Report("leader", 1, 1, 0);
+  leader.duty_fencing = 7;
+  leader.sent = {{42, 3, 900}};
+  board.Take(leader, kStart, ignore);
+
+  THEN("a listed instance counts as a silent member") {
+    REQUIRE(board.Members() == 3);
+    REQUIRE(board.Silent(kStart) == 1);
+  }
+
+  THEN("the work and the duties of one that reports are known") {
+    REQUIRE(board.SentElsewhere(kStart).at(42).unread_tokens == 900);
+    REQUIRE(board.DutyFencingElsewhere(kStart) == 7);
+  }
+
+  WHEN("it falls silent") {
+    const time_point later = kStart + std::chrono::seconds(2);
+
+    THEN(
+        "its work and duties are not counted any more, but it stays a member") {
+      REQUIRE(board.SentElsewhere(later).empty());
+      REQUIRE(board.DutyFencingElsewhere(later) == 0);
+      board.Sweep(later);
+      REQUIRE(board.Members() == 3);
+    }
+  }
+
+  WHEN("it says that it leaves and falls silent") {
+    peer_report leaving = Report("leader", 1, 2, 0);
+    leaving.leaving = true;
+    board.Take(leaving, kStart, ignore);
+    board.Sweep(kStart + std::chrono::seconds(2));
+
+    THEN("it is no member any more") {
+      REQUIRE(board.Members() == 2);
+    }
+  }
+
+  WHEN("silence lasts longer than any partition") {
+    board.Sweep(kStart + std::chrono::seconds(31));
+
+    THEN("silent instances are taken as removed") {
+      REQUIRE(board.Members() == 1);
+    }
+  }
+}
+
+SCENARIO("A report survives its encoding", "[report_codec]") {
+  peer_report report = Report("other", 5, 4, 700);
+  report.begun = {{40, "studio", 9}};
+  report.sent = {{42, 3, 900}};
+  report.read = {{"plans", 123}};
+  report.duty_fencing = 8;
+  report.manifest_version = 12;
+  report.upstream_digest = 99;
+  report.verified = true;
+  report.leaving = true;
+  const auto decoded = DecodePeerReport(EncodePeerReport(report));
+  REQUIRE(decoded);
+  REQUIRE(decoded->name == "other");
+  REQUIRE(decoded->epoch == 5);
+  REQUIRE(decoded->sequence == 4);
+  REQUIRE(decoded->granted[0].units == 700);
+  REQUIRE(decoded->begun[0].requests == 9);
+  REQUIRE(decoded->sent[0].running == 3);
+  REQUIRE(decoded->read[0].tokens == 123);
+  REQUIRE(decoded->duty_fencing == 8);
+  REQUIRE(decoded->manifest_version == 12);
+  REQUIRE(decoded->upstream_digest == 99);
+  REQUIRE(decoded->verified);
+  REQUIRE(decoded->leaving);
+
+  THEN("other bytes are no report") {
+    REQUIRE_FALSE(DecodePeerReport(""));
+    REQUIRE_FALSE(DecodePeerReport("\xff\xff\xff"));
+  }
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/test/correctness/shared_allowance_test.cc
@@ -0,0 +1,95 @@
+// Guards a workspace's limit against being exceeded by several instances
+// together, and against refusing what lies within it.
+
+#include "contracts/shared_allowance.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+
+namespace anvilloom {
+
+namespace {
+
+constexpr time_point kStart{std::chrono::seconds(1000)};
+constexpr allowance_terms kTerms{10'000, 20'000};
+
+}  // namespace
+
+SCENARIO("An allowance grants its burst and then its rate",
+         "[shared_allowance]") {
+  shared_allowance allowance;
+
+  WHEN("calls come faster than the rate") {
+    std::uint64_t granted = 0;
+    for (int ms = 0; ms < 10'000; ms += 10) {
+      const time_point now = kStart + std::chrono::milliseconds(ms);
+      granted += allowance.Admit(500, kTerms, now) ? 500 : 0;
+    }
+
+    THEN("ten seconds hold the burst and ten times the rate") {
+      REQUIRE(granted >= 120'000 - 500);
+      REQUIRE(granted <= 120'000 + 500);
+      REQUIRE(allowance.admitted() == granted);
+    }
+
+    THEN("the next grant comes when the rate has filled one call") {
+      const time_point now = kStart + std::chrono::seconds(10);
+      const duration wait = allowance.FreeAt(kTerms, now) - now;
+      REQUIRE(wait <= std::chrono::milliseconds(51));
+    }
+  }
+
+  WHEN("what was granted did not run") {
+    REQUIRE(allowance.Admit(20'001, kTerms, kStart));
+    REQUIRE_FALSE(allowance.Admit(1, kTerms, kStart));
+    allowance.Refund(20'001, kTerms);
+
+    THEN("it is there again") {
+      REQUIRE(allowance.Admit(20'000, kTerms, kStart));
+    }
+  }
+
+  WHEN("there is no limit") {
+    THEN("everything is granted") {
+      REQUIRE(allowance.Admit(1'000'000'000, {}, kStart));
+      REQUIRE(allowance.FreeAt({}, kStart) == kStart);
+    }
+  }
+}
+
+SCENARIO("Instances that report their grants keep one limit together",
+         "[shared_allowance]") {
+  // Seven instances see eight times the limit, with reports each 200 ms.
+  std::array<shared_allowance, 7> instances;
+  std::array<std::uint64_t, 7> reported{};
+  std::uint64_t granted = 0;
+  constexpr int kSeconds = 16;
+  for (int ms = 0; ms < kSeconds * 1000; ms += 5) {
+    const time_point now = kStart + std::chrono::milliseconds(ms);
+    for (shared_allowance& each : instances) {
+      granted += each.Admit(57, kTerms, now) ? 57 : 0;
+    }
+    if (ms % 200 == 195) {
+      for (std::size_t from = 0; from < instances.size(); ++from) {
+        const std::uint64_t grown = instances[from].admitted() - reported[from];
+        reported[from] += grown;
+        for (std::size_t to = 0; to < instances.size(); ++to) {
+          if (to != from) {
+            instances[to].Charge(grown, kTerms, now);
+          }
+        }
+      }
+    }
+  }
+
+  THEN("they stay within a tenth above the limit and the burst") {
+    const std::uint64_t limit = kTerms.per_second * kSeconds + kTerms.burst;
+    REQUIRE(granted <= limit + limit / 10);
+  }
+
+  THEN("they grant nearly all of it") {
+    REQUIRE(granted >= kTerms.per_second * kSeconds);
+  }
+}
+
+}  // namespace anvilloom
--- a/wire/datagram_socket.cc
+++ b/wire/datagram_socket.cc
@@ -42,8 +42,8 @@
   }
   // The next message replaces one that could not be sent.
   boost::system::error_code ignored;
-  socket_.send_to(net::buffer(message.data(), message.size()),
-                  ToUdp(*endpoint), 0, ignored);
+  socket_.send_to(net::buffer(message.data(), message.size()), ToUdp(*endpoint),
+                  0, ignored);
 }
 
 awaitable<std::string_view> datagram_socket::Receive() {
--- a/wire/http_client.cc
+++ b/wire/http_client.cc
@@ -72,8 +72,8 @@
   }
   const std::string_view digits = header.substr(at + kName.size());
   int seconds = 0;
-  const auto [end, error] = std::from_chars(
-      digits.data(), digits.data() + digits.size(), seconds);
+  const auto [end, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
   if (error != std::errc{} || seconds < 0) {
     return std::nullopt;
   }
@@ -357,8 +357,7 @@
     connection = pool_->Take(address);
   }
   if (!connection) {
-    auto connected =
-        co_await Connect(address, until.Earlier(send_by), handle);
+    auto connected = co_await Connect(address, until.Earlier(send_by), handle);
     if (!connected) {
       co_return connected.error();
     }
@@ -393,13 +392,12 @@
     handle->connection_ = nullptr;
   }
   const transfer_failure failure{ErrorKind(error), true};
-  const bool stale = use == connection_use::kPooled && connection->reused() && received == 0 &&
-                     connection->buffer().size() == 0 &&
+  const bool stale = use == connection_use::kPooled && connection->reused() &&
+                     received == 0 && connection->buffer().size() == 0 &&
                      failure.error == transfer_error::kClosed;
   if (stale) {
-    co_return co_await SendAndReadHeader(address, request, until,
-                                         connection_use::kFresh, send_by,
-                                         handle);
+    co_return co_await SendAndReadHeader(
+        address, request, until, connection_use::kFresh, send_by, handle);
   }
   co_return failure;
 }
@@ -410,8 +408,8 @@
                   deadline until,
                   connection_use use,
                   http_call_handle* handle) {
-  auto connection = co_await SendAndReadHeader(
-      address, request, until, use, deadline::Never(), handle);
+  auto connection = co_await SendAndReadHeader(address, request, until, use,
+                                               deadline::Never(), handle);
   if (!connection) {
     co_return connection.error();
   }
--- a/wire/report_codec.cc
+++ b/wire/report_codec.cc
@@ -1,11 +1,11 @@
 #include "wire/report_codec.h"
 
-#include "wire/instance_report.pb.h"
+#include "wire/peer_report.pb.h"
 
 namespace anvilloom {
 
-std::string EncodeReport(const instance_report& report) {
-  wire::InstanceReport message;
+std::string EncodePeerReport(const peer_report& report) {
+  wire::PeerReport message;
   message.set_name(report.name);
   message.set_epoch(report.epoch);
   message.set_sequence(report.sequence);
@@ -41,13 +41,13 @@
   return message.SerializeAsString();
 }
 
-std::optional<instance_report> DecodeReport(std::string_view bytes) {
-  wire::InstanceReport message;
+std::optional<peer_report> DecodePeerReport(std::string_view bytes) {
+  wire::PeerReport message;
   if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
       message.name().empty()) {
     return std::nullopt;
   }
-  instance_report report;
+  peer_report report;
   report.name = message.name();
   report.epoch = message.epoch();
   report.sequence = message.sequence();
--- a/wire/report_codec.h
+++ b/wire/report_codec.h
@@ -1,4 +1,4 @@
-// Defines the protobuf encoding of instance_report.
+// Defines the protobuf encoding of peer_report.
 #ifndef WIRE_REPORT_CODEC_H_
 #define WIRE_REPORT_CODEC_H_
 
@@ -6,13 +6,13 @@
 #include <string>
 #include <string_view>
 
-#include "instances/instance_report.h"
+#include "instances/peer_report.h"
 
 namespace anvilloom {
 
-std::string EncodeReport(const instance_report& report);
+std::string EncodePeerReport(const peer_report& report);
 // Nothing if the bytes are no report or name no sender.
-std::optional<instance_report> DecodeReport(std::string_view bytes);
+std::optional<peer_report> DecodePeerReport(std::string_view bytes);
 
 }  // namespace anvilloom
 
