Let three instances watch the store for all

Three instances, by hash of their names, watch; they relay each change at once and keep it in their reports for 1.5 s. A digest shows what got lost. Reports at that size filled links of 10 Mbit/s (requests 5 s late, DRAIN and GONE broken), so their interval grows with the members, unchanged grants are left out, and usage goes to the holder of the duties and its successors only.

--- a/common/log.h
+++ b/common/log.h
@@ -69,6 +69,8 @@
   kStoreLost = 812,
   kStoreRegained = 813,
   kStoreRelisted = 814,
+  kWatchDelegated = 815,
+  kStoreCompared = 816,
   kUpstreamJoined = 820,
   kUpstreamDraining = 821,
   kUpstreamGone = 822,
--- a/entry/announced_upstreams.cc
+++ b/entry/announced_upstreams.cc
@@ -25,39 +25,60 @@
 
 }  // namespace
 
-void announced_upstreams::TakeList(
-    std::span<const upstream_announcement> announced,
-    time_point now) {
+void announced_upstreams::TakeList(std::uint64_t version,
+                                   std::span<const upstream_change> announced,
+                                   time_point now) {
   bool changed = false;
-  for (const std::string& id : builder_.UpstreamIds()) {
-    if (std::ranges::find(announced, id, &upstream_announcement::id) ==
-        announced.end()) {
-      changed = Missing(id, now) || changed;
+  std::vector<upstream_change> removed;
+  for (const auto& [id, entry] : entries_) {
+    const bool listed = std::ranges::any_of(
+        announced, [&](const auto& each) { return each.announced.id == id; });
+    if (entry.present && !listed) {
+      upstream_change& change = removed.emplace_back();
+      change.version = version;
+      change.removed = true;
+      change.announced.id = id;
     }
   }
-  for (const upstream_announcement& each : announced) {
-    changed = Announce(each) || changed;
+  for (const upstream_change& each : removed) {
+    changed = Apply(each, now) || changed;
+  }
+  for (const upstream_change& each : announced) {
+    changed = Apply(each, now) || changed;
   }
   if (changed) {
     changed_();
   }
 }
 
-void announced_upstreams::Take(
-    std::string_view id,
-    const std::optional<upstream_announcement>& announced,
-    time_point now) {
-  bool changed = false;
-  if (announced) {
-    changed = Announce(*announced);
-  } else {
-    changed = Missing(id, now);
-  }
-  if (changed) {
+void announced_upstreams::Take(const upstream_change& change, time_point now) {
+  if (Apply(change, now)) {
     changed_();
   }
 }
 
+bool announced_upstreams::Apply(const upstream_change& change, time_point now) {
+  const upstream_announcement& announced = change.announced;
+  entry_state& known = entries_[announced.id];
+  // A removal may carry the version of the entry that it removes.
+  const bool newer =
+      change.version > known.version ||
+      (change.version == known.version && change.removed && known.present);
+  if (!newer) {
+    return false;
+  }
+  known.version = change.version;
+  known.present = !change.removed;
+  if (change.removed) {
+    known.digest = 0;
+    return Missing(announced.id, now);
+  }
+  known.digest =
+      CombineHash(CombineHash(Hash64(announced.id), announced.born_ms),
+                  announced.draining ? 1 : 0);
+  return Announce(announced);
+}
+
 void announced_upstreams::NoteStore(bool reachable, time_point now) {
   reachable_ = reachable;
   if (reachable) {
@@ -68,16 +89,13 @@
 std::uint64_t announced_upstreams::digest() const {
   std::uint64_t digest = 0;
   for (const auto& [id, entry] : entries_) {
-    digest ^= entry;
+    digest ^= entry.digest;
   }
   return digest;
 }
 
 bool announced_upstreams::Announce(const upstream_announcement& announced) {
   held_.erase(announced.id);
-  entries_[announced.id] =
-      CombineHash(CombineHash(Hash64(announced.id), announced.born_ms),
-                  announced.draining ? 1 : 0);
   if (!builder_.Announce(announced)) {
     return false;
   }
@@ -88,10 +106,6 @@
 }
 
 bool announced_upstreams::Missing(std::string_view id, time_point now) {
-  const auto entry = entries_.find(id);
-  if (entry != entries_.end()) {
-    entries_.erase(entry);
-  }
   const pooled_upstream* known = builder_.Find(id);
   if (known == nullptr) {
     return false;
--- a/entry/announced_upstreams.h
+++ b/entry/announced_upstreams.h
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -29,13 +28,14 @@
                       std::function<void()> changed)
       : builder_(builder), changed_(std::move(changed)) {}
 
-  void TakeList(std::span<const upstream_announcement> announced,
+  // All announcements as of `version` of the store; each change carries the
+  // version of its entry.
+  void TakeList(std::uint64_t version,
+                std::span<const upstream_change> announced,
                 time_point now);
-  // An entry was written, or removed if there is no announcement. An entry that
-  // can't be read counts as removed.
-  void Take(std::string_view id,
-            const std::optional<upstream_announcement>& announced,
-            time_point now);
+  // A change that a watch or another instance has seen. Older ones than those
+  // known are dropped, so that the sources may overtake each other.
+  void Take(const upstream_change& change, time_point now);
   // The store stopped answering or answers again.
   void NoteStore(bool reachable, time_point now);
 
@@ -55,13 +55,21 @@
   static constexpr duration kSettle = std::chrono::milliseconds(2500);
   static constexpr duration kSweepPause = std::chrono::milliseconds(100);
 
+  // What is known of an entry of the store.
+  struct entry_state {
+    std::uint64_t version = 0;
+    bool present = false;
+    std::uint64_t digest = 0;
+  };
+
+  bool Apply(const upstream_change& change, time_point now);
   bool Announce(const upstream_announcement& announced);
   bool Missing(std::string_view id, time_point now);
 
   serving_view_builder& builder_;
   std::function<void()> changed_;
-  // Digest of each entry of the store.
-  std::map<std::string, std::uint64_t, std::less<>> entries_;
+  // Removed entries stay, so that an older change does not bring them back.
+  std::map<std::string, entry_state, std::less<>> entries_;
   // Missing entries, until the given time.
   std::map<std::string, deadline, std::less<>> held_;
   bool reachable_ = true;
--- a/entry/duty_runner.h
+++ b/entry/duty_runner.h
@@ -62,7 +62,7 @@
  private:
   static constexpr duration kRoundPause = std::chrono::milliseconds(500);
   // Instances try for the lease one after the other, in the order of their
-  // names, so that a start does not bring as many calls as instances.
+  // ranks, so that a start does not bring as many calls as instances.
   static constexpr duration kRankPause = std::chrono::milliseconds(300);
   static constexpr duration kCallLimit = std::chrono::milliseconds(1500);
   // After the end of a window its last counts have arrived from all instances.
@@ -117,7 +117,7 @@
       return false;
     }
     const duration turn =
-        kRankPause * static_cast<std::int64_t>(board_.RankForDuties(now));
+        kRankPause * static_cast<std::int64_t>(board_.Rank(now));
     return now - std::max(unheld_since_, started_) >= turn;
   }
 
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -62,26 +62,8 @@
         reporter_(state_, control_.context(0).get_executor()),
         duties_(state_, reporter_.board(), store_, cloud_, identity_),
         upstreams_(builder_, [this] { PublishView(); }),
-        manifests_(
-            store_,
-            Platform::kManifestKind,
-            [this](const object_list& list) { TakeManifests(list); },
-            [this](const object_event& event) {
-              TakeManifest(event);
-              return true;
-            },
-            [this](bool reachable) { NoteManifestStore(reachable); }),
-        announcements_(
-            store_,
-            Platform::kUpstreamKind,
-            [this](const object_list& list) { TakeUpstreams(list); },
-            [this](const object_event& event) {
-              TakeUpstream(event);
-              return true;
-            },
-            [this](bool reachable) {
-              upstreams_.NoteStore(reachable, state_.clock.Now());
-            }),
+        manifests_(store_, Platform::kManifestKind, ManifestCallbacks()),
+        announcements_(store_, Platform::kUpstreamKind, UpstreamCallbacks()),
         forwarder_(state_, clients_),
         admin_(state_),
         admin_server_(control_, state_.settings.admin_listen, {}, admin_),
@@ -97,7 +79,8 @@
     Spawn(announcements_.Run());
     Spawn(upstreams_.Run());
     Spawn(Register());
-    Spawn(reporter_.Receive());
+    Spawn(reporter_.Receive(
+        [this](const peer_report& report) { TakeChanges(report); }));
     Spawn(reporter_.Report(
         [this](peer_report& report) { CompleteReport(report); }));
     Spawn(Verify());
@@ -148,6 +131,32 @@
                           boost::asio::detached);
   }
 
+  follower_callbacks ManifestCallbacks() {
+    return {
+        .on_list = [this](const object_list& list) { TakeManifests(list); },
+        .on_event =
+            [this](const object_event& event) {
+              TakeManifest(event);
+              return true;
+            },
+        .on_state = [this](bool reachable) { NoteManifestStore(reachable); },
+        .active = [this] { return Watches(); }};
+  }
+
+  follower_callbacks UpstreamCallbacks() {
+    return {.on_list = [this](const object_list& list) { TakeUpstreams(list); },
+            .on_event =
+                [this](const object_event& event) {
+                  TakeUpstream(event);
+                  return true;
+                },
+            .on_state =
+                [this](bool reachable) {
+                  upstreams_.NoteStore(reachable, state_.clock.Now());
+                },
+            .active = [this] { return Watches(); }};
+  }
+
   io_pool& MakeClients(io_pool& pool) {
     http_client_limits limits;
     limits.probe_silent = true;
@@ -176,51 +185,90 @@
 
   void PublishView() { state_.Publish(builder_.Build()); }
 
-  void CompleteReport(peer_report& report) const {
+  void CompleteReport(peer_report& report) {
+    const time_point now = state_.clock.Now();
     report.duty_fencing = duties_.fencing();
     report.manifest_version = ManifestVersion();
     report.upstream_digest = upstreams_.digest();
-    report.verified =
-        verified_until_.Remaining(state_.clock.Now()) > duration::zero();
+    report.verified = !verified_until_.Expired(now);
+    report.watching = announcements_.watching();
+    std::erase_if(recent_, [&](const auto& each) {
+      return each.seen_at + kRelayTime < now;
+    });
+    for (const relayed_change& each : recent_) {
+      report.changes.push_back(each.change);
+    }
   }
 
   std::uint64_t ManifestVersion() const {
     return builder_.manifest() == nullptr ? 0 : builder_.manifest()->version();
   }
 
-  // A watch may miss changes while the store drops its history. One instance
-  // compares its state with the store, and the others compare theirs with what
-  // it reports.
+  // A few instances watch the store for all; without them each one does.
+  bool Watches() const {
+    const time_point now = state_.clock.Now();
+    return reporter_.board().Rank(now) < kWatchers ||
+           !reporter_.board().Watched(now);
+  }
+
+  // Keeps a change for the reports, and sends one at once.
+  void RelayChange(const upstream_change& change) {
+    recent_.push_back({state_.clock.Now(), change});
+    reporter_.Relay(change);
+  }
+
+  void TakeChanges(const peer_report& report) {
+    for (const upstream_change& change : report.changes) {
+      upstreams_.Take(change, state_.clock.Now());
+    }
+  }
+
+  // A watch may miss changes while the store drops its history, and reports may
+  // be lost. One instance compares its state with the store, and the others
+  // compare theirs with what it reports.
   awaitable<void> Verify() {
     for (;;) {
       co_await Pause(kVerifyPause);
       const time_point now = state_.clock.Now();
-      const peer_report* verified = reporter_.board().Verified(now);
-      if (verified == nullptr || reporter_.board().RankForDuties(now) == 0) {
-        co_await VerifyWithStore();
+      const report_board& board = reporter_.board();
+      if (ManifestVersion() < board.NewestManifest()) {
+        co_await ReadManifest();
+      }
+      const peer_report* verified = board.Verified(now);
+      const bool own_turn = verified == nullptr || board.Rank(now) == 0;
+      if (own_turn && verify_at_.Expired(now)) {
+        verify_at_ = deadline::After(now, kVerifyInterval);
+        co_await ReadManifest();
+        co_await ReadUpstreams();
         continue;
       }
-      const bool behind =
-          ManifestVersion() < reporter_.board().NewestManifest() ||
-          upstreams_.digest() != verified->upstream_digest;
-      // A single difference may be a change on its way.
-      if (behind && behind_before_) {
-        co_await VerifyWithStore();
+      if (verified == nullptr ||
+          upstreams_.digest() == verified->upstream_digest) {
+        equal_at_ = now;
+      } else if (now - equal_at_ > kDifferenceLimit) {
+        equal_at_ = now;
+        Log(log_level::kInfo, log_event::kStoreCompared,
+            {{"kind", std::string(Platform::kUpstreamKind)},
+             {"own", std::to_string(upstreams_.digest())},
+             {"other", std::to_string(verified->upstream_digest)}});
+        co_await ReadUpstreams();
       }
-      behind_before_ = behind && !behind_before_;
     }
   }
 
-  awaitable<void> VerifyWithStore() {
-    const deadline until = deadline::After(state_.clock.Now(), kVerifyCall);
-    const auto main = co_await store_.Get(Platform::kManifestKind,
-                                          Platform::kManifestName, until);
+  awaitable<void> ReadManifest() {
+    const auto main = co_await store_.Get(
+        Platform::kManifestKind, Platform::kManifestName, VerifyLimit());
     if (!main) {
       co_return;  // The follower logs an outage.
     }
     const object_event event{object_event_kind::kPut, *main};
     TakeManifest(event);
-    const auto list = co_await store_.List(Platform::kUpstreamKind, until);
+  }
+
+  awaitable<void> ReadUpstreams() {
+    const auto list =
+        co_await store_.List(Platform::kUpstreamKind, VerifyLimit());
     if (!list) {
       co_return;
     }
@@ -228,6 +276,10 @@
     verified_until_ = deadline::After(state_.clock.Now(), kVerifiedFor);
   }
 
+  deadline VerifyLimit() const {
+    return deadline::After(state_.clock.Now(), kVerifyCall);
+  }
+
   void TakeManifests(const object_list& list) {
     for (const stored_object& object : list.objects) {
       TakeManifest({object_event_kind::kPut, object});
@@ -266,27 +318,30 @@
   }
 
   void TakeUpstreams(const object_list& list) {
-    // A list may have been made before an event that came meanwhile.
-    if (list.version < upstreams_version_) {
-      return;
-    }
-    upstreams_version_ = list.version;
-    std::vector<upstream_announcement> announced;
+    std::vector<upstream_change> announced;
     for (const stored_object& object : list.objects) {
       if (auto each = Platform::DecodeUpstream(object.name, object.value)) {
-        announced.push_back(std::move(*each));
+        announced.push_back({object.version, false, std::move(*each)});
       }
     }
-    upstreams_.TakeList(announced, state_.clock.Now());
+    upstreams_.TakeList(list.version, announced, state_.clock.Now());
   }
 
+  // An entry that can't be read counts as removed.
   void TakeUpstream(const object_event& event) {
-    upstreams_version_ = std::max(upstreams_version_, event.object.version);
-    const auto announced =
+    upstream_change change;
+    change.version = event.object.version;
+    auto announced =
         event.kind == object_event_kind::kDelete
             ? std::nullopt
             : Platform::DecodeUpstream(event.object.name, event.object.value);
-    upstreams_.Take(event.object.name, announced, state_.clock.Now());
+    change.removed = !announced;
+    change.announced.id = event.object.name;
+    if (announced) {
+      change.announced = std::move(*announced);
+    }
+    upstreams_.Take(change, state_.clock.Now());
+    RelayChange(change);
   }
 
   // Lists this instance in the store and learns of the others.
@@ -312,10 +367,24 @@
     }
   }
 
+  // Instances that watch the store for all. More than one, since one may be cut
+  // off from the store, or die.
+  static constexpr std::size_t kWatchers = 3;
+  // How long a change stays in the reports, which may be lost: seven reports at
+  // the default interval.
+  static constexpr duration kRelayTime = std::chrono::milliseconds(1500);
   // A change has to be in force within two seconds of its acknowledgement.
-  static constexpr duration kVerifyPause = std::chrono::milliseconds(500);
+  static constexpr duration kVerifyPause = std::chrono::milliseconds(100);
+  static constexpr duration kVerifyInterval = std::chrono::milliseconds(500);
   static constexpr duration kVerifyCall = std::chrono::milliseconds(800);
   static constexpr duration kVerifiedFor = std::chrono::milliseconds(1200);
+  // A shorter difference may be a change on its way.
+  static constexpr duration kDifferenceLimit = std::chrono::milliseconds(800);
+
+  struct relayed_change {
+    time_point seen_at;
+    upstream_change change;
+  };
 
   gateway_state state_;
   io_pool control_;
@@ -325,8 +394,9 @@
   typename Platform::cloud cloud_;
   peer_reporter reporter_;
   deadline verified_until_ = deadline(time_point::min());
-  bool behind_before_ = false;
-  std::uint64_t upstreams_version_ = 0;
+  deadline verify_at_ = deadline(time_point::min());
+  time_point equal_at_;
+  std::vector<relayed_change> recent_;
   duty_runner<typename Platform::store, typename Platform::cloud> duties_;
   serving_view_builder builder_;
   announced_upstreams upstreams_;
--- a/entry/kind_follower.h
+++ b/entry/kind_follower.h
@@ -29,44 +29,66 @@
   // Pause after a failed call; doubles up to `longest_pause`.
   duration first_pause = std::chrono::milliseconds(50);
   duration longest_pause = std::chrono::milliseconds(400);
+  // Between two looks at whether others still watch.
+  duration inactive_pause = std::chrono::milliseconds(250);
+};
+
+// What a follower tells its owner, on its own thread.
+struct follower_callbacks {
+  // All objects of the kind.
+  std::function<void(const object_list&)> on_list;
+  object_event_sink on_event;
+  // The store stopped answering, or answers again.
+  std::function<void(bool reachable)> on_state;
+  // Whether this instance has to watch the store itself.
+  std::function<bool()> active;
 };
 
 // Runs on one thread. The store must outlive it.
 template <object_store Store>
 class kind_follower {
  public:
-  using list_sink = std::function<void(const object_list&)>;
-  // Called when the store stops answering and when it answers again.
-  using state_sink = std::function<void(bool reachable)>;
-
   kind_follower(Store& store,
                 std::string_view kind,
-                list_sink on_list,
-                object_event_sink on_event,
-                state_sink on_state,
+                follower_callbacks callbacks,
                 const follower_terms& terms = {})
       : store_(store),
         kind_(kind),
-        on_list_(std::move(on_list)),
-        on_event_(std::move(on_event)),
-        on_state_(std::move(on_state)),
+        callbacks_(std::move(callbacks)),
         terms_(terms),
         pause_(terms.first_pause) {}
 
-  // Lists, then watches on from there, for ever.
+  // Lists, then watches on from there, for ever. While `active` says no, others
+  // watch for this instance; the follower lists again when it goes on.
   awaitable<void> Run() {
     for (;;) {
       if (version_ == 0) {
         co_await ListOnce();
-      } else {
+        // Time to hear of others that watch.
+        co_await Pause(terms_.inactive_pause);
+      } else if (callbacks_.active()) {
         co_await WatchOnce();
+      } else {
+        co_await AwaitActive();
       }
     }
   }
 
+  // Whether this instance watches the store itself.
+  bool watching() const { return watching_ && reachable_; }
+
  private:
   time_point Now() const { return steady_source().Now(); }
 
+  awaitable<void> AwaitActive() {
+    watching_ = false;
+    Log(log_level::kInfo, log_event::kWatchDelegated, {{"kind", kind_}});
+    while (!callbacks_.active()) {
+      co_await Pause(terms_.inactive_pause);
+    }
+    version_ = 0;
+  }
+
   awaitable<void> ListOnce() {
     const auto list =
         co_await store_.List(kind_, deadline::After(Now(), terms_.call));
@@ -76,12 +98,14 @@
     }
     Answered();
     version_ = list->version;
-    on_list_(*list);
+    callbacks_.on_list(*list);
   }
 
   awaitable<void> WatchOnce() {
-    const auto reached = co_await store_.Watch(
-        kind_, version_, on_event_, deadline::After(Now(), terms_.watch));
+    watching_ = true;
+    const auto reached =
+        co_await store_.Watch(kind_, version_, callbacks_.on_event,
+                              deadline::After(Now(), terms_.watch));
     if (reached) {
       Answered();
       version_ = *reached;
@@ -104,7 +128,7 @@
     if (!reachable_) {
       reachable_ = true;
       Log(log_level::kInfo, log_event::kStoreRegained, {{"kind", kind_}});
-      on_state_(true);
+      callbacks_.on_state(true);
     }
   }
 
@@ -115,7 +139,7 @@
           {{"kind", kind_},
            {"error", std::to_string(static_cast<int>(error))},
            {"version", std::to_string(version_)}});
-      on_state_(false);
+      callbacks_.on_state(false);
     }
     // Spread over half of the pause, so that instances do not call together.
     const double spread = 0.5 + split_mix(thread_random().Next()).NextUnit();
@@ -126,14 +150,13 @@
 
   Store& store_;
   std::string kind_;
-  list_sink on_list_;
-  object_event_sink on_event_;
-  state_sink on_state_;
+  follower_callbacks callbacks_;
   follower_terms terms_;
   duration pause_;
   // Version from which to watch; 0 to list first.
   std::uint64_t version_ = 0;
   bool reachable_ = true;
+  bool watching_ = false;
 };
 
 }  // namespace anvilloom
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -20,6 +20,11 @@
 // Part of the shared extra repeats that the instances may save up together. The
 // rest is for repeats that cross two windows.
 constexpr std::uint32_t kSavedRepeatsDivisor = 2;
+// Each instance reports to each other one, so the interval grows with their
+// number. At 60 instances and 500 bytes a report, that is 49 KB a second.
+constexpr std::size_t kMembersPerInterval = 20;
+// Reports may be lost, so a grant that was sent once is sent again.
+constexpr duration kSendAllInterval = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -48,11 +53,13 @@
   }
 }
 
-awaitable<void> peer_reporter::Receive() {
+awaitable<void> peer_reporter::Receive(
+    std::function<void(const peer_report&)> taken) {
   for (;;) {
     const std::string_view message = co_await socket_.Receive();
     if (const auto report = DecodePeerReport(message)) {
       Take(*report);
+      taken(*report);
     }
   }
 }
@@ -76,19 +83,65 @@
 
 awaitable<void> peer_reporter::Report(
     std::function<void(peer_report&)> complete) {
+  complete_ = std::move(complete);
   for (;;) {
     const time_point now = state_.clock.Now();
+    board_.SetInterval(Interval());
     board_.Sweep(now);
     ChargeSilent(now);
     ShareRetries();
     SpreadLoad(now);
-    peer_report report = Compose();
-    complete(report);
-    const std::string message = EncodePeerReport(report);
-    for (const std::string& address : board_.Addresses()) {
-      socket_.Send(address, message);
+    Send();
+    co_await Pause(Interval());
+  }
+}
+
+void peer_reporter::Relay(const upstream_change& change) {
+  peer_report report;
+  report.name = state_.settings.name;
+  report.epoch = epoch_;
+  report.address = state_.settings.report_listen;
+  report.changes_only = true;
+  report.changes.push_back(change);
+  const std::string message = EncodePeerReport(report);
+  for (const auto& each : board_.Recipients(state_.clock.Now())) {
+    socket_.Send(each.address, message);
+  }
+}
+
+void peer_reporter::Send() {
+  peer_report report = Compose();
+  complete_(report);
+  const std::string brief = EncodePeerReport(report);
+  for (const usage_count& count : state_.usage.Counts()) {
+    report.begun.push_back({count.window, count.workspace, count.requests});
+  }
+  const std::string whole = EncodePeerReport(report);
+  for (const auto& each : board_.Recipients(state_.clock.Now())) {
+    socket_.Send(each.address, each.needs_usage ? whole : brief);
+  }
+}
+
+duration peer_reporter::Interval() const {
+  const std::size_t factor = board_.Members() / kMembersPerInterval;
+  return state_.settings.report_interval *
+         static_cast<std::int64_t>(std::max<std::size_t>(factor, 1));
+}
+
+void peer_reporter::ComposeGranted(const serving_view& view,
+                                   peer_report& report) {
+  const time_point now = state_.clock.Now();
+  const bool all = send_all_at_.Expired(now);
+  if (all) {
+    send_all_at_ = deadline::After(now, kSendAllInterval);
+  }
+  for (const auto& [workspace, allowance] : view.allowances) {
+    granted_units& sent = sent_units_[workspace];
+    const std::uint64_t units = allowance->admitted();
+    if (all || units != sent.units) {
+      sent = {workspace, units};
+      report.granted.push_back(sent);
     }
-    co_await Pause(state_.settings.report_interval);
   }
 }
 
@@ -101,12 +154,7 @@
   report.wall_us = static_cast<std::uint64_t>(WallClockMicros());
   report.leaving = state_.draining.load(std::memory_order_relaxed);
   const auto view = state_.View();
-  for (const auto& [workspace, allowance] : view->allowances) {
-    report.granted.push_back({workspace, allowance->admitted()});
-  }
-  for (const usage_count& count : state_.usage.Counts()) {
-    report.begun.push_back({count.window, count.workspace, count.requests});
-  }
+  ComposeGranted(*view, report);
   for (const auto& [service, pool] : view->pools) {
     report.read.push_back(
         {service, pool.meter->read_tokens.load(std::memory_order_relaxed)});
--- a/entry/peer_reporter.h
+++ b/entry/peer_reporter.h
@@ -4,6 +4,7 @@
 #define ENTRY_PEER_REPORTER_H_
 
 #include <functional>
+#include <map>
 #include <span>
 #include <string>
 
@@ -27,8 +28,10 @@
   // Takes the entries of the store into account.
   void Expect(std::span<const stored_object> entries);
 
-  // Receives reports for ever.
-  awaitable<void> Receive();
+  // Receives reports for ever. `taken` gets each one after it was taken in.
+  awaitable<void> Receive(std::function<void(const peer_report&)> taken);
+  // Sends a change at once, because others wait for it.
+  void Relay(const upstream_change& change);
   // Sends reports for ever. `complete` fills in what other parts know: the
   // fencing number under which this instance acts, and its state of the store.
   awaitable<void> Report(std::function<void(peer_report&)> complete);
@@ -42,11 +45,20 @@
   void ShareRetries();
   void SpreadLoad(time_point now);
 
+  // Leaves out workspaces without new grants, but for now and then.
+  void ComposeGranted(const serving_view& view, peer_report& report);
+  void Send();
+  duration Interval() const;
+
   gateway_state& state_;
+  std::function<void(peer_report&)> complete_;
   datagram_socket socket_;
   report_board board_;
   std::uint64_t epoch_;
   std::uint64_t sequence_ = 0;
+  // Units of each workspace when they were last sent, and when.
+  std::map<std::string, granted_units> sent_units_;
+  deadline send_all_at_ = deadline(time_point::min());
   time_point charged_at_;
 };
 
--- a/instances/peer_report.cc
+++ b/instances/peer_report.cc
@@ -2,12 +2,17 @@
 
 #include <algorithm>
 
+#include "common/hash.h"
+
 namespace anvilloom {
 
 namespace {
 
 // Windows of earlier processes are kept while a report may still be due.
 constexpr std::size_t kKeptBegunBefore = 256;
+// Instances besides the one with the duties that get all usage, so that the
+// next holder has it.
+constexpr std::size_t kSuccessors = 3;
 
 std::uint64_t UnitsOf(std::span<const granted_units> granted,
                       std::string_view workspace) {
@@ -36,6 +41,9 @@
   if (report.name == own_name_) {
     return;
   }
+  if (report.changes_only) {
+    return;
+  }
   peer& sender = peers_[report.name];
   const bool same_process = sender.heard && sender.last.epoch == report.epoch;
   const bool stale =
@@ -62,7 +70,17 @@
   sender.address = report.address;
   sender.heard_at = now;
   sender.heard = true;
+  // What the report leaves out has not changed.
+  std::vector<granted_units> kept;
+  if (same_process) {
+    kept = std::move(sender.last.granted);
+  }
   sender.last = report;
+  for (granted_units& each : kept) {
+    if (UnitsOf(report.granted, each.workspace) == 0) {
+      sender.last.granted.push_back(std::move(each));
+    }
+  }
 }
 
 void report_board::Sweep(time_point now) {
@@ -78,12 +96,22 @@
       peers_, [&](const auto& entry) { return IsSilent(entry.second, now); }));
 }
 
-std::vector<std::string> report_board::Addresses() const {
-  std::vector<std::string> addresses;
+std::vector<report_board::recipient> report_board::Recipients(
+    time_point now) const {
+  std::vector<std::pair<std::uint64_t, const peer*>> ranked;
   for (const auto& [name, each] : peers_) {
-    addresses.push_back(each.address);
+    // Silent ones come last: they would not take the duties over.
+    const std::uint64_t order = IsSilent(each, now) ? UINT64_MAX : Hash64(name);
+    ranked.emplace_back(order, &each);
+  }
+  std::ranges::sort(ranked);
+  std::vector<recipient> recipients;
+  for (const auto& [order, each] : ranked) {
+    const bool successor = recipients.size() < kSuccessors;
+    recipients.push_back(
+        {each->address, successor || each->last.duty_fencing != 0});
   }
-  return addresses;
+  return recipients;
 }
 
 std::map<std::uint64_t, sent_work> report_board::SentElsewhere(
@@ -151,12 +179,19 @@
   return newest;
 }
 
-std::size_t report_board::RankForDuties(time_point now) const {
+std::size_t report_board::Rank(time_point now) const {
+  const std::uint64_t own = Hash64(own_name_);
   return static_cast<std::size_t>(
       std::ranges::count_if(peers_, [&](const auto& entry) {
-        return entry.first < own_name_ && !IsSilent(entry.second, now) &&
+        return Hash64(entry.first) < own && !IsSilent(entry.second, now) &&
                !entry.second.last.leaving;
       }));
 }
 
+bool report_board::Watched(time_point now) const {
+  return std::ranges::any_of(peers_, [&](const auto& entry) {
+    return !IsSilent(entry.second, now) && entry.second.last.watching;
+  });
+}
+
 }  // namespace anvilloom
--- a/instances/peer_report.h
+++ b/instances/peer_report.h
@@ -3,6 +3,7 @@
 #ifndef INSTANCES_PEER_REPORT_H_
 #define INSTANCES_PEER_REPORT_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -14,6 +15,7 @@
 #include <vector>
 
 #include "common/time.h"
+#include "instances/upstream_announcement.h"
 
 namespace anvilloom {
 
@@ -45,7 +47,8 @@
 };
 
 // Every report carries whole values, never differences, so a lost or repeated
-// report does no harm.
+// report does no harm. Workspaces whose units have not grown lately may be left
+// out.
 struct peer_report {
   std::string name;
   // Start of the process, microseconds since 1970; tells restarts apart.
@@ -64,6 +67,12 @@
   std::uint64_t manifest_version = 0;
   std::uint64_t upstream_digest = 0;
   bool verified = false;
+  // Whether the sender watches the store, and the changes that it saw lately.
+  // Those that do not watch take them from here.
+  bool watching = false;
+  std::vector<upstream_change> changes;
+  // The report was sent for its changes; its other values are missing.
+  bool changes_only = false;
   std::vector<granted_units> granted;
   std::vector<begun_requests> begun;
   std::vector<sent_work> sent;
@@ -87,6 +96,12 @@
                         const report_board_terms& terms = {})
       : own_name_(std::move(own_name)), terms_(terms) {}
 
+  // Reports come each `interval`; an instance is silent after kMissedReports of
+  // them, and not before `silent_after`.
+  void SetInterval(duration interval) {
+    silent_after_ = std::max(terms_.silent_after, interval * kMissedReports);
+  }
+
   // Takes an instance that has not reported yet into account, for example from
   // a list. An instance that never reports is dropped like a silent one.
   void Expect(std::string_view name, std::string_view address, time_point now);
@@ -108,8 +123,13 @@
   std::size_t Members() const { return peers_.size() + 1; }
   // Those of them that are silent at `now`.
   std::size_t Silent(time_point now) const;
-  // Addresses of the others.
-  std::vector<std::string> Addresses() const;
+  // Where another instance takes reports, and whether it needs the usage: it
+  // does the duties or is among the first that would take them over.
+  struct recipient {
+    std::string address;
+    bool needs_usage = false;
+  };
+  std::vector<recipient> Recipients(time_point now) const;
 
   // Work of all others at each upstream.
   std::map<std::uint64_t, sent_work> SentElsewhere(time_point now) const;
@@ -128,9 +148,12 @@
   const peer_report* Verified(time_point now) const;
   // The newest manifest that another instance has.
   std::uint64_t NewestManifest() const;
-  // Number of instances heard lately that precede this one in the
-  // order in which instances try for the duty lease.
-  std::size_t RankForDuties(time_point now) const;
+  // Number of instances heard lately that precede this one in the order in
+  // which instances take on what a few of them do for all. The order mixes the
+  // failure domains.
+  std::size_t Rank(time_point now) const;
+  // Whether another instance that was heard lately watches the store.
+  bool Watched(time_point now) const;
 
  private:
   struct peer {
@@ -143,11 +166,14 @@
   };
 
   bool IsSilent(const peer& each, time_point now) const {
-    return !each.heard || each.heard_at + terms_.silent_after < now;
+    return !each.heard || each.heard_at + silent_after_ < now;
   }
 
+  static constexpr int kMissedReports = 4;
+
   std::string own_name_;
   report_board_terms terms_;
+  duration silent_after_ = terms_.silent_after;
   std::map<std::string, peer, std::less<>> peers_;
 };
 
--- a/links/pooled_upstream.h
+++ b/links/pooled_upstream.h
@@ -12,28 +12,11 @@
 
 #include "common/hash.h"
 #include "common/time.h"
+#include "instances/upstream_announcement.h"
 #include "links/retry_budget.h"
 
 namespace anvilloom {
 
-// What an upstream announces of itself.
-struct upstream_announcement {
-  // Names one lifetime, with `born_ms`: a restart may keep the id.
-  std::string id;
-  std::uint64_t born_ms = 0;
-  std::string service;
-  // IP address and port.
-  std::string address;
-  std::string domain;
-  std::uint32_t slots = 1;
-  bool draining = false;
-  // Whether the cloud may take it away with its whole failure domain.
-  bool reclaimable = false;
-
-  friend bool operator==(const upstream_announcement&,
-                         const upstream_announcement&) = default;
-};
-
 // Shared by all threads. The announcement is immutable; the rest is atomic.
 class pooled_upstream {
  public:
--- a/test/correctness/announced_upstreams_test.cc
+++ b/test/correctness/announced_upstreams_test.cc
@@ -32,16 +32,23 @@
   const auto serving = [&] {
     return builder.Build()->FindPool("plans")->members.size();
   };
-  const std::vector<upstream_announcement> both = {Announced("u1"),
-                                                   Announced("u2")};
-  upstreams.TakeList(both, kStart);
+  std::uint64_t version = 10;
+  const auto put = [&](const upstream_announcement& announced) {
+    return upstream_change{++version, false, announced};
+  };
+  const auto removal = [&](std::string id) {
+    return upstream_change{++version, true, Announced(std::move(id))};
+  };
+  const std::vector<upstream_change> both = {put(Announced("u1")),
+                                             put(Announced("u2"))};
+  upstreams.TakeList(version, both, kStart);
   REQUIRE(serving() == 2);
 
   WHEN("an upstream says that it drains") {
     const auto before = builder.Build()->FindPool("plans")->members[0];
     upstream_announcement draining = Announced("u1");
     draining.draining = true;
-    upstreams.Take("u1", draining, kStart);
+    upstreams.Take(put(draining), kStart);
 
     THEN("it gets no work, also from views that are still in use") {
       REQUIRE(serving() == 1);
@@ -49,7 +56,7 @@
     }
 
     AND_WHEN("an older list is taken in") {
-      upstreams.TakeList(both, kStart);
+      upstreams.TakeList(version - 1, both, kStart);
 
       THEN("it stays out") {
         REQUIRE(serving() == 1);
@@ -58,18 +65,46 @@
   }
 
   WHEN("an entry goes in calm times") {
-    upstreams.Take("u1", std::nullopt, kStart);
+    upstreams.Take(removal("u1"), kStart);
 
     THEN("the upstream gets no work from then on") {
       REQUIRE(serving() == 1);
     }
   }
 
+  WHEN("an entry was removed and an older change arrives late") {
+    const upstream_change late = put(Announced("u1"));
+    upstreams.Take(removal("u1"), kStart);
+    upstreams.Take(late, kStart);
+
+    THEN("it does not bring the upstream back") {
+      REQUIRE(serving() == 1);
+    }
+
+    AND_WHEN("a newer one does") {
+      upstreams.Take(put(Announced("u1")), kStart);
+
+      THEN("the upstream gets work again") {
+        REQUIRE(serving() == 2);
+      }
+    }
+  }
+
+  WHEN("a removal carries the version of the entry that it removes") {
+    upstream_change removed = both[0];
+    removed.removed = true;
+    upstreams.Take(removed, kStart);
+
+    THEN("the upstream gets no work") {
+      REQUIRE(serving() == 1);
+    }
+  }
+
   WHEN("the same id begins another lifetime") {
     upstream_announcement reborn = Announced("u1");
     reborn.born_ms = 2;
     const auto before = builder.Build()->FindPool("plans")->members[0];
-    upstreams.Take("u1", reborn, kStart);
+    upstreams.Take(put(reborn), kStart);
 
     THEN("the old lifetime leaves and the new one starts empty") {
       REQUIRE(before->leaving());
@@ -82,14 +117,14 @@
     upstreams.NoteStore(false, kStart);
     upstreams.NoteStore(true, kStart + std::chrono::seconds(5));
     const time_point back = kStart + std::chrono::seconds(5);
-    upstreams.TakeList({}, back);
+    upstreams.TakeList(++version, {}, back);
 
     THEN("the upstreams are held") {
       REQUIRE(serving() == 2);
     }
 
     AND_WHEN("one comes back within two seconds") {
-      upstreams.Take("u2", Announced("u2"),
+      upstreams.Take(put(Announced("u2")),
                      back + std::chrono::milliseconds(1500));
       upstreams.Sweep(back + std::chrono::milliseconds(1900));
 
@@ -103,11 +138,11 @@
   WHEN("another instance compares its entries") {
     serving_view_builder other_builder;
     announced_upstreams other(other_builder, [] {});
-    other.TakeList(both, kStart);
+    other.TakeList(version, both, kStart);
 
     THEN("equal entries have equal digests, a change shows") {
       REQUIRE(other.digest() == upstreams.digest());
-      upstreams.Take("u1", std::nullopt, kStart);
+      upstreams.Take(removal("u1"), kStart);
       REQUIRE(other.digest() != upstreams.digest());
     }
   }
--- a/test/correctness/peer_report_test.cc
+++ b/test/correctness/peer_report_test.cc
@@ -142,6 +142,10 @@
   report.manifest_version = 12;
   report.upstream_digest = 99;
   report.verified = true;
+  report.watching = true;
+  report.changes.emplace_back().version = 31;
+  report.changes[0].announced.id = "u1";
+  report.changes[0].announced.draining = true;
   report.leaving = true;
   const auto decoded = DecodePeerReport(EncodePeerReport(report));
   REQUIRE(decoded);
@@ -156,6 +160,9 @@
   REQUIRE(decoded->manifest_version == 12);
   REQUIRE(decoded->upstream_digest == 99);
   REQUIRE(decoded->verified);
+  REQUIRE(decoded->watching);
+  REQUIRE(decoded->changes[0].version == 31);
+  REQUIRE(decoded->changes[0].announced == report.changes[0].announced);
   REQUIRE(decoded->leaving);
 
   THEN("other bytes are no report") {
--- a/wire/report_codec.cc
+++ b/wire/report_codec.cc
@@ -4,6 +4,39 @@
 
 namespace anvilloom {
 
+namespace {
+
+void EncodeChange(const upstream_change& change, wire::Change& message) {
+  const upstream_announcement& announced = change.announced;
+  message.set_version(change.version);
+  message.set_removed(change.removed);
+  message.set_id(announced.id);
+  message.set_born_ms(announced.born_ms);
+  message.set_service(announced.service);
+  message.set_address(announced.address);
+  message.set_domain(announced.domain);
+  message.set_slots(announced.slots);
+  message.set_draining(announced.draining);
+  message.set_reclaimable(announced.reclaimable);
+}
+
+upstream_change DecodeChange(const wire::Change& message) {
+  upstream_change change;
+  change.version = message.version();
+  change.removed = message.removed();
+  change.announced.id = message.id();
+  change.announced.born_ms = message.born_ms();
+  change.announced.service = message.service();
+  change.announced.address = message.address();
+  change.announced.domain = message.domain();
+  change.announced.slots = message.slots();
+  change.announced.draining = message.draining();
+  change.announced.reclaimable = message.reclaimable();
+  return change;
+}
+
+}  // namespace
+
 std::string EncodePeerReport(const peer_report& report) {
   wire::PeerReport message;
   message.set_name(report.name);
@@ -16,6 +49,11 @@
   message.set_manifest_version(report.manifest_version);
   message.set_upstream_digest(report.upstream_digest);
   message.set_verified(report.verified);
+  message.set_watching(report.watching);
+  message.set_changes_only(report.changes_only);
+  for (const upstream_change& each : report.changes) {
+    EncodeChange(each, *message.add_changes());
+  }
   for (const granted_units& each : report.granted) {
     wire::Granted* granted = message.add_granted();
     granted->set_workspace(each.workspace);
@@ -58,6 +96,11 @@
   report.manifest_version = message.manifest_version();
   report.upstream_digest = message.upstream_digest();
   report.verified = message.verified();
+  report.watching = message.watching();
+  report.changes_only = message.changes_only();
+  for (const wire::Change& each : message.changes()) {
+    report.changes.push_back(DecodeChange(each));
+  }
   for (const wire::Granted& each : message.granted()) {
     report.granted.push_back({each.workspace(), each.units()});
   }
