--- a/entry/cloud_duties.h
+++ b/entry/cloud_duties.h
@@ -23,6 +23,8 @@
   kUnknown,      // No answer; it may still take effect.
 };
 
+std::string_view Name(duty_result result);
+
 // Usage of one accounting window, in requests by workspace.
 struct usage_report {
   std::uint64_t window = 0;
--- /dev/null
+++ b/entry/engine_census.cc
@@ -0,0 +1,46 @@
+#include "entry/engine_census.h"
+
+namespace anvilloom {
+
+void engine_census::Take(const upstream_pool& pool,
+                         std::uint64_t read_tokens,
+                         double read_us_per_token,
+                         time_point now) {
+  const std::uint32_t before = engines_;
+  Count(pool);
+  if (!settled_) {
+    if (engines_ != before || engines_ == 0) {
+      settled_at_ = deadline::After(now, kSettleTime);
+    }
+    settled_ = engines_ != 0 && settled_at_.Expired(now);
+  }
+  if (settled_) {
+    demand_.Take(read_tokens, engines_, read_us_per_token, now);
+  }
+}
+
+domain_engines engine_census::In(std::string_view domain) const {
+  const auto found = domains_.find(domain);
+  return found == domains_.end() ? domain_engines{} : found->second;
+}
+
+void engine_census::Count(const upstream_pool& pool) {
+  domains_.clear();
+  engines_ = 0;
+  reclaimable_ = 0;
+  for (const auto& each : pool.members) {
+    if (each->leaving()) {
+      continue;
+    }
+    domain_engines& domain = domains_[each->announced().domain];
+    ++engines_;
+    if (each->announced().reclaimable) {
+      ++domain.reclaimable;
+      ++reclaimable_;
+    } else {
+      ++domain.on_demand;
+    }
+  }
+}
+
+}  // namespace anvilloom
--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -147,6 +147,7 @@
     question.domain = state_.settings.failure_domain;
     question.tried = tried_;
     question.now = Now();
+    question.draw = thread_random().Next();
     question.can_fetch = pool_->model;
     place_ = PlaceCall(*pool_, state_.locations, state_.costs, question);
     if (!place_.target) {
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -86,6 +86,7 @@
     Spawn(Verify());
     if (!state_.settings.cloud.empty()) {
       Spawn(duties_.Run());
+      Spawn(duties_.RunReports());
     }
     callers_.Start();
     control_.Start();
--- a/links/placement.cc
+++ b/links/placement.cc
@@ -1,9 +1,13 @@
 #include "links/placement.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
+#include <utility>
+#include <vector>
 
 #include "common/hash.h"
+#include "common/random.h"
 
 namespace anvilloom {
 
@@ -41,103 +45,135 @@
       : pool_(pool),
         locations_(locations),
         costs_(costs),
-        question_(question),
-        home_(FindHome()) {}
+        question_(question) {}
 
   placement Run() {
-    placement best;
     const bool any_sound = std::ranges::any_of(pool_.members, [&](auto& each) {
       return Usable(*each, question_) && !each->Avoided(question_.now);
     });
-    const auto richest = Richest();
-    double lowest = std::numeric_limits<double>::max();
     for (const auto& each : pool_.members) {
-      if (!Usable(*each, question_) ||
-          (any_sound && each->Avoided(question_.now))) {
-        continue;
+      if (Usable(*each, question_) &&
+          !(any_sound && each->Avoided(question_.now))) {
+        usable_.push_back(&each);
       }
-      const placement candidate = Judge(each, richest);
-      const double cost = Cost(candidate);
+    }
+    Collect();
+    const auto richest = Richest();
+    placement best;
+    double lowest = std::numeric_limits<double>::max();
+    for (const candidate& each : candidates_) {
+      const placement judged = Judge(each, richest);
+      const double cost = Cost(judged);
       if (cost < lowest) {
         lowest = cost;
-        best = candidate;
+        best = judged;
       }
     }
     return best;
   }
 
  private:
-  struct richest_member {
-    std::shared_ptr<pooled_upstream> member;
+  using member = std::shared_ptr<pooled_upstream>;
+
+  struct candidate {
+    const member* upstream = nullptr;
+    // Tokens of the prompt that it is thought to keep.
     std::uint32_t kept_tokens = 0;
   };
 
-  const pooled_upstream* FindHome() const {
-    const prompt_prefix* prefix = HomePrefix(*question_.prompt);
-    if (prefix == nullptr) {
-      return nullptr;
+  // Keeps the larger number if the upstream is a candidate already.
+  void Add(const member& upstream, std::uint32_t kept_tokens) {
+    const auto found =
+        std::ranges::find(candidates_, &upstream, &candidate::upstream);
+    if (found == candidates_.end()) {
+      candidates_.push_back({&upstream, kept_tokens});
+    } else {
+      found->kept_tokens = std::max(found->kept_tokens, kept_tokens);
     }
-    const pooled_upstream* home = nullptr;
-    std::uint64_t highest = 0;
-    for (const auto& each : pool_.members) {
-      const std::uint64_t score = CombineHash(prefix->hash, each->hash());
-      if (!each->leaving() && (home == nullptr || score > highest)) {
-        home = each.get();
-        highest = score;
+  }
+
+  void Collect() {
+    for (const prompt_prefix& prefix : question_.prompt->prefixes) {
+      AddKnown(prefix);
+    }
+    if (const prompt_prefix* home = HomePrefix(*question_.prompt)) {
+      AddHomes(*home);
+    }
+    split_mix draws(question_.draw);
+    for (int i = 0; i < kDrawn && !usable_.empty(); ++i) {
+      const auto index =
+          draws.NextBelow(static_cast<std::uint32_t>(usable_.size()));
+      Add(*usable_[index], 0);
+    }
+  }
+
+  // Upstreams that this instance has sent the prefix to.
+  void AddKnown(const prompt_prefix& prefix) {
+    prefix_locations::found_locations found;
+    for (const prefix_location& location :
+         locations_.Find(prefix.hash, found)) {
+      if (location.seen_at + kLocationLife <= question_.now) {
+        continue;
+      }
+      for (const member* each : usable_) {
+        if (MatchesUpstream(location, (*each)->hash())) {
+          Add(*each, prefix.tokens);
+        }
       }
     }
-    return home;
   }
 
-  // Tokens of the prompt that the upstream is thought to keep.
-  std::uint32_t KeptTokens(const pooled_upstream& each) const {
-    const auto& prefixes = question_.prompt->prefixes;
-    for (std::size_t i = prefixes.size(); i > 0; --i) {
-      prefix_locations::found_locations found;
-      for (const prefix_location& location :
-           locations_.Find(prefixes[i - 1].hash, found)) {
-        if (MatchesUpstream(location, each.hash()) &&
-            location.seen_at + kLocationLife > question_.now) {
-          return prefixes[i - 1].tokens;
+  // The first homes by rendezvous hashing. Other instances send the prefix to
+  // the same ones, so they are presumed to keep it.
+  void AddHomes(const prompt_prefix& prefix) {
+    std::array<std::pair<std::uint64_t, const member*>, kHomes> homes{};
+    for (const member* each : usable_) {
+      std::pair<std::uint64_t, const member*> scored{
+          CombineHash(prefix.hash, (*each)->hash()), each};
+      for (auto& home : homes) {
+        if (home.second == nullptr || scored.first > home.first) {
+          std::swap(home, scored);
         }
+        if (scored.second == nullptr) {
+          break;
+        }
+      }
+    }
+    for (const auto& [score, upstream] : homes) {
+      if (upstream != nullptr) {
+        // Only the first home is sure to have got the prefix.
+        Add(*upstream, upstream == homes.front().second ? prefix.tokens : 0);
       }
     }
-    return &each == home_ ? HomePrefix(*question_.prompt)->tokens : 0;
   }
 
-  richest_member Richest() const {
-    richest_member richest;
+  candidate Richest() const {
+    candidate richest;
     if (!question_.can_fetch) {
       return richest;
     }
-    for (const auto& each : pool_.members) {
-      if (each->leaving() || each->Avoided(question_.now)) {
-        continue;
-      }
-      const std::uint32_t kept = KeptTokens(*each);
-      if (kept > richest.kept_tokens) {
-        richest = {each, kept};
+    for (const candidate& each : candidates_) {
+      if (each.kept_tokens > richest.kept_tokens) {
+        richest = each;
       }
     }
     return richest;
   }
 
-  placement Judge(const std::shared_ptr<pooled_upstream>& each,
-                  const richest_member& richest) const {
+  placement Judge(const candidate& each, const candidate& richest) const {
     placement judged;
-    judged.target = each;
-    const std::uint32_t kept = KeptTokens(*each);
+    judged.target = *each.upstream;
     const std::uint32_t whole = question_.prompt->prompt_tokens;
-    judged.unread_tokens = whole > kept ? whole - kept : 0;
-    if (richest.member && richest.member != each &&
-        richest.kept_tokens >= kept + kLeastFetchedTokens) {
-      judged.fetch_from = richest.member;
-      judged.fetched_tokens =
-          std::min(richest.kept_tokens - kept, judged.unread_tokens);
+    judged.unread_tokens = whole - std::min(whole, each.kept_tokens);
+    if (richest.upstream != nullptr && richest.upstream != each.upstream &&
+        richest.kept_tokens >= each.kept_tokens + kLeastFetchedTokens) {
+      judged.fetch_from = *richest.upstream;
+      judged.fetched_tokens = std::min(richest.kept_tokens - each.kept_tokens,
+                                       judged.unread_tokens);
       judged.unread_tokens -= judged.fetched_tokens;
     }
     judged.expected_wait = duration(static_cast<std::int64_t>(
-        each->total_unread_tokens() * costs_.read_us_per_token));
+        judged.target->total_unread_tokens() * costs_.read_us_per_token));
     return judged;
   }
 
@@ -158,6 +194,9 @@
     return cost;
   }
 
+  // Drawn at random. Two choices bring most of the gain of knowing all.
+  static constexpr int kDrawn = 2;
+  static constexpr std::size_t kHomes = 2;
   // Larger than any sum of the other costs in normal operation.
   static constexpr double kFullUs = 1e6;
 
@@ -165,7 +204,8 @@
   const prefix_locations& locations_;
   const placement_costs& costs_;
   const placement_question& question_;
-  const pooled_upstream* home_;
+  std::vector<const member*> usable_;
+  std::vector<candidate> candidates_;
 };
 
 }  // namespace
--- a/links/placement.h
+++ b/links/placement.h
@@ -40,6 +40,9 @@
   // Upstreams that the call was sent to before.
   std::span<const std::uint64_t> tried;
   time_point now;
+  // Uniform; decides which upstreams are compared besides those that keep parts
+  // of the prompt.
+  std::uint64_t draw = 0;
   // Whether the upstreams can fetch parts of prompts from each other.
   bool can_fetch = false;
 };
@@ -55,10 +58,14 @@
   duration expected_wait{0};
 };
 
-// The cheapest upstream, or a null target if none may be used. `locations`
-// holds which prompts were sent where by this instance. Prefixes that it has
-// not sent yet are presumed at their home, the upstream that rendezvous hashing
-// gives them on every instance.
+// The cheapest of a few upstreams, or a null target if none may be used. What
+// is known of the load is a fraction of a second old, and all instances know
+// about the same: if each chose the best of all, they would all choose the same
+// one until the next reports. So two are drawn at random, and compared with
+// those that keep parts of the prompt. `locations` holds which prompts were
+// sent where by this instance. Prefixes that it has not sent yet are presumed
+// at their home, the upstream that rendezvous hashing gives them on every
+// instance.
 placement PlaceCall(const upstream_pool& pool,
                     const prefix_locations& locations,
                     const placement_costs& costs,
