--- a/instances/engine_plan.h
+++ b/instances/engine_plan.h
@@ -24,7 +24,7 @@
   // Share of an engine's reading time that is planned to be busy. Calls come in
   // bursts of three times the mean, and a call that waits longer than its
   // latency target earns a tenth.
-  double target_utilization = 0.3;
+  double target_utilization = 0.34;
   // The engines on demand carry the load with this utilization when the cloud
   // takes all reclaimable ones at once.
   double reclaim_utilization = 0.8;
