Test gateways as processes against a stand-in of the platform

platform/standin speaks the protocol of the store, the cloud and the upstreams. The tests found three faults, each seen failing first: a refusal without a request id was waited past, so that the call ended with 504 though it had not run; an upstream that had just turned a call away was chosen again; and the process ended with a signal after its drain, since coroutines outlived what they refer to.

--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -192,6 +192,8 @@
         target.Succeeded();
         break;
       case attempt_end::kNotRun:
+        target.TurnedAway(Now());
+        break;
       case attempt_end::kCallerGone:
         break;
       default:
@@ -272,7 +274,7 @@
 
   awaitable<attempt_end> ReadAnswer(pooled_upstream& target, deadline limit) {
     upstream_answer head = Codec::DecodeAnswer(answer_->fields());
-    for (int skipped = 0; head.request_id != call_.request_id; ++skipped) {
+    for (int skipped = 0; !IsOurs(head); ++skipped) {
       // The answer belongs to an earlier request on this connection.
       if (skipped == kMostStaleAnswers) {
         co_return Doubtful();
@@ -304,6 +306,14 @@
     co_return co_await ReadWhole(status, limit);
   }
 
+  // A refusal may come without the id; an answer of an earlier request bears
+  // that request's id.
+  bool IsOurs(const upstream_answer& head) const {
+    return head.request_id == call_.request_id ||
+           (head.request_id.empty() &&
+            static_cast<unsigned>(answer_->status()) >= kFirstFailure);
+  }
+
   // The answer can't be trusted, and neither can the connection.
   attempt_end Doubtful() {
     answer_->Discard();
@@ -544,6 +554,7 @@
          {"took_us", std::to_string((Now() - arrived_).count())}});
   }
 
+  static constexpr unsigned kFirstFailure = 400;
   static constexpr call_refusal kTurnedAway{refusal_reason::kNotRun,
                                             kNoUpstreamPause};
 
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -94,7 +94,10 @@
     Log(log_level::kInfo, log_event::kStarted,
         {{"name", state_.settings.name},
          {"domain", state_.settings.failure_domain},
-         {"listen", state_.settings.listen},
+         {"port", std::to_string(caller_server_.port())},
+         {"ready_port", std::to_string(ready_server_.port())},
+         {"admin_port", std::to_string(admin_server_.port())},
+         {"report_address", reporter_.address()},
          {"store", state_.settings.store},
          {"threads", std::to_string(state_.settings.threads)}});
   }
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -31,6 +31,11 @@
 // Reports may be lost, so a grant that was sent once is sent again.
 constexpr duration kSendAllInterval = std::chrono::seconds(2);
 
+std::string WithPort(std::string_view address, std::uint16_t port) {
+  return std::string(address.substr(0, address.rfind(':') + 1)) +
+         std::to_string(port);
+}
+
 }  // namespace
 
 peer_reporter::peer_reporter(gateway_state& state,
@@ -38,13 +43,14 @@
     : state_(state),
       executor_(executor),
       socket_(std::move(executor), state.settings.report_listen),
+      address_(WithPort(state.settings.report_listen, socket_.port())),
       board_(state.settings.name),
       epoch_(static_cast<std::uint64_t>(WallClockMicros())),
       charged_at_(state.clock.Now()) {}
 
 std::string peer_reporter::EncodeSelf() const {
   return json::serialize(
-      json::object{{"address", state_.settings.report_listen},
+      json::object{{"address", address_},
                    {"failure_domain", state_.settings.failure_domain}});
 }
 
@@ -112,7 +118,7 @@
   peer_report report;
   report.name = state_.settings.name;
   report.epoch = epoch_;
-  report.address = state_.settings.report_listen;
+  report.address = address_;
   return report;
 }
 
--- a/entry/peer_reporter.h
+++ b/entry/peer_reporter.h
@@ -24,6 +24,8 @@
   peer_reporter(gateway_state& state, boost::asio::any_io_executor executor);
 
   const report_board& board() const { return board_; }
+  // Where reports to this instance go, with the port that was bound.
+  const std::string& address() const { return address_; }
 
   // This instance's entry in the store.
   std::string EncodeSelf() const;
@@ -64,6 +66,7 @@
   std::atomic<std::size_t> board_size_{1};
   std::function<void(peer_report&)> complete_;
   datagram_socket socket_;
+  std::string address_;
   report_board board_;
   std::uint64_t epoch_;
   std::uint64_t sequence_ = 0;
--- a/entry/program/serve_on_platform.cc
+++ b/entry/program/serve_on_platform.cc
@@ -2,6 +2,7 @@
 
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <utility>
 
 #include "common/log.h"
@@ -48,6 +49,9 @@
     CheckSettings(settings_path);
   }
   instance.Drain();
+  // Coroutines still wait on both pools, and what they refer to would be
+  // destroyed before them. Nothing is left to write, so the process just ends.
+  std::quick_exit(0);
 }
 
 }  // namespace anvilloom
--- a/links/pooled_upstream.h
+++ b/links/pooled_upstream.h
@@ -85,6 +85,13 @@
     avoid_until_us_.store((now + wait).time_since_epoch().count(),
                           std::memory_order_relaxed);
   }
+  // It turned a call away because it is full.
+  void TurnedAway(time_point now) {
+    const std::int64_t until = (now + kFullPause).time_since_epoch().count();
+    if (avoid_until_us_.load(std::memory_order_relaxed) < until) {
+      avoid_until_us_.store(until, std::memory_order_relaxed);
+    }
+  }
   // Share of the last calls that failed, in thousandths.
   std::uint32_t failed_permille() const {
     return failed_permille_.load(std::memory_order_relaxed);
@@ -109,6 +116,8 @@
 
   // One failure says little: upstreams fail a few calls in a thousand.
   static constexpr std::uint32_t kToleratedFailures = 3;
+  // A full upstream ends a few calls within this time.
+  static constexpr duration kFullPause = std::chrono::milliseconds(100);
   static constexpr duration kFirstAvoidance = std::chrono::milliseconds(500);
   // 500 ms to 4 s: a crashed upstream is gone from the store by then.
   static constexpr std::uint32_t kMostDoublings = 3;
--- /dev/null
+++ b/test/error/gateway_test.cc
@@ -0,0 +1,298 @@
+// Guards the path of a call through a gateway on the users' platform: calls
+// that run twice or for the wrong workspace, untrue refusals, spoiled answers
+// that look whole, and work for upstreams that have left.
+
+#include <signal.h>
+
+#include <catch2/catch.hpp>
+
+#include "test/support/platform_system.h"
+#include "test/support/raw_connection.h"
+
+namespace anvilloom {
+
+namespace {
+
+constexpr std::string_view kTenEvents = "10\n\n";
+
+}  // namespace
+
+SCENARIO("A gateway serves the manifest in force", "[gateway]") {
+  platform_system system;
+  system.StartUpstream("m1", "model");
+  system.StartUpstream("d1", "desk");
+
+  GIVEN("a store without a manifest") {
+    const std::uint16_t port = system.StartGateway("g1");
+
+    THEN("calls are refused as not run, and the balancer is told") {
+      REQUIRE(system.CallOnce(port, "/safe/1").status == 503);
+      REQUIRE(system.Runs(system.last_id()) == 0);
+      REQUIRE(Call(system.port("g1/ready"), boost::beast::http::verb::get,
+                   "/readyz")
+                  .status == 503);
+    }
+
+    WHEN("the operators write one") {
+      system.PutManifest();
+      REQUIRE(system.AwaitReady("g1"));
+      REQUIRE(system.AwaitUpstreams("g1", 2));
+
+      THEN("calls of each kind are answered") {
+        REQUIRE(system.CallOnce(port, "/safe/1").status == 200);
+        REQUIRE(system.CallOnce(port, "/once/1").status == 200);
+        const caller_answer stream = system.CallOnce(port, "/stream/1");
+        REQUIRE(stream.status == 200);
+        REQUIRE(stream.body.ends_with(kTenEvents));
+      }
+
+      THEN("a path without a route and an unknown key are told apart") {
+        REQUIRE(system.CallOnce(port, "/none/1").status == 404);
+        REQUIRE(system.CallOnce(port, "/safe/1", "stolen").status == 401);
+        REQUIRE(system.Runs(system.last_id()) == 0);
+      }
+
+      AND_WHEN("a key is replaced") {
+        system.PutManifest({"key-2"});
+
+        THEN("the new key holds within two seconds, and the old one does not") {
+          REQUIRE(Eventually(
+              [&] {
+                return system.CallOnce(port, "/safe/1", "key-2").status == 200;
+              },
+              std::chrono::seconds(2)));
+          REQUIRE(system.CallOnce(port, "/safe/1", "key-1").status == 401);
+        }
+      }
+
+      AND_WHEN("the store drops its history behind the watch") {
+        Call(system.port("platform"), boost::beast::http::verb::post,
+             "/standin/forget");
+        system.PutManifest({"key-3"});
+
+        THEN("the next change still arrives") {
+          REQUIRE(Eventually(
+              [&] {
+                return system.CallOnce(port, "/safe/1", "key-3").status == 200;
+              },
+              std::chrono::seconds(3)));
+        }
+      }
+    }
+  }
+}
+
+SCENARIO("A gateway repeats only what may run again", "[gateway]") {
+  platform_system system;
+  system.StartUpstream("d1", "desk");
+  system.StartUpstream("d2", "desk");
+  system.PutManifest();
+  const std::uint16_t port = system.StartGateway("g1");
+  REQUIRE(system.AwaitReady("g1"));
+  REQUIRE(system.AwaitUpstreams("g1", 2));
+  // Successful calls earn the budget from which repeats are taken.
+  for (int i = 0; i < 40; ++i) {
+    REQUIRE(system.CallOnce(port, "/safe/warm").status == 200);
+  }
+  const auto fault_everywhere = [&](std::string_view rule) {
+    system.AddFault("d1", rule);
+    system.AddFault("d2", rule);
+  };
+
+  WHEN("an upstream says that it did not run the call") {
+    // One of the two; the other takes the call.
+    system.AddFault("d1", R"({"action":"refuse","count":100})");
+
+    THEN("another upstream runs it, whatever its kind") {
+      for (int i = 0; i < 4; ++i) {
+        REQUIRE(system.CallOnce(port, "/once/1").status == 200);
+        REQUIRE(system.Runs(system.last_id()) == 1);
+      }
+    }
+  }
+
+  WHEN("all upstreams say so") {
+    fault_everywhere(R"({"action":"refuse","count":100})");
+
+    THEN("the refusal is true") {
+      const caller_answer answer = system.CallOnce(port, "/once/1");
+      REQUIRE(answer.status == 503);
+      REQUIRE_FALSE(answer.retry_after.empty());
+      REQUIRE(system.Runs(system.last_id()) == 0);
+    }
+  }
+
+  WHEN("the answer to a call that ran is lost") {
+    fault_everywhere(R"({"action":"drop_after","count":1})");
+
+    THEN("a call that must run once does, and is not refused as not run") {
+      REQUIRE(system.CallOnce(port, "/once/1").status == 502);
+      REQUIRE(system.Runs(system.last_id()) == 1);
+    }
+
+    THEN("a repeatable one is sent again, to the other upstream") {
+      system.AddFault("d1", R"({"action":"delay","count":0})");
+      const caller_answer answer = system.CallOnce(port, "/safe/1");
+      REQUIRE((answer.status == 200 || answer.status == 502));
+      REQUIRE(system.Runs(system.last_id()) >= 1);
+      REQUIRE(system.Runs(system.last_id()) <= 2);
+    }
+  }
+
+  WHEN("the answer belongs to another request") {
+    fault_everywhere(R"({"action":"wrong_id","count":1})");
+
+    THEN("the caller does not get it") {
+      const caller_answer answer = system.CallOnce(port, "/once/1");
+      REQUIRE(answer.status >= 500);
+      REQUIRE(answer.body.find("answer to other") == std::string::npos);
+    }
+  }
+}
+
+SCENARIO("A stream goes on where an upstream broke off", "[gateway]") {
+  platform_system system;
+  system.StartUpstream("m1", "model");
+  system.StartUpstream("m2", "model");
+  system.PutManifest();
+  const std::uint16_t port = system.StartGateway("g1");
+  REQUIRE(system.AwaitReady("g1"));
+  REQUIRE(system.AwaitUpstreams("g1", 2));
+  for (int i = 0; i < 12; ++i) {
+    REQUIRE(system.CallOnce(port, "/stream/warm").status == 200);
+  }
+
+  WHEN("the upstream stops within an event") {
+    const std::string cut = R"({"action":"truncate","after":4,"count":1})";
+    system.AddFault("m1", cut);
+    const caller_answer answer = system.CallOnce(port, "/stream/1");
+
+    THEN("the caller gets each event once and in order") {
+      REQUIRE(answer.status == 200);
+      std::size_t at = 0;
+      for (int number = 1; number <= 10; ++number) {
+        const std::string event = "id: " + std::to_string(number) + "\n";
+        const std::size_t found = answer.body.find(event, at);
+        CAPTURE(number, answer.body);
+        REQUIRE(found != std::string::npos);
+        REQUIRE(answer.body.find(event, found + 1) == std::string::npos);
+        at = found;
+      }
+      REQUIRE(answer.body.ends_with(kTenEvents));
+    }
+  }
+}
+
+SCENARIO("A gateway sends no work to an upstream that leaves", "[gateway]") {
+  platform_system system;
+  const std::uint16_t leaving = system.StartUpstream("d1", "desk");
+  system.StartUpstream("d2", "desk");
+  system.PutManifest();
+  const std::uint16_t port = system.StartGateway("g1");
+  REQUIRE(system.AwaitReady("g1"));
+  REQUIRE(system.AwaitUpstreams("g1", 2));
+
+  WHEN("it says that it drains") {
+    system.Announce("d1", "desk", leaving, "draining");
+    REQUIRE(system.AwaitUpstreams("g1", 1));
+    const std::string before = system.process("d1").Output();
+    for (int i = 0; i < 10; ++i) {
+      REQUIRE(system.CallOnce(port, "/safe/1").status == 200);
+    }
+
+    THEN("it gets nothing more") {
+      REQUIRE(system.process("d1").Output() == before);
+    }
+  }
+
+  WHEN("its address belongs to another one") {
+    system.Withdraw("d1");
+    system.Withdraw("d2");
+    system.Announce("d9", "desk", leaving);
+
+    THEN("the other one does not run what was meant for it") {
+      REQUIRE(Eventually(
+          [&] { return system.CallOnce(port, "/once/1").status == 503; },
+          std::chrono::seconds(5)));
+      REQUIRE(system.Runs(system.last_id()) == 0);
+    }
+  }
+}
+
+SCENARIO("A planned stop cuts no call", "[gateway]") {
+  platform_system system;
+  system.StartUpstream("m1", "model", {"--event-ms", "100"});
+  system.PutManifest();
+  const std::uint16_t port = system.StartGateway("g1");
+  REQUIRE(system.AwaitReady("g1"));
+  REQUIRE(system.AwaitUpstreams("g1", 1));
+
+  WHEN("SIGTERM comes while a stream runs") {
+    raw_connection caller(port);
+    caller.Send(
+        "POST /stream/1 HTTP/1.1\r\nHost: a.example\r\n"
+        "X-Request-Id: slow\r\nX-Deadline-Ms: 9000\r\n"
+        "Authorization: Token key-1\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE_FALSE(
+        caller.ReadUntil("id: 1\n", std::chrono::seconds(10)).empty());
+    system.process("g1").Signal(SIGTERM);
+
+    THEN("readiness is withdrawn, the stream ends whole and the process ends") {
+      REQUIRE(Eventually(
+          [&] {
+            return Call(system.port("g1/ready"), boost::beast::http::verb::get,
+                        "/readyz")
+                       .status != 200;
+          },
+          std::chrono::seconds(2)));
+      const std::string rest =
+          caller.ReadUntil("\r\n0\r\n\r\n", std::chrono::seconds(10));
+      REQUIRE(rest.find("id: 10\n") != std::string::npos);
+      REQUIRE(system.process("g1").Wait() == 0);
+    }
+  }
+}
+
+SCENARIO("One gateway at a time has the duties", "[gateway]") {
+  platform_system system;
+  system.StartUpstream("d1", "desk");
+  system.PutManifest();
+  const std::uint16_t port = system.StartGateway("g1");
+  system.StartGateway("g2");
+  REQUIRE(system.AwaitReady("g1"));
+  REQUIRE(system.AwaitReady("g2"));
+  REQUIRE(system.AwaitUpstreams("g1", 1));
+  for (int i = 0; i < 10; ++i) {
+    REQUIRE(system.CallOnce(port, "/safe/1").status == 200);
+  }
+  const auto duties = [&] {
+    return Call(system.port("platform"), boost::beast::http::verb::get,
+                "/standin/duties")
+        .body;
+  };
+
+  THEN("the usage of all windows adds up to the calls that ran") {
+    REQUIRE(Eventually(
+        [&] {
+          return duties().find(R"("counts":{"studio":)") != std::string::npos;
+        },
+        std::chrono::seconds(15)));
+  }
+
+  WHEN("the holder is killed") {
+    REQUIRE(Eventually([&] { return duties().find("g") != std::string::npos; },
+                       std::chrono::seconds(10)));
+    const bool first = duties().find(R"("holder":"g1")") != std::string::npos;
+    system.process(first ? "g1" : "g2").Kill();
+
+    THEN("the other one takes over with a higher fencing number") {
+      const std::string next = first ? R"("holder":"g2","fencing":2)"
+                                     : R"("holder":"g1","fencing":2)";
+      REQUIRE(
+          Eventually([&] { return duties().find(next) != std::string::npos; },
+                     std::chrono::seconds(20)));
+    }
+  }
+}
+
+}  // namespace anvilloom
--- a/test/support/local_system.cc
+++ b/test/support/local_system.cc
@@ -154,6 +154,31 @@
   return bound;
 }
 
+std::uint16_t local_system::StartProgram(
+    std::string_view name,
+    std::string_view program,
+    const std::vector<std::string>& arguments,
+    const std::vector<port_mark>& marks) {
+  auto process = std::make_unique<child_process>(program, arguments);
+  std::string output;
+  const bool started = Eventually(
+      [&] {
+        output = process->Output();
+        return output.find("E100 ") != std::string::npos &&
+               output.find('\n') != std::string::npos;
+      },
+      kStartLimit);
+  if (!started) {
+    throw std::runtime_error("A program did not start: " + output);
+  }
+  for (const port_mark& mark : marks) {
+    ports_.insert_or_assign(std::string(name) + std::string(mark.suffix),
+                            NumberAfter(output, mark.text));
+  }
+  processes_.insert_or_assign(std::string(name), std::move(process));
+  return port(name);
+}
+
 child_process& local_system::process(std::string_view name) {
   return *processes_.find(name)->second;
 }
--- a/test/support/local_system.h
+++ b/test/support/local_system.h
@@ -55,6 +55,18 @@
                            std::string_view domain,
                            std::string_view extra = {});
 
+  // Starts a program that prints ports in its first log line and returns the
+  // first of them. Each mark is a text before a port, with the suffix under
+  // which port() knows it.
+  struct port_mark {
+    std::string_view suffix;
+    std::string_view text;
+  };
+  std::uint16_t StartProgram(std::string_view name,
+                             std::string_view program,
+                             const std::vector<std::string>& arguments,
+                             const std::vector<port_mark>& marks);
+
   child_process& process(std::string_view name);
   // The port of a process started here.
   std::uint16_t port(std::string_view name) const;
--- /dev/null
+++ b/test/support/platform_system.h
@@ -0,0 +1,89 @@
+// Defines platform_system, stand-ins of the users' platform and gateways as
+// separate processes on loopback.
+#ifndef TEST_SUPPORT_PLATFORM_SYSTEM_H_
+#define TEST_SUPPORT_PLATFORM_SYSTEM_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "test/support/local_system.h"
+
+namespace anvilloom {
+
+// Services "model" (streams) and "desk" (plain), routes /stream/ (resumable),
+// /once/ (not repeatable) and /safe/ (repeatable) on host "a.example", and
+// workspace "studio" with the key "key-1".
+inline constexpr std::string_view kPlatformManifest = R"({
+  "version":%VERSION%,
+  "routes":[
+    {"name":"stream","hostname":"a.example","pathPrefix":"/stream/",
+     "routeType":"streaming","streamResume":true,"maxAttempts":2,
+     "timeoutMs":5000,"targetLatencyMs":1000,"service":"model"},
+    {"name":"once","hostname":"a.example","pathPrefix":"/once/",
+     "routeType":"non_idempotent","maxAttempts":2,"timeoutMs":3000,
+     "targetLatencyMs":1000,"service":"desk"},
+    {"name":"safe","hostname":"a.example","pathPrefix":"/safe/",
+     "routeType":"idempotent","maxAttempts":2,"timeoutMs":3000,
+     "targetLatencyMs":1000,"service":"desk"}],
+  "services":[{"name":"model","engine":{"batchSlots":8,"kvCapacity":100000}},
+              {"name":"desk"}],
+  "limits":{"maxHeaderBytes":8192,"maxBodyBytes":65536,
+            "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+  "tenants":[{"name":"studio","apiKeys":[%KEYS%]}]})";
+
+class platform_system {
+ public:
+  platform_system();
+
+  // Writes the next version of the manifest with these keys.
+  void PutManifest(const std::vector<std::string>& keys = {"key-1"});
+  // Starts an upstream and announces it. `address` replaces the real one, for
+  // example by that of a proxy.
+  std::uint16_t StartUpstream(std::string_view id,
+                              std::string_view service,
+                              std::vector<std::string> arguments = {});
+  void Announce(std::string_view id,
+                std::string_view service,
+                std::uint16_t port,
+                std::string_view state = "ready");
+  void Withdraw(std::string_view id);
+
+  // Starts a gateway and returns its port; it need not be ready yet.
+  // `store_port` replaces that of the stand-in.
+  std::uint16_t StartGateway(std::string_view name,
+                             std::uint16_t store_port = 0);
+  bool AwaitReady(std::string_view name) const;
+  // Waits until the gateway knows that many upstreams.
+  bool AwaitUpstreams(std::string_view name, std::size_t count) const;
+
+  // One call through a gateway, with a new id unless `id` is given.
+  caller_answer CallOnce(std::uint16_t port,
+                         std::string_view path,
+                         std::string_view key = "key-1",
+                         std::string_view id = {});
+
+  // How often a request ran, over all upstreams that were started.
+  std::size_t Runs(std::string_view id);
+  // Scripts a fault at a process, as fault_switch reads it.
+  void AddFault(std::string_view process, std::string_view rule);
+
+  child_process& process(std::string_view name) {
+    return system_.process(name);
+  }
+  std::uint16_t port(std::string_view name) const { return system_.port(name); }
+  std::string last_id() const { return last_id_; }
+
+ private:
+  local_system system_;
+  std::vector<std::string> upstreams_;
+  std::uint64_t manifest_version_ = 0;
+  std::uint64_t next_id_ = 0;
+  std::string last_id_;
+};
+
+}  // namespace anvilloom
+
+#endif  // TEST_SUPPORT_PLATFORM_SYSTEM_H_
