Add a fault soak of real processes

The soak runs gateways and stand-ins as processes, spoils connections through a loopback proxy and processes by signals, and compares what callers got with what upstreams ran.

--- /dev/null
+++ b/soak/callers.cc
@@ -0,0 +1,147 @@
+#include "soak/callers.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "common/random.h"
+
+namespace anvilloom::soak {
+
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+
+// The routes of the manifest allow 5 s; a caller waits a little longer, so that
+// it sees whether the gateway answers in time.
+constexpr std::chrono::seconds kPatience{8};
+constexpr std::chrono::milliseconds kPause{15};
+
+// A connection that is kept while the gateway keeps it.
+class kept_connection {
+ public:
+  explicit kept_connection(std::uint16_t port) : port_(port) {}
+
+  std::uint16_t port() const { return port_; }
+
+  // Sends a call and reads its answer; nothing if there is no whole one.
+  std::optional<http::response<http::string_body>> Exchange(
+      const http::request<http::string_body>& request) {
+    std::optional<http::response<http::string_body>> answer;
+    net::co_spawn(
+        context_,
+        [&]() -> net::awaitable<void> { answer = co_await Run(request); },
+        net::detached);
+    context_.restart();
+    context_.run();
+    if (!answer || !answer->keep_alive()) {
+      stream_.reset();
+    }
+    return answer;
+  }
+
+ private:
+  net::awaitable<std::optional<http::response<http::string_body>>> Run(
+      const http::request<http::string_body>& request) {
+    constexpr auto kAwaitTuple = net::as_tuple(net::use_awaitable);
+    if (!stream_) {
+      stream_.emplace(context_);
+      buffer_.clear();
+      stream_->expires_after(kPatience);
+      const auto [error] = co_await stream_->async_connect(
+          {net::ip::address_v4::loopback(), port_}, kAwaitTuple);
+      if (error) {
+        co_return std::nullopt;
+      }
+    }
+    stream_->expires_after(kPatience);
+    const auto [write_error, sent] =
+        co_await http::async_write(*stream_, request, kAwaitTuple);
+    http::response<http::string_body> answer;
+    const auto [read_error, read] =
+        co_await http::async_read(*stream_, buffer_, answer, kAwaitTuple);
+    if (write_error || read_error) {
+      co_return std::nullopt;
+    }
+    co_return answer;
+  }
+
+  std::uint16_t port_;
+  net::io_context context_;
+  std::optional<boost::beast::tcp_stream> stream_;
+  boost::beast::flat_buffer buffer_;
+};
+
+http::request<http::string_body> MakeCall(const call_record& call) {
+  const std::string_view path = call.kind == call_kind::kOnce   ? "/once/x"
+                                : call.kind == call_kind::kSafe ? "/safe/x"
+                                                                : "/stream/x";
+  http::request<http::string_body> request(http::verb::post, path, 11);
+  request.set("Host", "a.example");
+  request.set("X-Request-Id", call.id);
+  request.set("X-Deadline-Ms", "5000");
+  request.set("Authorization", "Token key-1");
+  request.body() = "body";
+  request.prepare_payload();
+  return request;
+}
+
+}  // namespace
+
+callers::callers(std::span<std::atomic<std::uint16_t>> ports,
+                 std::uint64_t seed,
+                 std::size_t threads,
+                 history& calls)
+    : ports_(ports), calls_(calls) {
+  for (std::size_t i = 0; i < threads; ++i) {
+    threads_.emplace_back([this, seed, i] { Run(seed * 1000 + i); });
+  }
+}
+
+void callers::Stop() {
+  stopping_.store(true);
+  threads_.clear();
+}
+
+void callers::Run(std::uint64_t seed) {
+  split_mix draws(seed);
+  std::vector<std::unique_ptr<kept_connection>> kept(ports_.size());
+  while (!stopping_.load()) {
+    const std::uint32_t index =
+        draws.NextBelow(static_cast<std::uint32_t>(ports_.size()));
+    const std::uint16_t port = ports_[index].load();
+    if (port == 0) {
+      std::this_thread::sleep_for(kPause);
+      continue;
+    }
+    auto& connection = kept[index];
+    if (!connection || connection->port() != port) {
+      connection = std::make_unique<kept_connection>(port);
+    }
+    call_record call;
+    call.id = "c" + std::to_string(seed) + "-" +
+              std::to_string(next_id_.fetch_add(1));
+    call.kind = static_cast<call_kind>(draws.NextBelow(3));
+    const auto begun = std::chrono::steady_clock::now();
+    if (const auto answer = connection->Exchange(MakeCall(call))) {
+      call.status = answer->result_int();
+      call.body = answer->body();
+    }
+    call.took_s =
+        std::chrono::duration<double>(std::chrono::steady_clock::now() - begun)
+            .count();
+    calls_.Add(std::move(call));
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
+}  // namespace anvilloom::soak
