Tell co-senders of an upstream of its load at once, and keep prompts together

Seven instances for each upstream tell each other at once what they send there, and an instance draws its alternatives among the upstreams that it knows so. Reading weighs twice. After a stream has begun, only its rest is delivered.

--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -181,7 +181,7 @@
     }
     target.Begin(place_.unread_tokens);
     if (pool_->model) {
-      state_.load_changed();
+      state_.load_changed(place_.target);
     }
     unread_tokens_ = place_.unread_tokens;
     const attempt_end end = co_await Exchange(target);
@@ -217,7 +217,7 @@
     }
     place_.target->PromptRead(unread_tokens_);
     unread_tokens_ = 0;
-    state_.load_changed();
+    state_.load_changed(place_.target);
   }
 
   // When the attempt is given up.
@@ -406,6 +406,7 @@
     question.end = end;
     question.repeat = route_->repeat;
     question.may_have_run = may_have_run_;
+    question.begun = streaming_;
     question.attempts = attempts_;
     question.most_attempts = route_->attempts;
     question.answer_by = answer_by_;
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -75,7 +75,9 @@
 
   // Serves until `stop` says so and the calls in progress have ended.
   void Start() {
-    state_.load_changed = [this] { reporter_.RequestLoad(); };
+    state_.load_changed = [this](auto upstream) {
+      reporter_.RequestLoad(std::move(upstream));
+    };
     Spawn(manifests_.Run());
     Spawn(announcements_.Run());
     Spawn(upstreams_.Run());
--- a/entry/gateway_state.h
+++ b/entry/gateway_state.h
@@ -74,9 +74,9 @@
   placement_costs costs;
   usage_ledger usage;
   gateway_counters counters;
-  // Called on any thread after a call has begun or ended to load a model
-  // engine.
-  std::function<void()> load_changed = [] {};
+  // Called on any thread after the load of a model engine has changed.
+  std::function<void(std::shared_ptr<const pooled_upstream>)> load_changed =
+      [](const auto&) {};
   std::atomic<bool> draining{false};
   // Whether the store has not answered for long enough that the manifest in
   // force may be an old one.
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -24,10 +24,9 @@
 // Each instance reports to each other one, so the interval grows with their
 // number. At 60 instances and 500 bytes a report, that is 49 KB a second.
 constexpr std::size_t kMembersPerInterval = 20;
-// Up to this many members, each call that begins or ends at a model engine is
-// told to all at once: 12 members with 9 calls a second exchange 1,200 messages
-// a second.
-constexpr std::size_t kMostMembersForLoad = 12;
+// Instances that tell each other at once what they send to an upstream. Among
+// fewer instances, all do.
+constexpr std::size_t kCoSenders = 7;
 // Reports may be lost, so a grant that was sent once is sent again.
 constexpr duration kSendAllInterval = std::chrono::seconds(2);
 
@@ -104,7 +103,7 @@
   for (;;) {
     const time_point now = state_.clock.Now();
     board_.SetInterval(Interval());
-    board_size_.store(board_.Members(), std::memory_order_relaxed);
+    ChooseWellKnown(now);
     board_.Sweep(now);
     ChargeSilent(now);
     ShareRetries();
@@ -122,23 +121,35 @@
   return report;
 }
 
-void peer_reporter::RequestLoad() {
-  if (board_size_.load(std::memory_order_relaxed) > kMostMembersForLoad ||
-      load_requested_.exchange(true, std::memory_order_acq_rel)) {
-    return;
+void peer_reporter::RequestLoad(
+    std::shared_ptr<const pooled_upstream> upstream) {
+  if (upstream->well_known()) {
+    boost::asio::post(executor_, [this, upstream = std::move(upstream)] {
+      SendLoad(*upstream);
+    });
   }
-  boost::asio::post(executor_, [this] { SendLoad(); });
 }
 
-void peer_reporter::SendLoad() {
-  load_requested_.store(false, std::memory_order_release);
+void peer_reporter::SendLoad(const pooled_upstream& upstream) {
   peer_report report = Header();
   report.sequence = ++sequence_;
   report.content = report_content::kLoad;
-  ComposeSent(*state_.View(), report);
+  report.sent.push_back(
+      {upstream.hash(), upstream.running(), upstream.unread_tokens()});
   const std::string message = EncodePeerReport(report);
-  for (const auto& each : board_.Recipients(state_.clock.Now())) {
-    socket_.Send(each.address, message);
+  for (const std::string& address :
+       board_.CoSenders(upstream.hash(), kCoSenders, state_.clock.Now())) {
+    socket_.Send(address, message);
+  }
+}
+
+void peer_reporter::ChooseWellKnown(time_point now) {
+  const auto view = state_.View();
+  for (const auto& [service, pool] : view->pools) {
+    for (const auto& upstream : pool.members) {
+      upstream->SetWellKnown(
+          !board_.CoSenders(upstream->hash(), kCoSenders, now).empty());
+    }
   }
 }
 
--- a/entry/peer_reporter.h
+++ b/entry/peer_reporter.h
@@ -3,7 +3,6 @@
 #ifndef ENTRY_PEER_REPORTER_H_
 #define ENTRY_PEER_REPORTER_H_
 
-#include <atomic>
 #include <boost/asio/any_io_executor.hpp>
 #include <functional>
 #include <map>
@@ -34,9 +33,9 @@
 
   // Receives reports for ever. `taken` gets each one after it was taken in.
   awaitable<void> Receive(std::function<void(const peer_report&)> taken);
-  // Tells the others of this instance's work at upstreams. Any thread may ask;
-  // requests that come together are answered by one message.
-  void RequestLoad();
+  // Tells the instances that send to the same upstream of this instance's work
+  // there. Any thread may ask.
+  void RequestLoad(std::shared_ptr<const pooled_upstream> upstream);
   // Sends a change at once, because others wait for it.
   void Relay(const upstream_change& change);
   // Sends reports for ever. `complete` fills in what other parts know: the
@@ -55,15 +54,14 @@
   // Leaves out workspaces without new grants, but for now and then.
   void ComposeGranted(const serving_view& view, peer_report& report);
   void Send();
-  void SendLoad();
+  void SendLoad(const pooled_upstream& upstream);
+  void ChooseWellKnown(time_point now);
   peer_report Header() const;
   void ComposeSent(const serving_view& view, peer_report& report) const;
   duration Interval() const;
 
   gateway_state& state_;
   boost::asio::any_io_executor executor_;
-  std::atomic<bool> load_requested_{false};
-  std::atomic<std::size_t> board_size_{1};
   std::function<void(peer_report&)> complete_;
   datagram_socket socket_;
   std::string address_;
--- a/instances/peer_report.cc
+++ b/instances/peer_report.cc
@@ -90,9 +90,18 @@
 void report_board::TakeLoad(peer& sender, const peer_report& report) {
   const bool newer = sender.heard && sender.last.epoch == report.epoch &&
                      sender.last.sequence < report.sequence;
-  if (newer) {
-    sender.last.sequence = report.sequence;
-    sender.last.sent = report.sent;
+  if (!newer) {
+    return;
+  }
+  sender.last.sequence = report.sequence;
+  for (const sent_work& each : report.sent) {
+    const auto known = std::ranges::find(sender.last.sent, each.upstream_hash,
+                                         &sent_work::upstream_hash);
+    if (known == sender.last.sent.end()) {
+      sender.last.sent.push_back(each);
+    } else {
+      *known = each;
+    }
   }
 }
 
@@ -127,6 +136,32 @@
   return recipients;
 }
 
+std::vector<std::string> report_board::CoSenders(std::uint64_t upstream_hash,
+                                                 std::size_t count,
+                                                 time_point now) const {
+  std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
+  for (const auto& [name, each] : peers_) {
+    if (!IsSilent(each, now) && !each.last.leaving) {
+      ranked.emplace_back(CombineHash(Hash64(name), upstream_hash),
+                          &each.address);
+    }
+  }
+  const std::uint64_t own = CombineHash(Hash64(own_name_), upstream_hash);
+  const auto before = static_cast<std::size_t>(std::ranges::count_if(
+      ranked, [own](const auto& each) { return each.first < own; }));
+  if (before >= count) {
+    return {};
+  }
+  const std::size_t others = std::min(count - 1, ranked.size());
+  std::ranges::partial_sort(
+      ranked, ranked.begin() + static_cast<std::ptrdiff_t>(others));
+  std::vector<std::string> addresses;
+  for (std::size_t i = 0; i < others; ++i) {
+    addresses.push_back(*ranked[i].second);
+  }
+  return addresses;
+}
+
 std::map<std::uint64_t, sent_work> report_board::SentElsewhere(
     time_point now) const {
   std::map<std::uint64_t, sent_work> sums;
--- a/instances/peer_report.h
+++ b/instances/peer_report.h
@@ -51,7 +51,7 @@
 enum class report_content : std::uint8_t {
   kWhole,
   kChanges,  // Changes of announcements only.
-  kLoad,     // Work at upstreams only.
+  kLoad,     // Work at the upstreams that it names only.
 };
 
 // Every report carries whole values, never differences, so a lost or repeated
@@ -138,6 +138,13 @@
   };
   std::vector<recipient> Recipients(time_point now) const;
 
+  // The addresses of the first `count` instances, in an order of their own for
+  // each upstream, that tell each other at once what they send there; empty if
+  // this instance is none of them. Silent ones are left out.
+  std::vector<std::string> CoSenders(std::uint64_t upstream_hash,
+                                     std::size_t count,
+                                     time_point now) const;
+
   // Work of all others at each upstream.
   std::map<std::uint64_t, sent_work> SentElsewhere(time_point now) const;
   // Requests of all others by window and workspace, those of processes that
--- a/links/attempt_policy.cc
+++ b/links/attempt_policy.cc
@@ -24,10 +24,10 @@
 }
 
 next_step StepWithoutRepeat(const attempt_question& question, time_point now) {
-  if (question.end == attempt_end::kServerError) {
+  if (question.end == attempt_end::kServerError && !question.begun) {
     return next_step::kDeliver;
   }
-  if (!question.may_have_run) {
+  if (!question.may_have_run && !question.begun) {
     return next_step::kRefuse;
   }
   return question.answer_by.Expired(now) ? next_step::kTimeOut
--- a/links/attempt_policy.h
+++ b/links/attempt_policy.h
@@ -37,6 +37,9 @@
   repeat_rule repeat = repeat_rule::kOnce;
   // Whether this or an earlier attempt may have run.
   bool may_have_run = false;
+  // Whether part of an answer has reached the caller: only the rest of it can
+  // be delivered then.
+  bool begun = false;
   // Upstreams that the call was sent to, and the most that it may be sent to.
   std::uint32_t attempts = 1;
   std::uint32_t most_attempts = 1;
--- a/links/placement.cc
+++ b/links/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <limits>
 #include <utility>
 #include <vector>
@@ -99,11 +100,21 @@
     if (const prompt_prefix* home = HomePrefix(*question_.prompt)) {
       AddHomes(*home);
     }
+    AddDrawn();
+  }
+
+  // Draws among the upstreams whose load is well known; among all if there are
+  // none.
+  void AddDrawn() {
+    std::vector<const member*> known;
+    std::ranges::copy_if(usable_, std::back_inserter(known),
+                         [](auto* each) { return (*each)->well_known(); });
+    const auto& from = known.empty() ? usable_ : known;
     split_mix draws(question_.draw);
-    for (int i = 0; i < kDrawn && !usable_.empty(); ++i) {
+    for (int i = 0; i < kDrawn && !from.empty(); ++i) {
       const auto index =
-          draws.NextBelow(static_cast<std::uint32_t>(usable_.size()));
-      Add(*usable_[index], 0);
+          draws.NextBelow(static_cast<std::uint32_t>(from.size()));
+      Add(*from[index], 0);
     }
   }
 
@@ -181,7 +192,7 @@
   double Cost(const placement& judged) const {
     const pooled_upstream& each = *judged.target;
     double cost = static_cast<double>(judged.expected_wait.count());
-    cost += static_cast<double>(judged.read_time.count());
+    cost += static_cast<double>(judged.read_time.count()) * costs_.read_weight;
     cost += judged.fetched_tokens * costs_.fetch_us_per_token;
     cost += each.total_running() * costs_.running_us;
     cost += each.failed_permille() * costs_.failure_us / 1000;
@@ -195,7 +206,8 @@
     return cost;
   }
 
-  // Drawn at random. Two choices bring most of the gain of knowing all.
+  // Drawn at random from those whose load is well known. With eight, calls wait
+  // hardly less (test/correctness/placement_herd_test.cc).
   static constexpr int kDrawn = 2;
   static constexpr std::size_t kHomes = 2;
   // Larger than any sum of the other costs in normal operation.
--- a/links/placement.h
+++ b/links/placement.h
@@ -25,9 +25,13 @@
   // Attention between a token that is read and one before it: the users state
   // 0.737 ms for a million pairs.
   double read_us_per_pair = 0.00074;
+  // What reading costs beyond its own time: other calls wait for it, and the
+  // part that was kept elsewhere is paid for twice.
+  double read_weight = 2.0;
   // Fetching a kept token from another engine of the pool instead of reading
-  // it. A token takes 164 KB, and the engines' links move 1.1 Tbit/s.
-  double fetch_us_per_token = 2.0;
+  // it. A token takes 164 KB; the engines' links move that in 1.2 us, and the
+  // transfer is paid for.
+  double fetch_us_per_token = 8.0;
   // One running request: what it adds to a step, over the steps of an answer.
   double running_us = 600.0;
   // A call that fails and has to be sent again, or is lost.
@@ -66,7 +70,7 @@
 // The cheapest of a few upstreams, or a null target if none may be used. What
 // is known of the load is a fraction of a second old, and all instances know
 // about the same: if each chose the best of all, they would all choose the same
-// one until the next reports. So two are drawn at random, and compared with
+// one until the next reports. So a few are drawn at random, and compared with
 // those that keep parts of the prompt. `locations` holds which prompts were
 // sent where by this instance. Prefixes that it has not sent yet are presumed
 // at their home, the upstream that rendezvous hashing gives them on every
--- a/links/pooled_upstream.h
+++ b/links/pooled_upstream.h
@@ -47,6 +47,15 @@
     return unread_tokens_.load(std::memory_order_relaxed);
   }
 
+  // Whether this instance is one of the few that tell each other at once what
+  // they send there. It then knows the load better than that of others.
+  void SetWellKnown(bool well_known) {
+    well_known_.store(well_known, std::memory_order_relaxed);
+  }
+  bool well_known() const {
+    return well_known_.load(std::memory_order_relaxed);
+  }
+
   // What the other entry instances have sent there, from their last reports.
   void SetElsewhere(std::uint32_t running, std::uint32_t unread_tokens) {
     elsewhere_running_.store(running, std::memory_order_relaxed);
@@ -132,6 +141,7 @@
   std::atomic<std::uint32_t> failed_permille_{0};
   std::atomic<std::int64_t> avoid_until_us_{0};
   std::atomic<bool> leaving_{false};
+  std::atomic<bool> well_known_{true};
 };
 
 // What all calls of this instance to one service share.
--- a/test/correctness/attempt_policy_test.cc
+++ b/test/correctness/attempt_policy_test.cc
@@ -72,6 +72,25 @@
     }
   }
 
+  GIVEN("a stream that has begun to reach its caller") {
+    attempt_question question =
+        Question(attempt_end::kServerError, repeat_rule::kResumable);
+    question.begun = true;
+    question.attempts = 2;
+
+    THEN(
+        "a failure of the upstream that was to go on does not end it as "
+        "whole") {
+      REQUIRE(DecideAfterAttempt(question, kNow) == next_step::kFail);
+    }
+
+    THEN("nor is it refused when that one turns the call away") {
+      question.end = attempt_end::kNotRun;
+      question.may_have_run = false;
+      REQUIRE(DecideAfterAttempt(question, kNow) == next_step::kFail);
+    }
+  }
+
   GIVEN("a call whose time is over") {
     attempt_question question =
         Question(attempt_end::kTimedOut, repeat_rule::kRepeatable);
--- a/test/correctness/peer_report_test.cc
+++ b/test/correctness/peer_report_test.cc
@@ -4,6 +4,7 @@
 
 #include "instances/peer_report.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "wire/report_codec.h"
@@ -133,6 +134,52 @@
   }
 }
 
+SCENARIO("Few instances tell each other of an upstream at once",
+         "[report_board]") {
+  const auto ignore = [](std::string_view, std::uint64_t) {};
+  std::vector<std::string> names;
+  for (int i = 0; i < 12; ++i) {
+    names.push_back("instance-" + std::to_string(i));
+  }
+  std::vector<report_board> boards;
+  for (const std::string& own : names) {
+    report_board& board = boards.emplace_back(own);
+    for (const std::string& other : names) {
+      peer_report report = Report(other, 1, 1, 0);
+      report.address = other;
+      board.Take(report, kStart, ignore);
+    }
+  }
+
+  THEN("all instances agree on who they are") {
+    std::size_t senders = 0;
+    for (std::size_t i = 0; i < names.size(); ++i) {
+      const auto others = boards[i].CoSenders(42, 4, kStart);
+      senders += others.empty() ? 0 : 1;
+      for (const std::string& other : others) {
+        const auto at = static_cast<std::size_t>(
+            std::ranges::find(names, other) - names.begin());
+        const auto back = boards[at].CoSenders(42, 4, kStart);
+        CHECK(std::ranges::find(back, names[i]) != back.end());
+      }
+    }
+    REQUIRE(senders == 4);
+  }
+
+  THEN("a message about one upstream keeps what is known of the others") {
+    report_board& board = boards[0];
+    peer_report whole = Report(names[1], 1, 2, 0);
+    whole.sent = {{42, 3, 900}, {43, 1, 100}};
+    board.Take(whole, kStart, ignore);
+    peer_report load = Report(names[1], 1, 3, 0);
+    load.content = report_content::kLoad;
+    load.sent = {{42, 4, 1'500}};
+    board.Take(load, kStart, ignore);
+    REQUIRE(board.SentElsewhere(kStart).at(42).unread_tokens == 1'500);
+    REQUIRE(board.SentElsewhere(kStart).at(43).unread_tokens == 100);
+  }
+}
+
 SCENARIO("A report survives its encoding", "[report_codec]") {
   peer_report report = Report("other", 5, 4, 700);
   report.begun = {{40, "studio", 9}};
