--- /dev/null
+++ b/test/correctness/soak_check_test.cc
@@ -0,0 +1,109 @@
+// Guards the checks of the soak: each must be able to fail, or a broken promise
+// would pass unseen.
+
+#include <catch2/catch.hpp>
+
+#include "platform/standin/upstream.h"
+#include "soak/history.h"
+
+namespace anvilloom::soak {
+
+namespace {
+
+constexpr double kLongestS = 6.5;
+
+call_record Record(call_kind kind, unsigned status) {
+  call_record call;
+  call.id = "c1";
+  call.kind = kind;
+  call.status = status;
+  call.body = status == 200 ? platform::PlainBody("c1") : "";
+  return call;
+}
+
+std::vector<violation> Check(
+    const call_record& call,
+    const std::map<std::string, std::vector<std::string>>& runs) {
+  return CheckCalls(std::span(&call, 1), runs, kLongestS);
+}
+
+}  // namespace
+
+SCENARIO("The soak finds each broken promise to callers", "[soak_check]") {
+  GIVEN("a call that was answered and ran once") {
+    call_record call = Record(call_kind::kOnce, 200);
+    REQUIRE(Check(call, {{"c1", {"studio"}}}).empty());
+
+    THEN("a second run is found") {
+      REQUIRE(Check(call, {{"c1", {"studio", "studio"}}}).size() == 1);
+    }
+
+    THEN("another workspace is found") {
+      REQUIRE(Check(call, {{"c1", {"other"}}}).size() == 1);
+    }
+
+    THEN("a run that nobody asked for is found") {
+      REQUIRE(Check(call, {{"c1", {"studio"}}, {"c2", {"studio"}}}).size() ==
+              1);
+    }
+
+    THEN("a body that is cut is found") {
+      call.body.pop_back();
+      REQUIRE(Check(call, {{"c1", {"studio"}}}).size() == 1);
+    }
+
+    THEN("an answer that comes too late is found") {
+      call.took_s = kLongestS + 1;
+      REQUIRE(Check(call, {{"c1", {"studio"}}}).size() == 1);
+    }
+  }
+
+  GIVEN("a refusal that says that the call did not run") {
+    const unsigned status = GENERATE(408U, 421U, 429U, 503U);
+    const call_record call = Record(call_kind::kOnce, status);
+    REQUIRE(Check(call, {}).empty());
+    REQUIRE(Check(call, {{"c1", {"studio"}}}).size() == 1);
+  }
+
+  GIVEN("a stream that lacks an event or has one twice") {
+    call_record call = Record(call_kind::kStream, 200);
+    call.body.clear();
+    for (std::uint32_t number = 1; number <= 10; ++number) {
+      call.body += platform::EventText("c1", number);
+    }
+    REQUIRE(Check(call, {{"c1", {"studio"}}}).empty());
+    call.body += platform::EventText("c1", 10);
+    REQUIRE(Check(call, {{"c1", {"studio"}}}).size() == 1);
+  }
+}
+
+SCENARIO("The soak finds broken duties", "[soak_check]") {
+  REQUIRE(CheckDuties("[]").empty());
+  REQUIRE(CheckDuties("no list").size() == 1);
+
+  THEN("two holders of one fencing number are found") {
+    REQUIRE(CheckDuties(
+                R"([{"subject":"/scaling s/a","holder":"g1","fencing":2},
+                    {"subject":"/scaling s/a","holder":"g2","fencing":2}])")
+                .size() == 1);
+  }
+
+  THEN(
+      "two different reports for one window are found, an exact repeat is "
+      "not") {
+    constexpr std::string_view kFirst =
+        R"({"subject":"/usage","holder":"g1","fencing":2,
+            "body":{"windowId":7,"counts":{"studio":3}}})";
+    constexpr std::string_view kOther =
+        R"({"subject":"/usage","holder":"g2","fencing":3,
+            "body":{"windowId":7,"counts":{"studio":4}}})";
+    const std::string repeated =
+        "[" + std::string(kFirst) + "," + std::string(kFirst) + "]";
+    const std::string differing =
+        "[" + std::string(kFirst) + "," + std::string(kOther) + "]";
+    REQUIRE(CheckDuties(repeated).empty());
+    REQUIRE(CheckDuties(differing).size() == 1);
+  }
+}
+
+}  // namespace anvilloom::soak
