--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -20,7 +20,6 @@
 #include "links/event_splitter.h"
 #include "links/placement.h"
 #include "wire/http_client.h"
-#include "wire/wall_clock.h"
 
 namespace anvilloom {
 
@@ -383,7 +382,7 @@
     }
     counted_ = true;
     const auto window = static_cast<std::uint64_t>(
-        WallClockMicros() / state_.settings.usage_window.count());
+        state_.TimeOfDayMicros() / state_.settings.usage_window.count());
     state_.usage.Count(window, workspace_->name);
   }
 
--- a/entry/gateway_state.h
+++ b/entry/gateway_state.h
@@ -16,6 +16,7 @@
 #include "links/placement.h"
 #include "links/prefix_locations.h"
 #include "wire/steady_clock.h"
+#include "wire/wall_clock.h"
 
 namespace anvilloom {
 
@@ -55,7 +56,13 @@
   explicit gateway_state(gateway_settings from)
       : settings(std::move(from)),
         view(std::make_unique<std::shared_ptr<const serving_view>>(
-            std::make_shared<serving_view>())) {}
+            std::make_shared<serving_view>())),
+        wall_offset_us(OwnWallOffset()) {}
+
+  // The own clock's time of day minus the monotonic clock, in microseconds.
+  std::int64_t OwnWallOffset() const {
+    return WallClockMicros() - clock.Now().time_since_epoch().count();
+  }
 
   // The view in force. Keeps what it names alive, across suspensions too.
   std::shared_ptr<const serving_view> View() const {
@@ -77,6 +84,13 @@
   // Called on any thread after the load of a model engine has changed.
   std::function<void(std::shared_ptr<const pooled_upstream>)> load_changed =
       [](const auto&) {};
+  // The time of day in microseconds since 1970, as most instances have it.
+  std::int64_t TimeOfDayMicros() const {
+    return clock.Now().time_since_epoch().count() +
+           wall_offset_us.load(std::memory_order_relaxed);
+  }
+
+  std::atomic<std::int64_t> wall_offset_us;
   std::atomic<bool> draining{false};
   // Whether the store has not answered for long enough that the manifest in
   // force may be an old one.
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -104,6 +104,9 @@
     const time_point now = state_.clock.Now();
     board_.SetInterval(Interval());
     ChooseWellKnown(now);
+    state_.wall_offset_us.store(
+        board_.MedianWallOffset(state_.OwnWallOffset(), now),
+        std::memory_order_relaxed);
     board_.Sweep(now);
     ChargeSilent(now);
     ShareRetries();
--- a/entry/usage_reporter.h
+++ b/entry/usage_reporter.h
@@ -15,7 +15,6 @@
 #include "entry/usage_record.h"
 #include "instances/peer_report.h"
 #include "wire/object_store.h"
-#include "wire/wall_clock.h"
 
 namespace anvilloom {
 
@@ -37,7 +36,7 @@
   awaitable<void> Report(const std::function<std::uint64_t()>& fencing) {
     const auto window_us = state_.settings.usage_window.count();
     const auto ended = static_cast<std::uint64_t>(
-        (WallClockMicros() - kCountsSettle.count()) / window_us);
+        (state_.TimeOfDayMicros() - kCountsSettle.count()) / window_us);
     for (std::uint64_t window = ended - kOlderWindows; window < ended;
          ++window) {
       if (!reported_.contains(window)) {
--- a/instances/peer_report.cc
+++ b/instances/peer_report.cc
@@ -74,6 +74,8 @@
   sender.address = report.address;
   sender.heard_at = now;
   sender.heard = true;
+  sender.wall_offset_us = static_cast<std::int64_t>(report.wall_us) -
+                          now.time_since_epoch().count();
   // What the report leaves out has not changed.
   std::vector<granted_units> kept;
   if (same_process) {
@@ -202,6 +204,20 @@
   return sum;
 }
 
+std::int64_t report_board::MedianWallOffset(std::int64_t own_us,
+                                            time_point now) const {
+  std::vector<std::int64_t> offsets = {own_us};
+  for (const auto& [name, each] : peers_) {
+    if (!IsSilent(each, now)) {
+      offsets.push_back(each.wall_offset_us);
+    }
+  }
+  const auto middle =
+      offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
+  std::ranges::nth_element(offsets, middle);
+  return *middle;
+}
+
 std::uint64_t report_board::DutyFencingElsewhere(time_point now) const {
   std::uint64_t highest = 0;
   for (const auto& [name, each] : peers_) {
--- a/instances/peer_report.h
+++ b/instances/peer_report.h
@@ -154,6 +154,11 @@
   // Tokens that the others' calls to a service had upstreams read. Drops when a
   // process restarts.
   std::uint64_t ReadElsewhere(std::string_view service) const;
+  // What to add to the monotonic clock for the time of day, in microseconds:
+  // the median over this instance, whose own value is `own_us`, and those heard
+  // lately. A clock that jumps does not move it while most clocks are right.
+  std::int64_t MedianWallOffset(std::int64_t own_us, time_point now) const;
+
   // The highest fencing number that another instance reports to act under, if
   // it reported within `silent_after`; 0 if none.
   std::uint64_t DutyFencingElsewhere(time_point now) const;
@@ -174,6 +179,8 @@
     std::string address;
     time_point heard_at;
     bool heard = false;
+    // Its time of day minus the monotonic clock here, in microseconds.
+    std::int64_t wall_offset_us = 0;
     peer_report last;
     // Counts of earlier processes under the same name.
     std::vector<begun_requests> begun_before;
--- a/test/correctness/peer_report_test.cc
+++ b/test/correctness/peer_report_test.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstdlib>
 
 #include "wire/report_codec.h"
 
@@ -134,6 +135,38 @@
   }
 }
 
+SCENARIO("A clock that jumps does not move the time of day of all",
+         "[report_board]") {
+  const auto ignore = [](std::string_view, std::uint64_t) {};
+  report_board board("self");
+  const std::int64_t now_us = kStart.time_since_epoch().count();
+  constexpr std::int64_t kOffset = 1'700'000'000'000'000;
+  const auto hear = [&](std::string name, std::int64_t error_us) {
+    peer_report report = Report(std::move(name), 1, 1, 0);
+    report.wall_us = static_cast<std::uint64_t>(now_us + kOffset + error_us);
+    board.Take(report, kStart, ignore);
+  };
+  hear("a", 1'000);
+  hear("b", -2'400'000);
+  hear("c", 500);
+  hear("d", -2'400'000);
+
+  THEN("two of five that are behind leave the median where it is") {
+    REQUIRE(std::abs(board.MedianWallOffset(kOffset, kStart) - kOffset) <=
+            1'000);
+  }
+
+  THEN("the own clock may be one of them") {
+    hear("e", 0);
+    REQUIRE(std::abs(board.MedianWallOffset(kOffset - 2'400'000, kStart) -
+                     kOffset) <= 1'000);
+  }
+
+  THEN("silent instances do not count") {
+    REQUIRE(board.MedianWallOffset(7, kStart + std::chrono::seconds(5)) == 7);
+  }
+}
+
 SCENARIO("Few instances tell each other of an upstream at once",
          "[report_board]") {
   const auto ignore = [](std::string_view, std::uint64_t) {};
