Accept a whole answer after which the server closes

Cause (handler_failure_test, which failed since the check for closed idle connections): the check also judged whole answers, so one that was followed by the end of its connection counted as malformed. Excess bytes and a closed connection are told apart now.

The test's expectation follows the quoted form of values with spaces.

--- a/test/error/handler_failure_test.cc
+++ b/test/error/handler_failure_test.cc
@@ -65,8 +65,8 @@
         el::Helpers::logDispatchCallback<log_recorder>(kRecorderId);
     const auto [path, status, cause] =
         GENERATE(table<std::string, unsigned, std::string>({
-            {"/before", 500, "the table is empty"},
-            {"/middle", 0, "the table is empty"},
+            {"/before", 500, R"("the table is empty")"},
+            {"/middle", 0, R"("the table is empty")"},
             {"/odd", 500, "unknown"},
         }));
 
--- a/wire/http_client.cc
+++ b/wire/http_client.cc
@@ -13,6 +13,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -127,16 +128,14 @@
 
   bool AnswerEnded() const { return parser_ && parser_->is_done(); }
 
-  // Whether bytes have arrived that belong to no answer, or the server has
-  // closed the connection.
-  bool HasExcess() {
-    if (buffer_.size() > 0) {
-      return true;
-    }
-    char next = 0;
-    const auto seen = ::recv(stream_.socket().native_handle(), &next, 1,
-                             MSG_PEEK | MSG_DONTWAIT);
-    return seen >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  // Whether bytes have arrived that belong to no answer. The next answer would
+  // begin with them.
+  bool HasExcess() { return buffer_.size() > 0 || Peek() > 0; }
+
+  // Whether nothing has arrived, neither bytes nor the end of the connection.
+  bool IsQuiet() {
+    return buffer_.size() == 0 && Peek() < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
   }
 
   void KeepUntil(deadline reuse_by) { reuse_by_ = reuse_by; }
@@ -148,7 +147,7 @@
 
   bool Reusable() {
     return AnswerEnded() && parser_->get().keep_alive() &&
-           !parser_->need_eof() && stream_.socket().is_open() && !HasExcess();
+           !parser_->need_eof() && stream_.socket().is_open() && IsQuiet();
   }
 
   awaitable<transfer_result<std::string_view>> ReadSome(deadline until) {
@@ -173,6 +172,13 @@
   }
 
  private:
+  // As recv() of one byte that stays in place.
+  ssize_t Peek() {
+    char next = 0;
+    return ::recv(stream_.socket().native_handle(), &next, 1,
+                  MSG_PEEK | MSG_DONTWAIT);
+  }
+
   std::string address_;
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
@@ -194,7 +200,7 @@
       std::unique_ptr<http_connection> taken = std::move(found->second.back());
       found->second.pop_back();
       if (!taken->reuse_by().Expired(steady_source().Now()) &&
-          !taken->HasExcess()) {
+          taken->IsQuiet()) {
         taken->MarkReused();
         return taken;
       }
