--- a/common/log.cc
+++ b/common/log.cc
@@ -254,8 +254,6 @@
       return "usage_reported";
     case log_event::kEnginesOrdered:
       return "engines_ordered";
-    case log_event::kDutyRefused:
-      return "duty_refused";
     case log_event::kSettingsReloaded:
       return "settings_reloaded";
     case log_event::kLoadOwnershipChanged:
--- a/common/log.h
+++ b/common/log.h
@@ -78,7 +78,6 @@
   kPeerGone = 831,
   kUsageReported = 840,
   kEnginesOrdered = 841,
-  kDutyRefused = 842,
   kSettingsReloaded = 850,
 };
 
--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -4,6 +4,7 @@
 #define ENTRY_FORWARDED_CALL_H_
 
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -72,6 +73,9 @@
         co_return;
       }
       state_.counters.repeats.fetch_add(1, std::memory_order_relaxed);
+      if (streaming_) {
+        state_.counters.resumed_streams.fetch_add(1, std::memory_order_relaxed);
+      }
     }
   }
 
--- a/entry/gateway_admin.cc
+++ b/entry/gateway_admin.cc
@@ -72,6 +72,7 @@
   AppendCounter(out, "failed_total", counters.failed.load());
   AppendCounter(out, "abandoned_total", counters.abandoned.load());
   AppendCounter(out, "repeats_total", counters.repeats.load());
+  AppendCounter(out, "resumed_streams_total", counters.resumed_streams.load());
   AppendCounter(out, "unfinished", state_.unfinished.load());
   const auto view = state_.View();
   AppendCounter(out, "manifest_version",
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -83,6 +83,11 @@
     SpreadLoad(now);
     return;
   }
+  if (report.content == report_content::kWhole &&
+      !board_.HasHeard(report.name) && report.name != state_.settings.name) {
+    Log(log_level::kInfo, log_event::kPeerJoined,
+        {{"peer", report.name}, {"address", report.address}});
+  }
   board_.Take(report, now,
               [&](std::string_view workspace, std::uint64_t units) {
                 shared_allowance* allowance = view->FindAllowance(workspace);
@@ -107,7 +112,9 @@
     state_.wall_offset_us.store(
         board_.MedianWallOffset(state_.OwnWallOffset(), now),
         std::memory_order_relaxed);
-    board_.Sweep(now);
+    for (const std::string& name : board_.Sweep(now)) {
+      Log(log_level::kInfo, log_event::kPeerGone, {{"peer", name}});
+    }
     ChargeSilent(now);
     ShareRetries();
     SpreadLoad(now);
--- a/instances/peer_report.cc
+++ b/instances/peer_report.cc
@@ -107,12 +107,23 @@
   }
 }
 
-void report_board::Sweep(time_point now) {
+std::vector<std::string> report_board::Sweep(time_point now) {
+  std::vector<std::string> removed;
   std::erase_if(peers_, [&](const auto& entry) {
     const peer& each = entry.second;
     const bool left = each.heard && each.last.leaving && IsSilent(each, now);
-    return left || each.heard_at + terms_.removed_after < now;
+    const bool gone = left || each.heard_at + terms_.removed_after < now;
+    if (gone) {
+      removed.push_back(entry.first);
+    }
+    return gone;
   });
+  return removed;
+}
+
+bool report_board::HasHeard(std::string_view name) const {
+  const auto found = peers_.find(name);
+  return found != peers_.end() && found->second.heard;
 }
 
 std::size_t report_board::Silent(time_point now) const {
--- a/instances/peer_report.h
+++ b/instances/peer_report.h
@@ -123,8 +123,11 @@
             time_point now,
             const charge_sink& charge);
 
-  // Drops instances that were silent for too long.
-  void Sweep(time_point now);
+  // Drops instances that were silent for too long; returns their names.
+  std::vector<std::string> Sweep(time_point now);
+
+  // Whether an instance of that name has reported.
+  bool HasHeard(std::string_view name) const;
 
   // Instances that are known, this one included.
   std::size_t Members() const { return peers_.size() + 1; }
--- a/test/correctness/peer_report_test.cc
+++ b/test/correctness/peer_report_test.cc
@@ -127,7 +127,9 @@
   }
 
   WHEN("silence lasts longer than any partition") {
-    board.Sweep(kStart + std::chrono::seconds(31));
+    REQUIRE(board.HasHeard("leader"));
+    const auto removed = board.Sweep(kStart + std::chrono::seconds(31));
+    REQUIRE(removed == std::vector<std::string>{"leader", "listed"});
 
     THEN("silent instances are taken as removed") {
       REQUIRE(board.Members() == 1);
