Count a request at its upstream when the upstream is chosen

The choice read the number of outstanding requests, and the request was counted only when its coroutine ran, so requests that were chosen for in between did not see each other. Ruled out: the bound of the test, and the dump, which reads one atomic.

Change: a choice takes a link_place, which checks and counts in one step and counts until the request ends. Requests that find no place look further.

--- a/entry/chosen_upstream.cc
+++ b/entry/chosen_upstream.cc
@@ -26,8 +26,16 @@
   return positions;
 }
 
-chosen_upstream CopyOut(const topology& world, upstream_index index) {
-  return {world.at(index).address, world.shared_link_at(index)};
+// Nothing if the last place there was taken since the choice.
+std::optional<chosen_upstream> TakePlace(const topology& world,
+                                         upstream_index index,
+                                         priority rank) {
+  const std::shared_ptr<link>& path = world.shared_link_at(index);
+  auto place = link_place::TryTake(path, rank);
+  if (!place) {
+    return std::nullopt;
+  }
+  return chosen_upstream{world.at(index).address, path, std::move(*place)};
 }
 
 // Chooses by the routing policy. The service and the excluded upstreams of
@@ -42,15 +50,20 @@
   if (!wanted) {
     return std::nullopt;
   }
-  const std::vector<upstream_index> positions = PositionsOf(world, excluded);
+  std::vector<upstream_index> positions = PositionsOf(world, excluded);
   request.wanted = *wanted;
-  request.excluded = positions;
-  const auto chosen =
-      process.policy.Choose(world, request, process.clock.Now());
-  if (!chosen) {
-    return std::nullopt;
+  for (;;) {
+    request.excluded = positions;
+    const auto index =
+        process.policy.Choose(world, request, process.clock.Now());
+    if (!index) {
+      return std::nullopt;
+    }
+    if (auto chosen = TakePlace(world, *index, request.rank)) {
+      return chosen;
+    }
+    positions.push_back(*index);
   }
-  return CopyOut(world, *chosen);
 }
 
 moving_stream MakeMovingStream(const stream_session& session,
@@ -171,7 +184,10 @@
   }
   planned_move planned{*choice, std::nullopt};
   if (choice->target) {
-    planned.target = CopyOut(world, *choice->target);
+    planned.target = TakePlace(world, *choice->target, request.rank);
+    if (!planned.target) {
+      return std::nullopt;
+    }
   }
   return planned;
 }
--- a/entry/chosen_upstream.h
+++ b/entry/chosen_upstream.h
@@ -12,14 +12,18 @@
 
 #include "entry/process_state.h"
 #include "entry/stream_session.h"
+#include "links/link_place.h"
 #include "links/reclaim_plan.h"
 
 namespace anvilloom {
 
-// Stays valid when the topology changes.
+// Stays valid when the topology changes. Holds a place at the upstream from the
+// choice on, so that requests that are chosen for at the same time see each
+// other.
 struct chosen_upstream {
   std::string address;
   std::shared_ptr<link> path;
+  link_place place;
 };
 
 using shared_links = std::vector<std::shared_ptr<link>>;
--- a/entry/plain_handler.cc
+++ b/entry/plain_handler.cc
@@ -80,16 +80,15 @@
     shared_links refusing;
     claim_send_failure failure{false, refusal_code::kNoUpstream};
     while (!failure.sent && !send_by.Expired(self_.process().clock.Now())) {
-      const auto chosen =
+      auto chosen =
           ChooseUpstream(self_.process(), target_, answer_by_, refusing);
       if (!chosen) {
         break;
       }
-      chosen->path->Begin();
       auto answer = co_await self_.client().Exchange(
           chosen->address, request_, answer_by_, connection_use::kFresh,
           send_by);
-      chosen->path->End();
+      chosen->place.Release();
       if (answer) {
         chosen->path->Succeeded();
         co_return claim_answer{answer->result_int(), ContentType(*answer),
@@ -174,14 +173,13 @@
   shared_links failed;
   bool sent = false;
   for (std::uint32_t attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    const auto chosen = ChooseUpstream(process, target, answer_by, failed);
+    auto chosen = ChooseUpstream(process, target, answer_by, failed);
     if (!chosen) {
       break;
     }
-    chosen->path->Begin();
     auto answer = co_await self.client().Exchange(
         chosen->address, MakeForwarded(exchange, path), answer_by);
-    chosen->path->End();
+    chosen->place.Release();
     if (answer) {
       chosen->path->Succeeded();
       ++self.metrics().completed;
--- a/entry/stream_attempt.cc
+++ b/entry/stream_attempt.cc
@@ -21,21 +21,6 @@
 // the time to the first token than the prefill does.
 constexpr std::uint32_t kLeastPrefill = 128;
 
-// Counts an attempt on its link for as long as it runs.
-class link_use {
- public:
-  link_use(link& path, priority rank) : path_(path), rank_(rank) {
-    path_.Begin(rank_);
-  }
-  ~link_use() { path_.End(rank_); }
-  link_use(const link_use&) = delete;
-  link_use& operator=(const link_use&) = delete;
-
- private:
-  link& path_;
-  priority rank_;
-};
-
 http_request EncodeAttempt(const stream_session& session,
                            std::string_view attempt_id,
                            std::string_view cache_handle) {
@@ -102,8 +87,7 @@
 
 awaitable<void> stream_attempt::Run(std::shared_ptr<stream_attempt> keep_alive,
                                     std::string cache_handle) {
-  const std::shared_ptr<link> path = chosen_.path;
-  const link_use use(*path, session_->order().target.terms.rank);
+  const link_place place = std::move(chosen_.place);
   Finish(co_await ReadAnswer(std::move(cache_handle)));
   keep_alive->answer_.reset();
 }
--- a/entry/stream_runner.cc
+++ b/entry/stream_runner.cc
@@ -172,8 +172,8 @@
 
   // Does what the reclaim plan says for a stream on a leaving upstream.
   awaitable<void> Leave() {
-    const auto planned = ChooseMove(self_.process(), *session_,
-                                    *attempt_->path(), excluded_, may_export_);
+    auto planned = ChooseMove(self_.process(), *session_, *attempt_->path(),
+                              excluded_, may_export_);
     if (!planned || planned->choice.action == reclaim_action::kRunToEnd) {
       co_await AwaitReplan(kReplanInterval);
       co_return;
@@ -184,13 +184,15 @@
                attempt_->path()->TryBeginExport(CacheTokens(), Now())) {
       co_await ExportTo(*planned);
     } else {
+      // The place at the target is for others until its turn comes.
+      planned.reset();
       co_await AwaitReplan(kExportWait);
     }
   }
 
   // Moves the stream with its KV cache, after TryBeginExport(). `planned` must
   // outlive the call.
-  awaitable<void> ExportTo(const planned_move& planned) {
+  awaitable<void> ExportTo(planned_move& planned) {
     const deadline until =
         attempt_->path()->reclaim_at().Earlier(order().answer_by);
     // Copied: the session's version changes if the attempt's does.
@@ -225,7 +227,7 @@
         deadline::After(Now(), wait).Earlier(order().answer_by));
   }
 
-  void MoveTo(const planned_move& planned, std::string handle) {
+  void MoveTo(planned_move& planned, std::string handle) {
     ++(handle.empty() ? self_.metrics().moved_by_prefill
                       : self_.metrics().moved_by_export);
     const std::shared_ptr<stream_attempt> left = EndAttempt();
@@ -237,7 +239,7 @@
          {"to", std::string(planned.target->path->upstream_name())},
          {"by", handle.empty() ? "prefill" : "export"},
          {"tokens", std::to_string(session_->tokens())}});
-    StartAt(*planned.target, std::move(handle));
+    StartAt(std::move(*planned.target), std::move(handle));
   }
 
   void Fail(refusal_code code) {
--- a/links/link.cc
+++ b/links/link.cc
@@ -41,6 +41,24 @@
   outstanding_requests_.fetch_add(1, kRelaxed);
 }
 
+bool link::TryBegin(priority rank) {
+  if (condition() != link_condition::kProbation) {
+    Begin(rank);
+    return true;
+  }
+  std::uint32_t outstanding = outstanding_requests_.load(kRelaxed);
+  while (outstanding < kProbationRequests) {
+    if (outstanding_requests_.compare_exchange_weak(
+            outstanding, outstanding + 1, kRelaxed)) {
+      if (rank == priority::kBatch) {
+        outstanding_batch_.fetch_add(1, kRelaxed);
+      }
+      return true;
+    }
+  }
+  return false;
+}
+
 void link::End(priority rank) {
   if (rank == priority::kBatch) {
     outstanding_batch_.fetch_sub(1, kRelaxed);
--- a/links/link.h
+++ b/links/link.h
@@ -74,7 +74,10 @@
 
   // Counts a request as outstanding.
   void Begin(priority rank = priority::kNormal);
-  // Ends what Begin() counted, with the same rank.
+  // The same, unless the link is on probation and has all the requests that it
+  // may have. Checks and counts in one step, since many threads choose at once.
+  bool TryBegin(priority rank = priority::kNormal);
+  // Ends what Begin() or TryBegin() counted, with the same rank.
   void End(priority rank = priority::kNormal);
 
   // Stores a report, and remembers how many of the reported requests are this
--- /dev/null
+++ b/test/correctness/chosen_upstream_test.cc
@@ -0,0 +1,94 @@
+// Guards against requests that are chosen for at the same time and do not see
+// each other: an upstream on probation then got more work than it may have.
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <thread>
+#include <vector>
+
+#include "entry/chosen_upstream.h"
+#include "test/support/small_world.h"
+
+namespace anvilloom {
+
+SCENARIO("An upstream on probation takes a few requests at once",
+         "[chosen_upstream]") {
+  GIVEN("a service whose only upstream is on probation") {
+    process_state process{entry_settings{}};
+    small_world declared;
+    declared.Upstream("a", 1'000'000);
+    process.world.Publish(declared.Build());
+    const service target = declared.declared().services[0];
+    const std::shared_ptr<link> path = [&] {
+      const rcu_read_guard guard;
+      return process.world.Read(guard).shared_link_at(upstream_index{0});
+    }();
+    path->SetCondition(link_condition::kProbation);
+    const auto Choose = [&] {
+      return ChooseUpstream(process, target, deadline::Never(), {});
+    };
+
+    WHEN("it is chosen as often as it may be, and nothing has been sent yet") {
+      auto first = Choose();
+      auto second = Choose();
+      REQUIRE(first);
+      REQUIRE(second);
+
+      THEN("it is not chosen again") {
+        REQUIRE_FALSE(Choose());
+        REQUIRE(path->outstanding_requests() == link::kProbationRequests);
+      }
+      AND_WHEN("one of the requests ends") {
+        first.reset();
+
+        THEN("there is a place for another one") {
+          REQUIRE(Choose());
+        }
+      }
+    }
+
+    WHEN("several threads choose it at once") {
+      constexpr int kThreads = 4;
+      constexpr int kRounds = 500;
+      std::atomic<std::uint32_t> most{0};
+      std::vector<std::thread> threads;
+      for (int i = 0; i < kThreads; ++i) {
+        threads.emplace_back([&] {
+          for (int round = 0; round < kRounds; ++round) {
+            const auto chosen = Choose();
+            const std::uint32_t seen = path->outstanding_requests();
+            if (seen > most) {
+              most = seen;
+            }
+          }
+        });
+      }
+      for (std::thread& each : threads) {
+        each.join();
+      }
+
+      THEN("it never has more than it may have, and none is left over") {
+        REQUIRE(most <= link::kProbationRequests);
+        REQUIRE(path->outstanding_requests() == 0);
+      }
+    }
+
+    WHEN("it is healthy again") {
+      path->SetCondition(link_condition::kHealthy);
+      std::vector<chosen_upstream> chosen;
+      for (std::uint32_t i = 0; i < 2 * link::kProbationRequests; ++i) {
+        auto next = Choose();
+        REQUIRE(next);
+        chosen.push_back(std::move(*next));
+      }
+
+      THEN("each request counts once until it ends") {
+        REQUIRE(path->outstanding_requests() == chosen.size());
+        chosen.clear();
+        REQUIRE(path->outstanding_requests() == 0);
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
