Send a call elsewhere when no connection comes about

Their routes allow one attempt, and an attempt that sent nothing was counted as one and drew on the retry budget. Ruled out: engines that were full (20 answers said not run).

Change: an upstream that can't be connected to saw nothing of the call, so it counts neither as an attempt nor as a repeat, up to five of them, and it is avoided at once. A connection has 250 ms to come about.

--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -108,7 +108,11 @@
     if (pool_ == nullptr) {
       return call_refusal{refusal_reason::kNoUpstream, kNoUpstreamPause};
     }
-    return TakeFromLimit();
+    const auto refusal = TakeFromLimit();
+    if (!refusal) {
+      pool_->meter->retries.Request(RetryPermille());
+    }
+    return refusal;
   }
 
   // What this instance does not know may be in a newer manifest.
@@ -174,9 +178,6 @@
     answer_.reset();
     pooled_upstream& target = *place_.target;
     tried_.push_back(target.hash());
-    if (attempts_ == 1) {
-      pool_->meter->retries.Request(RetryPermille());
-    }
     if (pool_->model) {
       RecordPlacement(state_.locations, target, call_.prompt, Now());
       pool_->meter->read_tokens.fetch_add(place_.unread_tokens,
@@ -197,6 +198,9 @@
       case attempt_end::kNotRun:
         target.TurnedAway(Now());
         break;
+      case attempt_end::kNotSent:
+        NoteUnreachable(target);
+        break;
       case attempt_end::kCallerGone:
         break;
       default:
@@ -207,6 +211,17 @@
     co_return end;
   }
 
+  // Nothing of the call has left, so the attempt does not count as one.
+  void NoteUnreachable(pooled_upstream& target) {
+    target.Unreachable(Now());
+    --attempts_;
+    ++unreached_;
+    if (pool_->model) {
+      pool_->meter->read_tokens.fetch_sub(place_.unread_tokens,
+                                          std::memory_order_relaxed);
+    }
+  }
+
   std::uint32_t RetryPermille() const {
     // A part of the share stays unused, for repeats that cross a window.
     constexpr double kUsedShare = 0.8;
@@ -412,10 +427,12 @@
     question.begun = streaming_;
     question.attempts = attempts_;
     question.most_attempts = route_->attempts;
+    question.unreached = unreached_;
     question.answer_by = answer_by_;
     question.least_time = kLeastAttemptTime;
     const next_step step = DecideAfterAttempt(question, Now());
-    if (step == next_step::kRepeat && !pool_->meter->retries.Take()) {
+    if (step == next_step::kRepeat && RepeatAddsLoad(end) &&
+        !pool_->meter->retries.Take()) {
       return StepWithoutRepeat(question, Now());
     }
     return step;
@@ -517,6 +534,7 @@
         {{"request", std::string(call_.request_id)},
          {"upstream", target.announced().id},
          {"attempt", std::to_string(attempts_)},
+         {"unreached", std::to_string(unreached_)},
          {"end", std::string(Name(end))},
          {"status",
           answer_ ? std::to_string(static_cast<unsigned>(answer_->status()))
@@ -540,6 +558,7 @@
                           : "none"},
          {"upstream", placed ? place_.target->announced().id : "none"},
          {"attempts", std::to_string(attempts_)},
+         {"unreached", std::to_string(unreached_)},
          {"units", std::to_string(asked_units_)},
          {"limit_per_s", workspace_ == nullptr
                              ? "0"
@@ -578,7 +597,9 @@
 
   placement place_;
   std::vector<std::uint64_t> tried_;
+  // Upstreams that got the call, and those that could not be connected to.
   std::uint32_t attempts_ = 0;
+  std::uint32_t unreached_ = 0;
   std::uint32_t unread_tokens_ = 0;
   time_point sent_at_;
   time_point first_byte_at_;
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -128,6 +128,10 @@
   static constexpr std::chrono::milliseconds kDrainCheck{50};
   // Before the process is killed, it ends by itself.
   static constexpr duration kStopMargin = std::chrono::milliseconds(500);
+  // A connection within a region takes some milliseconds. One that takes longer
+  // has lost its first packet, which is sent again after a second: another
+  // upstream answers sooner.
+  static constexpr duration kConnectLimit = std::chrono::milliseconds(250);
   static constexpr duration kRegisterCall = std::chrono::seconds(1);
   static constexpr duration kRegisterPause = std::chrono::seconds(1);
   // Descriptors for listeners, upstreams and the store.
@@ -170,6 +174,7 @@
     // Upstreams that do not say how long they keep a connection close it after
     // some seconds.
     limits.idle_limit = std::chrono::seconds(4);
+    limits.connect_limit = kConnectLimit;
     for (std::size_t i = 0; i < pool.size(); ++i) {
       clients_.push_back(std::make_unique<http_client>(
           pool.context(i).get_executor(), limits));
--- a/links/attempt_policy.cc
+++ b/links/attempt_policy.cc
@@ -6,6 +6,10 @@
   return end != attempt_end::kNotSent && end != attempt_end::kNotRun;
 }
 
+bool RepeatAddsLoad(attempt_end end) {
+  return end != attempt_end::kNotSent;
+}
+
 next_step DecideAfterAttempt(const attempt_question& question, time_point now) {
   if (question.end == attempt_end::kAnswered) {
     return next_step::kDeliver;
@@ -17,7 +21,9 @@
                        question.repeat == repeat_rule::kRepeatable ||
                        question.repeat == repeat_rule::kResumable;
   const bool in_time = question.answer_by.Remaining(now) > question.least_time;
-  if (allowed && in_time && question.attempts < question.most_attempts) {
+  const bool may_go_on = question.attempts < question.most_attempts &&
+                         question.unreached <= kMostUnreached;
+  if (allowed && in_time && may_go_on) {
     return next_step::kRepeat;
   }
   return StepWithoutRepeat(question, now);
--- a/links/attempt_policy.h
+++ b/links/attempt_policy.h
@@ -43,14 +43,24 @@
   // Upstreams that the call was sent to, and the most that it may be sent to.
   std::uint32_t attempts = 1;
   std::uint32_t most_attempts = 1;
+  // Upstreams that could not be connected to. They saw nothing of the call, so
+  // they don't count as attempts.
+  std::uint32_t unreached = 0;
   // The end of the caller's patience and of the route's limit.
   deadline answer_by = deadline::Never();
   // Time that another attempt needs at least, in microseconds.
   duration least_time{0};
 };
 
+// Upstreams that a call may find unreachable before it is given up. Each costs
+// the limit on connecting at most, and a caller has seconds of patience.
+inline constexpr std::uint32_t kMostUnreached = 5;
+
 // Whether an attempt that ended so may have run at the upstream.
 bool MayHaveRun(attempt_end end);
+// Whether going on after such an end puts load on an upstream that the call's
+// first attempt has not: only that draws on the retry budget.
+bool RepeatAddsLoad(attempt_end end);
 
 // kRepeat is a wish: the retry budget may still refuse it, and then
 // StepWithoutRepeat() says what happens instead.
--- a/links/pooled_upstream.h
+++ b/links/pooled_upstream.h
@@ -94,6 +94,14 @@
     avoid_until_us_.store((now + wait).time_since_epoch().count(),
                           std::memory_order_relaxed);
   }
+  // No connection to it came about. That says more than a failed call: what
+  // listens there is gone or cut off.
+  void Unreachable(time_point now) {
+    if (failures_.load(std::memory_order_relaxed) + 1 < kToleratedFailures) {
+      failures_.store(kToleratedFailures - 1, std::memory_order_relaxed);
+    }
+    Failed(now);
+  }
   // It turned a call away because it is full.
   void TurnedAway(time_point now) {
     const std::int64_t until = (now + kFullPause).time_since_epoch().count();
--- a/test/correctness/attempt_policy_test.cc
+++ b/test/correctness/attempt_policy_test.cc
@@ -72,6 +72,35 @@
     }
   }
 
+  GIVEN("a call with a single attempt whose upstream can't be connected to") {
+    attempt_question question =
+        Question(attempt_end::kNotSent, repeat_rule::kOnce);
+    question.attempts = 0;
+    question.most_attempts = 1;
+    question.unreached = 1;
+
+    THEN("it goes to another one, which adds no load to any") {
+      REQUIRE(DecideAfterAttempt(question, kNow) == next_step::kRepeat);
+      REQUIRE_FALSE(RepeatAddsLoad(question.end));
+    }
+
+    WHEN("many upstreams in a row can't be connected to") {
+      question.unreached = kMostUnreached + 1;
+
+      THEN("it is refused as not run") {
+        REQUIRE(DecideAfterAttempt(question, kNow) == next_step::kRefuse);
+      }
+    }
+
+    WHEN("an earlier attempt may have run") {
+      question.may_have_run = true;
+
+      THEN("it isn't sent again") {
+        REQUIRE(DecideAfterAttempt(question, kNow) == next_step::kFail);
+      }
+    }
+  }
+
   GIVEN("a stream that has begun to reach its caller") {
     attempt_question question =
         Question(attempt_end::kServerError, repeat_rule::kResumable);
--- a/test/error/gateway_test.cc
+++ b/test/error/gateway_test.cc
@@ -122,6 +122,17 @@
     }
   }
 
+  WHEN("an upstream is gone without notice") {
+    system.process("d1").Kill();
+
+    THEN("calls that may be sent once go to the other one, and none fails") {
+      for (int i = 0; i < 12; ++i) {
+        REQUIRE(system.CallOnce(port, "/single/1").status == 200);
+        REQUIRE(system.Runs(system.last_id()) == 1);
+      }
+    }
+  }
+
   WHEN("the answer to a call that ran is lost") {
     fault_everywhere(R"({"action":"drop_after","count":1})");
 
--- a/wire/http_client.cc
+++ b/wire/http_client.cc
@@ -325,7 +325,9 @@
   }
   auto connection =
       std::make_unique<internal::http_connection>(executor_, address);
-  connection->stream().expires_at(ToSteady(until));
+  const deadline connect_by =
+      deadline::After(steady_source().Now(), limits_.connect_limit);
+  connection->stream().expires_at(ToSteady(connect_by.Earlier(until)));
   if (handle != nullptr) {
     handle->connection_ = connection.get();
   }
--- a/wire/http_client.h
+++ b/wire/http_client.h
@@ -24,6 +24,8 @@
   // How long a connection is kept whose server does not say for how long it
   // keeps it.
   duration idle_limit = std::chrono::seconds(60);
+  // How long a connection may take to come about.
+  duration connect_limit = std::chrono::hours(1);
   // Whether connections probe a silent server, so that a cut connection fails
   // within about three seconds instead of at the deadline of its call.
   bool probe_silent = false;
