Watch and compare the store without all instances calling at once

When the few watchers were cut off, all others began to watch, heard of each other and stopped; and while engines came and went, digests that are up to 400 ms old never equalled the present ones. Without a verifier every instance compared for itself twice a second. Ruled out: lost events (all instances saw the same 21 removals).

Change: watch_duty lets instances step in one after the other and stay; digest_comparison compares a reported digest with the states that the instance went through; the first watcher alone compares with the store and relays what it finds; events of one watch are relayed in one datagram, and a watch begins 60 ms after the one before.

--- a/entry/announced_upstreams.cc
+++ b/entry/announced_upstreams.cc
@@ -25,33 +25,31 @@
 
 }  // namespace
 
-void announced_upstreams::TakeList(std::uint64_t version,
-                                   std::span<const upstream_change> announced,
-                                   time_point now) {
-  bool changed = false;
-  std::vector<upstream_change> removed;
+std::vector<upstream_change> announced_upstreams::TakeList(
+    std::uint64_t version,
+    std::span<const upstream_change> announced,
+    time_point now) {
+  std::vector<upstream_change> listed;
   for (const auto& [id, entry] : entries_) {
     const std::string& known = id;
-    const bool listed =
-        std::ranges::any_of(announced, [&known](const upstream_change& each) {
+    const bool missing =
+        std::ranges::none_of(announced, [&known](const upstream_change& each) {
           return each.announced.id == known;
         });
-    if (entry.present && !listed) {
-      upstream_change& change = removed.emplace_back();
+    if (entry.present && missing) {
+      upstream_change& change = listed.emplace_back();
       change.version = version;
       change.removed = true;
       change.announced.id = id;
     }
   }
-  for (const upstream_change& each : removed) {
-    changed = Apply(each, now) || changed;
-  }
-  for (const upstream_change& each : announced) {
-    changed = Apply(each, now) || changed;
-  }
-  if (changed) {
+  listed.insert(listed.end(), announced.begin(), announced.end());
+  std::erase_if(listed,
+                [&](const upstream_change& each) { return !Apply(each, now); });
+  if (!listed.empty()) {
     changed_();
   }
+  return listed;
 }
 
 void announced_upstreams::Take(const upstream_change& change, time_point now) {
--- a/entry/announced_upstreams.h
+++ b/entry/announced_upstreams.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "common/time.h"
 #include "entry/serving_view.h"
@@ -29,10 +30,11 @@
       : builder_(builder), changed_(std::move(changed)) {}
 
   // All announcements as of `version` of the store; each change carries the
-  // version of its entry.
-  void TakeList(std::uint64_t version,
-                std::span<const upstream_change> announced,
-                time_point now);
+  // version of its entry. Returns what was new.
+  std::vector<upstream_change> TakeList(
+      std::uint64_t version,
+      std::span<const upstream_change> announced,
+      time_point now);
   // A change that a watch or another instance has seen. Older ones than those
   // known are dropped, so that the sources may overtake each other.
   void Take(const upstream_change& change, time_point now);
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -21,6 +21,8 @@
 #include "entry/gateway_state.h"
 #include "entry/kind_follower.h"
 #include "entry/peer_reporter.h"
+#include "instances/digest_comparison.h"
+#include "instances/watch_duty.h"
 #include "wire/http_client.h"
 #include "wire/http_server.h"
 #include "wire/io_pool.h"
@@ -150,6 +152,7 @@
               TakeManifest(event);
               return true;
             },
+        .on_events_end = [] {},
         .on_state = [this](bool reachable) { NoteManifestStore(reachable); },
         .active = [this] { return Watches(); }};
   }
@@ -161,6 +164,7 @@
                   TakeUpstream(event);
                   return true;
                 },
+            .on_events_end = [this] { RelayChanges(); },
             .on_state =
                 [this](bool reachable) {
                   upstreams_.NoteStore(reachable, state_.clock.Now());
@@ -204,61 +208,77 @@
     report.upstream_digest = upstreams_.digest();
     report.verified = !verified_until_.Expired(now);
     report.watching = announcements_.watching();
-    std::erase_if(recent_, [&](const auto& each) {
-      return each.seen_at + kRelayTime < now;
-    });
-    for (const relayed_change& each : recent_) {
+    for (relayed_change& each : recent_) {
       report.changes.push_back(each.change);
+      --each.repeats;
     }
+    std::erase_if(recent_,
+                  [](const relayed_change& each) { return each.repeats == 0; });
   }
 
   std::uint64_t ManifestVersion() const {
     return builder_.manifest() == nullptr ? 0 : builder_.manifest()->version();
   }
 
-  // A few instances watch the store for all; without them each one does.
-  bool Watches() const {
+  bool Watches() {
     const time_point now = state_.clock.Now();
-    return reporter_.board().Rank(now) < kWatchers ||
-           !reporter_.board().Watched(now);
+    const report_board& board = reporter_.board();
+    return watch_duty_.MustWatch(board.Rank(now), board.WatchersBefore(now),
+                                 now);
   }
 
-  // Keeps a change for the reports, and sends one at once.
-  void RelayChange(const upstream_change& change) {
-    recent_.push_back({state_.clock.Now(), change});
-    reporter_.Relay(change);
+  // Tells the others of the changes that a watch brought, and keeps them for
+  // the reports.
+  void RelayChanges() {
+    if (unrelayed_.empty()) {
+      return;
+    }
+    reporter_.Relay(unrelayed_);
+    for (upstream_change& change : unrelayed_) {
+      recent_.push_back({kRelayRepeats, std::move(change)});
+    }
+    unrelayed_.clear();
+    NoteUpstreams();
   }
 
   void TakeChanges(const peer_report& report) {
     for (const upstream_change& change : report.changes) {
       upstreams_.Take(change, state_.clock.Now());
     }
+    NoteUpstreams();
+  }
+
+  void NoteUpstreams() {
+    compared_.TakeOwn(upstreams_.digest(), state_.clock.Now());
   }
 
   // A watch may miss changes while the store drops its history, and reports may
-  // be lost. One instance compares its state with the store, and the others
-  // compare theirs with what it reports.
+  // be lost. The first of the watchers compares its state with the store, and
+  // the others compare theirs with what it reports.
   awaitable<void> Verify() {
     for (;;) {
       co_await Pause(kVerifyPause);
       const time_point now = state_.clock.Now();
       const report_board& board = reporter_.board();
-      if (ManifestVersion() < board.NewestManifest()) {
+      if (ManifestVersion() < board.NewestManifest() &&
+          read_manifest_at_.Expired(now)) {
+        read_manifest_at_ = deadline::After(now, kReadAgainPause);
         co_await ReadManifest();
       }
       const peer_report* verified = board.Verified(now);
-      const bool own_turn = verified == nullptr || board.Rank(now) == 0;
-      if (own_turn && verify_at_.Expired(now)) {
-        verify_at_ = deadline::After(now, kVerifyInterval);
-        co_await ReadManifest();
-        co_await ReadUpstreams();
+      const bool own_turn =
+          announcements_.watching() && board.WatchersBefore(now) == 0;
+      if (own_turn) {
+        if (verify_at_.Expired(now)) {
+          verify_at_ = deadline::After(now, kVerifyInterval);
+          co_await ReadManifest();
+          co_await ReadUpstreams();
+        }
         continue;
       }
-      if (verified == nullptr ||
-          upstreams_.digest() == verified->upstream_digest) {
-        equal_at_ = now;
-      } else if (now - equal_at_ > kDifferenceLimit) {
-        equal_at_ = now;
+      if (verified == nullptr) {
+        compared_.Reset(now);
+      } else if (compared_.HasParted(verified->upstream_digest, now)) {
         Log(log_level::kInfo, log_event::kStoreCompared,
             {{"kind", std::string(Platform::kUpstreamKind)},
              {"own", std::to_string(upstreams_.digest())},
@@ -284,7 +304,12 @@
     if (!list) {
       co_return;
     }
-    TakeUpstreams(*list);
+    std::vector<upstream_change> found = TakeUpstreams(*list);
+    if (announcements_.watching()) {
+      unrelayed_ = std::move(found);
+      RelayChanges();
+    }
+    NoteUpstreams();
     verified_until_ = deadline::After(state_.clock.Now(), kVerifiedFor);
   }
 
@@ -329,14 +354,14 @@
     state_.manifest_in_doubt.store(!reachable, std::memory_order_relaxed);
   }
 
-  void TakeUpstreams(const object_list& list) {
+  std::vector<upstream_change> TakeUpstreams(const object_list& list) {
     std::vector<upstream_change> announced;
     for (const stored_object& object : list.objects) {
       if (auto each = Platform::DecodeUpstream(object.name, object.value)) {
         announced.push_back({object.version, false, std::move(*each)});
       }
     }
-    upstreams_.TakeList(list.version, announced, state_.clock.Now());
+    return upstreams_.TakeList(list.version, announced, state_.clock.Now());
   }
 
   // An entry that can't be read counts as removed.
@@ -353,7 +378,7 @@
       change.announced = std::move(*announced);
     }
     upstreams_.Take(change, state_.clock.Now());
-    RelayChange(change);
+    unrelayed_.push_back(std::move(change));
   }
 
   // Lists this instance in the store and learns of the others.
@@ -379,14 +404,14 @@
     }
   }
 
-  // Instances that watch the store for all. More than one, since one may be cut
-  // off from the store, or die.
-  static constexpr std::size_t kWatchers = 3;
-  // How long a change stays in the reports, which may be lost: seven reports at
-  // the default interval.
-  static constexpr duration kRelayTime = std::chrono::milliseconds(1500);
+  // How many reports repeat a change, since datagrams may be lost. Three
+  // watchers send each change at once and in this many reports, and the
+  // comparison finds what is missed even so.
+  static constexpr int kRelayRepeats = 2;
   // A change has to be in force within two seconds of its acknowledgement.
   static constexpr duration kVerifyPause = std::chrono::milliseconds(100);
+  // Between two tries to read a manifest that others have.
+  static constexpr duration kReadAgainPause = std::chrono::milliseconds(300);
   static constexpr duration kVerifyInterval = std::chrono::milliseconds(500);
   static constexpr duration kVerifyCall = std::chrono::milliseconds(800);
   static constexpr duration kVerifiedFor = std::chrono::milliseconds(1200);
@@ -394,7 +419,8 @@
   static constexpr duration kDifferenceLimit = std::chrono::milliseconds(800);
 
   struct relayed_change {
-    time_point seen_at;
+    // Reports that still have to bear it.
+    int repeats = 0;
     upstream_change change;
   };
 
@@ -407,7 +433,10 @@
   peer_reporter reporter_;
   deadline verified_until_ = deadline(time_point::min());
   deadline verify_at_ = deadline(time_point::min());
-  time_point equal_at_;
+  deadline read_manifest_at_ = deadline(time_point::min());
+  watch_duty watch_duty_;
+  digest_comparison compared_{kDifferenceLimit};
+  std::vector<upstream_change> unrelayed_;
   std::vector<relayed_change> recent_;
   duty_runner<typename Platform::store, typename Platform::cloud> duties_;
   serving_view_builder builder_;
--- a/entry/kind_follower.h
+++ b/entry/kind_follower.h
@@ -29,6 +29,9 @@
   // Pause after a failed call; doubles up to `longest_pause`.
   duration first_pause = std::chrono::milliseconds(50);
   duration longest_pause = std::chrono::milliseconds(400);
+  // Between the end of a watch and the next one, so that changes in quick
+  // succession come together. Each watch is a call that is paid for.
+  duration watch_pause = std::chrono::milliseconds(60);
   // Between two looks at whether others still watch.
   duration inactive_pause = std::chrono::milliseconds(250);
 };
@@ -38,6 +41,8 @@
   // All objects of the kind.
   std::function<void(const object_list&)> on_list;
   object_event_sink on_event;
+  // All events of a watch have been told.
+  std::function<void()> on_events_end;
   // The store stopped answering, or answers again.
   std::function<void(bool reachable)> on_state;
   // Whether this instance has to watch the store itself.
@@ -106,9 +111,11 @@
     const auto reached =
         co_await store_.Watch(kind_, version_, callbacks_.on_event,
                               deadline::After(Now(), terms_.watch));
+    callbacks_.on_events_end();
     if (reached) {
       Answered();
       version_ = *reached;
+      co_await Pause(terms_.watch_pause);
       co_return;
     }
     if (reached.error() == store_error::kGone) {
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -27,6 +27,8 @@
 // Instances that tell each other at once what they send to an upstream. Among
 // fewer instances, all do.
 constexpr std::size_t kCoSenders = 7;
+// Changes in one datagram: about 11 KB, well below the 64 KB that one can hold.
+constexpr std::size_t kChangesPerReport = 100;
 // Reports may be lost, so a grant that was sent once is sent again.
 constexpr duration kSendAllInterval = std::chrono::seconds(2);
 
@@ -175,13 +177,18 @@
   }
 }
 
-void peer_reporter::Relay(const upstream_change& change) {
-  peer_report report = Header();
-  report.content = report_content::kChanges;
-  report.changes.push_back(change);
-  const std::string message = EncodePeerReport(report);
-  for (const auto& each : board_.Recipients(state_.clock.Now())) {
-    socket_.Send(each.address, message);
+void peer_reporter::Relay(std::span<const upstream_change> changes) {
+  const auto recipients = board_.Recipients(state_.clock.Now());
+  for (std::size_t at = 0; at < changes.size(); at += kChangesPerReport) {
+    const auto part =
+        changes.subspan(at, std::min(kChangesPerReport, changes.size() - at));
+    peer_report report = Header();
+    report.content = report_content::kChanges;
+    report.changes.assign(part.begin(), part.end());
+    const std::string message = EncodePeerReport(report);
+    for (const auto& each : recipients) {
+      socket_.Send(each.address, message);
+    }
   }
 }
 
@@ -231,13 +238,8 @@
   for (const auto& [service, pool] : view->pools) {
     report.read.push_back(
         {service, pool.meter->read_tokens.load(std::memory_order_relaxed)});
-    for (const auto& upstream : pool.members) {
-      if (upstream->running() > 0) {
-        report.sent.push_back(
-            {upstream->hash(), upstream->running(), upstream->unread_tokens()});
-      }
-    }
   }
+  ComposeSent(*view, report);
   return report;
 }
 
--- a/entry/peer_reporter.h
+++ b/entry/peer_reporter.h
@@ -37,8 +37,8 @@
   // Tells the instances that send to the same upstream of this instance's work
   // there. Any thread may ask.
   void RequestLoad(std::shared_ptr<const pooled_upstream> upstream);
-  // Sends a change at once, because others wait for it.
-  void Relay(const upstream_change& change);
+  // Sends changes at once, because others wait for them.
+  void Relay(std::span<const upstream_change> changes);
   // Sends reports for ever. `complete` fills in what other parts know: the
   // fencing number under which this instance acts, and its state of the store.
   awaitable<void> Report(std::function<void(peer_report&)> complete);
--- a/instances/peer_report.cc
+++ b/instances/peer_report.cc
@@ -254,19 +254,26 @@
   return newest;
 }
 
+bool report_board::Precedes(std::string_view name,
+                            const peer& each,
+                            time_point now) const {
+  return Hash64(name) < Hash64(own_name_) && !IsSilent(each, now) &&
+         !each.last.leaving;
+}
+
 std::size_t report_board::Rank(time_point now) const {
-  const std::uint64_t own = Hash64(own_name_);
   return static_cast<std::size_t>(
       std::ranges::count_if(peers_, [&](const auto& entry) {
-        return Hash64(entry.first) < own && !IsSilent(entry.second, now) &&
-               !entry.second.last.leaving;
+        return Precedes(entry.first, entry.second, now);
       }));
 }
 
-bool report_board::Watched(time_point now) const {
-  return std::ranges::any_of(peers_, [&](const auto& entry) {
-    return !IsSilent(entry.second, now) && entry.second.last.watching;
-  });
+std::size_t report_board::WatchersBefore(time_point now) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(peers_, [&](const auto& entry) {
+        return entry.second.last.watching &&
+               Precedes(entry.first, entry.second, now);
+      }));
 }
 
 }  // namespace anvilloom
--- a/instances/peer_report.h
+++ b/instances/peer_report.h
@@ -174,8 +174,8 @@
   // which instances take on what a few of them do for all. The order mixes the
   // failure domains.
   std::size_t Rank(time_point now) const;
-  // Whether another instance that was heard lately watches the store.
-  bool Watched(time_point now) const;
+  // How many of the instances that precede this one watch the store.
+  std::size_t WatchersBefore(time_point now) const;
 
  private:
   struct peer {
@@ -191,6 +191,9 @@
 
   static void TakeLoad(peer& sender, const peer_report& report);
 
+  // Whether an instance precedes this one in the order of ranks, and lives.
+  bool Precedes(std::string_view name, const peer& each, time_point now) const;
+
   bool IsSilent(const peer& each, time_point now) const {
     return !each.heard || each.heard_at + silent_after_ < now;
   }
