Keep the usage counts of instances that have left

Instances were stopped in turn from 37 s on, and the report board dropped a stopped instance with all that it had counted; what it counted last went only to the holder of the duties and three successors, none of which was the next holder. Ruled out: clocks (all other windows were exact).

Change: the board keeps the counts of departed processes for a minute, and an instance that is being stopped tells all others.

Before: peer_report_test counts 3 instead of 12.

--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -201,7 +201,10 @@
   }
   const std::string whole = EncodePeerReport(report);
   for (const auto& each : board_.Recipients(state_.clock.Now())) {
-    socket_.Send(each.address, each.needs_usage ? whole : brief);
+    // Any of the others may be the next holder of the duties, and this instance
+    // will not be there to tell it.
+    const bool needs_usage = each.needs_usage || report.leaving;
+    socket_.Send(each.address, needs_usage ? whole : brief);
   }
 }
 
--- a/instances/peer_report.cc
+++ b/instances/peer_report.cc
@@ -10,6 +10,9 @@
 
 // Windows of earlier processes are kept while a report may still be due.
 constexpr std::size_t kKeptBegunBefore = 256;
+// How long those of an instance are kept that is no member any more: usage is
+// due ten seconds after its window, and a new holder reports three windows.
+constexpr duration kKeptDeparted = std::chrono::seconds(60);
 // Instances besides the one with the duties that get all usage, so that the
 // next holder has it.
 constexpr std::size_t kSuccessors = 3;
@@ -44,7 +47,11 @@
   if (report.content == report_content::kChanges) {
     return;
   }
-  peer& sender = peers_[report.name];
+  const auto [known, joined] = peers_.try_emplace(report.name);
+  peer& sender = known->second;
+  if (joined) {
+    Rejoin(report, sender);
+  }
   if (report.content == report_content::kLoad) {
     TakeLoad(sender, report);
     return;
@@ -107,7 +114,26 @@
   }
 }
 
+void report_board::Rejoin(const peer_report& report, peer& sender) {
+  const auto found = departed_.find(report.name);
+  if (found == departed_.end()) {
+    return;
+  }
+  const departed_process& left_behind = found->second;
+  sender.begun_before = left_behind.begun_before;
+  // The same process counts on from where it was.
+  if (left_behind.epoch != report.epoch) {
+    sender.begun_before.insert(sender.begun_before.end(),
+                               left_behind.begun.begin(),
+                               left_behind.begun.end());
+  }
+  departed_.erase(found);
+}
+
 std::vector<std::string> report_board::Sweep(time_point now) {
+  std::erase_if(departed_, [&](const auto& entry) {
+    return entry.second.removed_at + kKeptDeparted < now;
+  });
   std::vector<std::string> removed;
   std::erase_if(peers_, [&](const auto& entry) {
     const peer& each = entry.second;
@@ -115,6 +141,8 @@
     const bool gone = left || each.heard_at + terms_.removed_after < now;
     if (gone) {
       removed.push_back(entry.first);
+      departed_[entry.first] = {each.last.epoch, now, each.last.begun,
+                                each.begun_before};
     }
     return gone;
   });
@@ -194,13 +222,18 @@
 std::map<std::pair<std::uint64_t, std::string>, std::uint64_t>
 report_board::BegunElsewhere() const {
   std::map<std::pair<std::uint64_t, std::string>, std::uint64_t> sums;
-  for (const auto& [name, each] : peers_) {
-    for (const begun_requests& count : each.last.begun) {
-      sums[{count.window, count.workspace}] += count.requests;
-    }
-    for (const begun_requests& count : each.begun_before) {
+  const auto add = [&sums](std::span<const begun_requests> counts) {
+    for (const begun_requests& count : counts) {
       sums[{count.window, count.workspace}] += count.requests;
     }
+  };
+  for (const auto& [name, each] : peers_) {
+    add(each.last.begun);
+    add(each.begun_before);
+  }
+  for (const auto& [name, process] : departed_) {
+    add(process.begun);
+    add(process.begun_before);
   }
   return sums;
 }
--- a/instances/peer_report.h
+++ b/instances/peer_report.h
@@ -189,7 +189,19 @@
     std::vector<begun_requests> begun_before;
   };
 
+  // What a process counted that is not a member any more. Its windows may still
+  // have to be reported.
+  struct departed_process {
+    std::uint64_t epoch = 0;
+    time_point removed_at;
+    std::vector<begun_requests> begun;
+    // Of processes under its name that ended before it.
+    std::vector<begun_requests> begun_before;
+  };
+
   static void TakeLoad(peer& sender, const peer_report& report);
+  // The counts that a member of this name left behind come back with it.
+  void Rejoin(const peer_report& report, peer& sender);
 
   // Whether an instance precedes this one in the order of ranks, and lives.
   bool Precedes(std::string_view name, const peer& each, time_point now) const;
@@ -204,6 +216,7 @@
   report_board_terms terms_;
   duration silent_after_ = terms_.silent_after;
   std::map<std::string, peer, std::less<>> peers_;
+  std::map<std::string, departed_process, std::less<>> departed_;
 };
 
 }  // namespace anvilloom
--- a/test/correctness/peer_report_test.cc
+++ b/test/correctness/peer_report_test.cc
@@ -126,6 +126,51 @@
     }
   }
 
+  WHEN("it has counted requests before it leaves") {
+    peer_report leaving = Report("leader", 1, 2, 0);
+    leaving.leaving = true;
+    leaving.begun = {{40, "studio", 9}};
+    board.Take(leaving, kStart, ignore);
+    const time_point left = kStart + std::chrono::seconds(2);
+    board.Sweep(left);
+    REQUIRE(board.Members() == 2);
+    const auto counted = [&] {
+      return board.BegunElsewhere().at({40, "studio"});
+    };
+
+    THEN("they are still there when their window is reported") {
+      REQUIRE(counted() == 9);
+    }
+
+    AND_WHEN("another process comes under its name") {
+      peer_report next = Report("leader", 2, 1, 0);
+      next.begun = {{40, "studio", 3}};
+      board.Take(next, left, ignore);
+
+      THEN("both count") {
+        REQUIRE(counted() == 12);
+      }
+    }
+
+    AND_WHEN("the same process is heard again") {
+      leaving.sequence = 3;
+      leaving.begun = {{40, "studio", 10}};
+      board.Take(leaving, left, ignore);
+
+      THEN("its requests count once") {
+        REQUIRE(counted() == 10);
+      }
+    }
+
+    AND_WHEN("no report of that window can be due any more") {
+      board.Sweep(left + std::chrono::seconds(61));
+
+      THEN("they are forgotten") {
+        REQUIRE(board.BegunElsewhere().empty());
+      }
+    }
+  }
+
   WHEN("silence lasts longer than any partition") {
     REQUIRE(board.HasHeard("leader"));
     const auto removed = board.Sweep(kStart + std::chrono::seconds(31));
