Charge a restarted instance no debt for what others granted before

A new report board charged all that a peer had granted since the peer's own start, unless the first report happened to come before the manifest. Ruled out: the retry abuse of that time (other instances refused none).

Change: what was granted before an instance first hears of another one empties the bucket at worst.

--- a/contracts/shared_allowance.cc
+++ b/contracts/shared_allowance.cc
@@ -58,6 +58,26 @@
   }
 }
 
+void shared_allowance::ChargeEarlier(std::uint64_t units,
+                                     const allowance_terms& terms,
+                                     time_point now) {
+  if (terms.per_second == 0 || units == 0) {
+    return;
+  }
+  const std::int64_t now_us = Micros(now);
+  const std::int64_t empty_at = now_us + AccrualUs(terms.burst, terms);
+  std::int64_t full_at = full_at_us_.load(std::memory_order_relaxed);
+  for (;;) {
+    const std::int64_t charged =
+        std::min(std::max(full_at, now_us) + AccrualUs(units, terms), empty_at);
+    if (charged <= full_at ||
+        full_at_us_.compare_exchange_weak(full_at, charged,
+                                          std::memory_order_relaxed)) {
+      return;
+    }
+  }
+}
+
 void shared_allowance::Refund(std::uint64_t units,
                               const allowance_terms& terms) {
   admitted_.fetch_sub(units, std::memory_order_relaxed);
--- a/contracts/shared_allowance.h
+++ b/contracts/shared_allowance.h
@@ -32,6 +32,11 @@
   void Charge(std::uint64_t units,
               const allowance_terms& terms,
               time_point now);
+  // Takes what another instance has admitted at unknown times, part of it long
+  // ago: the bucket is empty at worst, and no debt comes of it.
+  void ChargeEarlier(std::uint64_t units,
+                     const allowance_terms& terms,
+                     time_point now);
   // Gives back what was admitted but not used.
   void Refund(std::uint64_t units, const allowance_terms& terms);
   // When the bucket will hold something again; `now` if it does.
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -81,7 +81,9 @@
   const time_point now = state_.clock.Now();
   const auto view = state_.View();
   if (report.content == report_content::kLoad) {
-    board_.Take(report, now, [](std::string_view, std::uint64_t) {});
+    board_.Take(
+        report, now,
+        [](std::string_view, std::uint64_t, report_board::grant_time) {});
     SpreadLoad(now);
     return;
   }
@@ -91,19 +93,34 @@
         {{"peer", report.name}, {"address", report.address}});
   }
   board_.Take(report, now,
-              [&](std::string_view workspace, std::uint64_t units) {
-                shared_allowance* allowance = view->FindAllowance(workspace);
-                if (allowance == nullptr || !view->manifest) {
-                  return;
-                }
-                for (const auto& each : view->manifest->source().workspaces) {
-                  if (each.name == workspace) {
-                    allowance->Charge(units, TermsOf(each), now);
-                  }
-                }
+              [&](std::string_view workspace, std::uint64_t units,
+                  report_board::grant_time when) {
+                Charge(*view, workspace, units, when);
               });
 }
 
+void peer_reporter::Charge(const serving_view& view,
+                           std::string_view workspace,
+                           std::uint64_t units,
+                           report_board::grant_time when) {
+  shared_allowance* allowance = view.FindAllowance(workspace);
+  if (allowance == nullptr || !view.manifest) {
+    return;
+  }
+  const auto& workspaces = view.manifest->source().workspaces;
+  const auto found =
+      std::ranges::find(workspaces, workspace, &manifest_workspace::name);
+  if (found == workspaces.end()) {
+    return;
+  }
+  const time_point now = state_.clock.Now();
+  if (when == report_board::grant_time::kUnknown) {
+    allowance->ChargeEarlier(units, TermsOf(*found), now);
+  } else {
+    allowance->Charge(units, TermsOf(*found), now);
+  }
+}
+
 awaitable<void> peer_reporter::Report(
     std::function<void(peer_report&)> complete) {
   complete_ = std::move(complete);
--- a/entry/peer_reporter.h
+++ b/entry/peer_reporter.h
@@ -46,6 +46,11 @@
  private:
   peer_report Compose();
   void Take(const peer_report& report);
+  // Takes from a workspace's limit what another instance has granted.
+  void Charge(const serving_view& view,
+              std::string_view workspace,
+              std::uint64_t units,
+              report_board::grant_time when);
   // Charges the even share of silent instances for the time since the last
   // call.
   void ChargeSilent(time_point now);
--- a/instances/peer_report.cc
+++ b/instances/peer_report.cc
@@ -64,11 +64,13 @@
   if (stale) {
     return;
   }
+  const grant_time when =
+      sender.heard ? grant_time::kSinceLastReport : grant_time::kUnknown;
   for (const granted_units& each : report.granted) {
     const std::uint64_t before =
         same_process ? UnitsOf(sender.last.granted, each.workspace) : 0;
     if (each.units > before) {
-      charge(each.workspace, each.units - before);
+      charge(each.workspace, each.units - before, when);
     }
   }
   if (sender.heard && !same_process) {
--- a/instances/peer_report.h
+++ b/instances/peer_report.h
@@ -113,9 +113,14 @@
   // a list. An instance that never reports is dropped like a silent one.
   void Expect(std::string_view name, std::string_view address, time_point now);
 
+  // When units were granted.
+  enum class grant_time : std::uint8_t {
+    kSinceLastReport,
+    kUnknown,  // Before this instance first heard of the other one.
+  };
   // Receives the growth of a workspace's granted units at another instance.
-  using charge_sink =
-      std::function<void(std::string_view workspace, std::uint64_t units)>;
+  using charge_sink = std::function<
+      void(std::string_view workspace, std::uint64_t units, grant_time when)>;
 
   // Takes in a report; older ones than the last are dropped. Calls `charge` for
   // what was granted since the last report of the same process.
--- a/test/correctness/shared_allowance_test.cc
+++ b/test/correctness/shared_allowance_test.cc
@@ -57,6 +57,45 @@
   }
 }
 
+SCENARIO("A restarted instance is charged for what others granted before",
+         "[shared_allowance]") {
+  shared_allowance restarted;
+  const allowance_terms terms{.per_second = 1000, .burst = 1000};
+
+  GIVEN("five others that granted ten times the limit in the past minutes") {
+    for (int other = 0; other < 5; ++other) {
+      restarted.ChargeEarlier(100'000, terms, kStart);
+    }
+
+    THEN("callers below the limit are not refused") {
+      time_point now = kStart;
+      for (int i = 0; i < 20; ++i) {
+        now += std::chrono::milliseconds(100);
+        REQUIRE(restarted.Admit(50, terms, now));
+        restarted.Charge(45, terms, now);
+      }
+    }
+
+    THEN("no burst is granted on top of what they granted") {
+      std::uint64_t granted = 0;
+      while (restarted.Admit(100, terms, kStart)) {
+        granted += 100;
+      }
+      REQUIRE(granted <= 100);
+    }
+  }
+
+  GIVEN("others that granted less than the burst") {
+    restarted.ChargeEarlier(300, terms, kStart);
+
+    THEN("the rest of it is there") {
+      REQUIRE(restarted.Admit(700, terms, kStart));
+      REQUIRE(restarted.Admit(100, terms, kStart));
+      REQUIRE_FALSE(restarted.Admit(100, terms, kStart));
+    }
+  }
+}
+
 SCENARIO("Instances that report their grants keep one limit together",
          "[shared_allowance]") {
   // Seven instances see eight times the limit, with reports each 200 ms.
