Grant nothing of a limit before the first report after a start

Ruled out: reports that were lost (E832 counts none).

Change: that time is charged when the first manifest comes.

--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -331,10 +331,16 @@
     return;
   }
   const time_point now = state_.clock.Now();
-  ForEachLimit(
-      [now](const manifest_workspace& workspace, shared_allowance& allowance) {
-        allowance.ChargeEarlier(workspace.burst_units, TermsOf(workspace), now);
-      });
+  const double ahead = static_cast<double>(Interval().count()) / 1e6;
+  ForEachLimit([now, ahead](const manifest_workspace& workspace,
+                            shared_allowance& allowance) {
+    const allowance_terms terms = TermsOf(workspace);
+    const double units =
+        static_cast<double>(workspace.units_per_second) * ahead;
+    allowance.ChargeEarlier(workspace.burst_units, terms, now);
+    // Until the first report, no share of the others is charged.
+    allowance.Charge(static_cast<std::uint64_t>(units), terms, now);
+  });
 }
 
 void peer_reporter::ForEachLimit(
