--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -220,8 +220,8 @@
                                  now);
   }
 
-  // Tells the others of the changes that a watch brought, and keeps them for
-  // the reports.
+  // Tells the others of the changes that a watch or a comparison brought, and
+  // keeps them to be sent again.
   void RelayChanges() {
     if (unrelayed_.empty()) {
       return;
@@ -234,7 +234,7 @@
     NoteUpstreams();
   }
 
-  // Beside each report, since datagrams may be lost.
+  // Called with each report. Datagrams may be lost, so changes are sent again.
   void RelayAgain() {
     std::vector<upstream_change> changes;
     for (relayed_change& each : recent_) {
@@ -438,7 +438,7 @@
   static constexpr duration kDifferenceLimit = std::chrono::milliseconds(500);
 
   struct relayed_change {
-    // Reports that still have to bear it.
+    // How often it is still to be sent again.
     int repeats = 0;
     upstream_change change;
   };
