--- a/instances/paced_queue.h
+++ b/instances/paced_queue.h
@@ -50,7 +50,8 @@
  private:
   // Of the network's headers for one datagram.
   static constexpr std::size_t kHeaderBytes = 42;
-  // Some seconds' worth of small messages; older ones are of no use.
+  // Some seconds' worth of small messages. What comes on top is dropped: by the
+  // time it could leave, a newer report has replaced it.
   static constexpr std::size_t kMostWaiting = 8192;
 
   struct entry {
