Tell duplicates what is known, make room for new callers, type all failures

Claims now name the owner's run; when the membership calls it gone, the send window replaces the lease.

--- a/contracts/claim.h
+++ b/contracts/claim.h
@@ -46,7 +46,8 @@
   claim_state state = claim_state::kOpen;
   // Unique token of the attempt that owns the claim.
   std::string attempt;
-  // Name of the entry instance that runs the attempt.
+  // Name and epoch of the entry instance that runs the attempt; the epoch
+  // tells its runs apart.
   std::string owner;
   // SHA-256 of the request, to find a key used for another request.
   std::string request_digest;
@@ -63,6 +64,9 @@
 struct seen_claim {
   std::uint64_t version = 0;
   claim_record record;
+  // The owner has left, was taken for failed or was started anew. It may still
+  // run if it was only cut off.
+  bool owner_gone = false;
 };
 
 struct claim_absent {};
@@ -143,6 +147,7 @@
   { T::kAttemptToken } -> std::convertible_to<bool>;
   { T::kUnknownIsFinal } -> std::convertible_to<bool>;
   { T::kNotRunOnlyIfUnsent } -> std::convertible_to<bool>;
+  { T::kWaitsForSendEnd } -> std::convertible_to<bool>;
 };
 
 struct full_claim_policy {
@@ -156,6 +161,9 @@
   static constexpr bool kUnknownIsFinal = true;
   // A failure after the first byte is reported as unknown.
   static constexpr bool kNotRunOnlyIfUnsent = true;
+  // The claim of an owner that is gone is closed only once that owner can't
+  // send any more.
+  static constexpr bool kWaitsForSendEnd = true;
 };
 
 // What identifies one attempt.
--- a/contracts/claim_attempt.h
+++ b/contracts/claim_attempt.h
@@ -38,6 +38,8 @@
   // Watched version and the time at which its lease ends.
   std::uint64_t watched_version = 0;
   deadline lease_end = deadline::Never();
+  // From when the owner of that version can't send any more.
+  deadline watched_send_end = deadline::Never();
   std::uint32_t acquire_tries = 0;
   std::uint32_t read_failures = 0;
   std::uint32_t release_tries = 0;
@@ -109,6 +111,7 @@
   claim_effect WriteRelease();
   claim_effect ReleaseRead(time_point now, const claim_reading& reading);
   claim_effect StoreFailed();
+  claim_effect OutOfTime();
   claim_effect Tell(const refusal& why);
   claim_effect TellResult();
 
@@ -260,6 +263,10 @@
   }
   if (std::holds_alternative<claim_unreadable>(reading)) {
     ++at_.read_failures;
+    // A read that the caller's deadline cut short says nothing of the store.
+    if (at_.saw_other && answer_by_.Expired(now)) {
+      return OutOfTime();
+    }
     const bool stop = at_.read_failures >= terms_.read_tries;
     return stop || answer_by_.Expired(now) ? StoreFailed() : Pause(now);
   }
@@ -315,8 +322,11 @@
   if (at_.watched_version != seen.version) {
     at_.watched_version = seen.version;
     at_.lease_end = deadline::After(now, seen.record.lease);
+    at_.watched_send_end = deadline::After(now, terms_.send_window);
   }
-  if (at_.lease_end.Expired(now)) {
+  const bool send_ended =
+      !Policy::kWaitsForSendEnd || at_.watched_send_end.Expired(now);
+  if (at_.lease_end.Expired(now) || (seen.owner_gone && send_ended)) {
     if constexpr (!Policy::kUnknownIsFinal) {
       return Reopen(now, seen.version);
     }
@@ -325,10 +335,7 @@
     watched_.state = claim_state::kUnknown;
     return update_claim{seen.version, watched_};
   }
-  if (answer_by_.Expired(now)) {
-    return Tell({refusal_code::kDeadlineExceeded, outcome::kUnknown});
-  }
-  return Pause(now);
+  return answer_by_.Expired(now) ? OutOfTime() : Pause(now);
 }
 
 template <claim_policy Policy>
@@ -339,10 +346,7 @@
   if (outcome == written::kConflict || outcome == written::kMissing) {
     return Examine();
   }
-  if (answer_by_.Expired(now)) {
-    return Tell({refusal_code::kDeadlineExceeded, outcome::kUnknown});
-  }
-  return Pause(now);
+  return answer_by_.Expired(now) ? OutOfTime() : Pause(now);
 }
 
 template <claim_policy Policy>
@@ -493,6 +497,12 @@
                at_.saw_other ? outcome::kUnknown : outcome::kNotRun});
 }
 
+// Another attempt holds the claim open, so that one may have sent.
+template <claim_policy Policy>
+claim_effect claim_attempt<Policy>::OutOfTime() {
+  return Tell({refusal_code::kDeadlineExceeded, outcome::kUnknown});
+}
+
 template <claim_policy Policy>
 claim_effect claim_attempt<Policy>::Tell(const refusal& why) {
   at_.phase = claim_phase::kFinished;
--- a/contracts/outcome.cc
+++ b/contracts/outcome.cc
@@ -33,8 +33,7 @@
     {"outcome_unknown",
      "The request was sent, but it is not known whether it ran. It will not be "
      "sent again."},
-    {"store_unavailable",
-     "The claim store is unavailable, so the request was not sent."},
+    {"store_unavailable", "The claim store could not be read or written."},
     {"shutting_down", "This entry instance is shutting down."},
     {"no_configuration", "This entry instance has no configuration yet."},
 }};
--- a/ctl/publish_result.cc
+++ b/ctl/publish_result.cc
@@ -1,7 +1,8 @@
 #include "ctl/publish_result.h"
 
 #include <boost/throw_exception.hpp>
-#include <stdexcept>
+
+#include "common/unread_failure.h"
 
 namespace anvilloom {
 
@@ -49,7 +50,8 @@
 
 void throw_exception_from_error(const publish_failure& failure,
                                 const boost::source_location& location) {
-  boost::throw_exception(std::runtime_error(Sentences(failure)), location);
+  boost::throw_exception(
+      unread_failure<publish_failure>(Sentences(failure), failure), location);
 }
 
 }  // namespace anvilloom
--- a/entry/claim_runner.h
+++ b/entry/claim_runner.h
@@ -41,6 +41,13 @@
   { send(send_by) } -> std::same_as<awaitable<claim_send_result>>;
 };
 
+// Tells whether the owner that a claim names is gone. May be wrong about an
+// owner that is cut off.
+template <typename T>
+concept claim_owner_view = requires(const T& owners, std::string_view owner) {
+  { owners.Gone(owner) } -> std::same_as<bool>;
+};
+
 // How the store's answers look to the protocol.
 claim_write_result ToClaimWrite(const store_result<std::uint64_t>& result);
 claim_reading ToClaimReading(const store_result<stored_object>& result);
@@ -52,16 +59,21 @@
                  const claim_verdict& verdict);
 
 // Runs one attempt at a time; make one for each call.
-template <object_store Store, clock_source Clock>
+template <object_store Store, clock_source Clock, claim_owner_view Owners>
 class claim_runner {
  public:
   // `name` is the name of the claim object. What goes on in the background is
   // counted in `unfinished`. All references must outlive the runner.
   claim_runner(Store& store,
                const Clock& clock,
+               Owners owners,
                std::atomic<std::uint32_t>& unfinished,
                std::string_view name)
-      : store_(store), clock_(clock), unfinished_(unfinished), name_(name) {}
+      : store_(store),
+        clock_(clock),
+        owners_(std::move(owners)),
+        unfinished_(unfinished),
+        name_(name) {}
 
   // Reads the claim without acquiring it.
   awaitable<claim_reading> Read(deadline answer_by) {
@@ -160,8 +172,11 @@
       co_await PauseUntil(wait->until);
       co_return attempt.OnWaited(clock_.Now());
     }
-    const claim_reading reading =
+    claim_reading reading =
         ToClaimReading(co_await store_.Get(kClaimKind, name_, until));
+    if (auto* seen = std::get_if<seen_claim>(&reading)) {
+      seen->owner_gone = owners_.Gone(seen->record.owner);
+    }
     co_return attempt.OnRead(clock_.Now(), reading);
   }
 
@@ -182,6 +197,7 @@
 
   Store& store_;
   const Clock& clock_;
+  Owners owners_;
   std::atomic<std::uint32_t>& unfinished_;
   std::string name_;
 };
--- a/entry/plain_handler.cc
+++ b/entry/plain_handler.cc
@@ -9,6 +9,7 @@
 #include "contracts/claim_refusal.h"
 #include "entry/admission_gate.h"
 #include "entry/chosen_upstream.h"
+#include "entry/claim_owners.h"
 #include "entry/claim_runner.h"
 #include "entry/refusal_reply.h"
 
@@ -231,9 +232,9 @@
     request.set("Idempotency-Key", operation->name);
   }
   claimed_send send(self, target, std::move(request), tell_by);
-  claim_runner runner(self.objects(), process.clock, process.unfinished,
-                      operation->name);
-  claim_identity identity{self.NextAttemptToken(), process.settings.name,
+  claim_runner runner(self.objects(), process.clock, claim_owners(process),
+                      process.unfinished, operation->name);
+  claim_identity identity{self.NextAttemptToken(), ClaimOwnerName(process),
                           operation->request_digest};
   const claim_verdict verdict =
       co_await runner.Run(std::move(identity), claim_terms{}, tell_by, send);
@@ -253,8 +254,8 @@
                                             deadline tell_by) {
   ++self.metrics().refused;
   process_state& process = self.process();
-  claim_runner runner(self.objects(), process.clock, process.unfinished,
-                      operation.name);
+  claim_runner runner(self.objects(), process.clock, claim_owners(process),
+                      process.unfinished, operation.name);
   const claim_reading reading = co_await runner.Read(tell_by);
   const claim_verdict verdict =
       RefuseUnsent(reading, operation.request_digest, why);
--- /dev/null
+++ b/test/correctness/unread_failure_test.cc
@@ -0,0 +1,39 @@
+// Guards against exceptions of the standard types where the program reads a
+// failed result: a handler could not tell them apart.
+
+#include <catch2/catch.hpp>
+
+#include "common/unread_failure.h"
+#include "ctl/publish_result.h"
+#include "wire/instance_api.h"
+#include "wire/object_store.h"
+#include "wire/transfer.h"
+
+namespace anvilloom {
+
+SCENARIO("A failed result that is read as a value throws its own type",
+         "[unread_failure]") {
+  GIVEN("failed results of each kind of call") {
+    const transfer_result<int> transfer =
+        transfer_failure{transfer_error::kTimedOut, true};
+    const store_result<int> store = store_error::kConflict;
+    const instance_result<int> order = instance_error::kNoCapacity;
+    const publish_result<int> published =
+        publish_failure{publish_error::kUnreadable, 0, {}, {}};
+
+    THEN("the exception carries the failure") {
+      CHECK_THROWS_AS(store.value(), unread_failure<store_error>);
+      CHECK_THROWS_AS(order.value(), unread_failure<instance_error>);
+      CHECK_THROWS_AS(published.value(), unread_failure<publish_failure>);
+      try {
+        (void)transfer.value();
+        FAIL("A failed transfer has no value.");
+      } catch (const unread_failure<transfer_failure>& thrown) {
+        CHECK(thrown.failure().error == transfer_error::kTimedOut);
+        CHECK(thrown.failure().sent);
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
--- a/test/error/claim_faults_test.cc
+++ b/test/error/claim_faults_test.cc
@@ -359,6 +359,28 @@
       }
     }
 
+    WHEN("the owner dies after the send and is started anew") {
+      system.FaultService(
+          R"({"action":"delay","delay_ms":1500,"path":"/hold"})");
+      auto lost = DepositLater(system.entry_a(), 10'000);
+      REQUIRE(Eventually([&] { return system.HasClaim("open"); }, kWholeLease));
+      std::this_thread::sleep_for(std::chrono::milliseconds(500));
+      processes.process("entry-a").Kill();
+      const std::uint16_t again = processes.StartEntry("entry-a", "zone-a");
+      REQUIRE(processes.AwaitReady("entry-a"));
+      const auto begun = std::chrono::steady_clock::now();
+      const caller_answer later = Deposit(again, 9'000);
+      const auto took = std::chrono::steady_clock::now() - begun;
+
+      THEN("a duplicate is told so long before the lease of 14 s ends") {
+        CHECK(Told(lost.get()) == "nothing");
+        CHECK(Code(later) == "outcome_unknown");
+        CHECK(Told(later) == "unknown");
+        CHECK(took < std::chrono::seconds(6));
+        CHECK(system.Runs() == 1);
+      }
+    }
+
     WHEN("the owner is paused across its lease before the send") {
       // The create takes effect, but its answer arrives only after the pause.
       system.FaultStore(
--- a/test/error/http_edges_test.cc
+++ b/test/error/http_edges_test.cc
@@ -370,6 +370,25 @@
       }
     }
 
+    WHEN("idle clients hold more connections than it takes") {
+      std::vector<std::unique_ptr<raw_connection>> idle;
+      for (int i = 0; i < 45; ++i) {
+        idle.push_back(std::make_unique<raw_connection>(edge.port));
+        idle.back()->Send(Header("GET /readyz HTTP/1.1"));
+        idle.back()->ReadUntil("ready\n", kWait);
+      }
+
+      THEN("new callers are served, in place of the longest idle ones") {
+        for (int i = 0; i < 5; ++i) {
+          REQUIRE(edge.Answers());
+        }
+        idle.front()->ReadAll(std::chrono::milliseconds(50));
+        REQUIRE(idle.front()->closed());
+        idle.back()->ReadAll(std::chrono::milliseconds(5));
+        REQUIRE_FALSE(idle.back()->closed());
+      }
+    }
+
     WHEN("it is told to stop while idle clients are connected") {
       raw_connection idle(edge.port);
       idle.Send(Header("GET /readyz HTTP/1.1"));
--- a/test/support/claim_explorer.h
+++ b/test/support/claim_explorer.h
@@ -49,6 +49,8 @@
   ticks last_start = 2;
   // Faults of the store, the upstream and the instances, together.
   std::uint32_t faults = 2;
+  // Owners may be reported gone at any time, also while they run.
+  bool owner_reports = false;
   // Ticks after which a closed claim may be deleted; 0 means never.
   ticks retention = 0;
   // Whether the store honours the conditions of creates and updates.
@@ -191,7 +193,8 @@
 
 inline void AddProgress(fingerprint& print, const claim_progress& at) {
   print.Add(at.phase).Add(at.version).Add(at.send_by).Add(at.record_by);
-  print.Add(at.watched_version).Add(at.lease_end).Add(at.acquire_tries);
+  print.Add(at.watched_version).Add(at.lease_end).Add(at.watched_send_end);
+  print.Add(at.acquire_tries);
   print.Add(at.read_failures).Add(at.release_tries).Add(at.acquire_ambiguous);
   print.Add(at.following_up).Add(at.released).Add(at.result_stored);
   print.Add(at.saw_other).Add(at.result).Add(at.why.ran);
@@ -394,6 +397,14 @@
     }
     Continue(next, i,
              next.attempts.Edit(i).machine->OnRead(At(state.now), reading));
+    if (limits_.owner_reports && state.claim) {
+      world reported = state;
+      Continue(reported, i,
+               reported.attempts.Edit(i).machine->OnRead(
+                   At(state.now),
+                   seen_claim{state.claim->version, state.claim->record,
+                              /*owner_gone=*/true}));
+    }
     if (state.faults > 0) {
       world failed = state;
       --failed.faults;
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -179,14 +179,43 @@
     acceptor_.close(ignored);
   });
   for (std::size_t thread = 0; thread < pool_.size(); ++thread) {
-    net::post(pool_.context(thread), [this, thread] { CloseIdle(thread); });
+    net::post(pool_.context(thread),
+              [this, thread] { idle_[thread].EndAll(); });
   }
 }
 
-void http_server::CloseIdle(std::size_t thread) {
-  for (boost::beast::tcp_stream* stream : idle_[thread]) {
-    stream->cancel();
+awaitable<bool> http_server::EndLongestWait(idle_connections& idle) {
+  co_return idle.EndLongest();
+}
+
+std::optional<std::size_t> http_server::LongestIdleThread() const {
+  std::optional<std::size_t> longest;
+  time_point since = time_point::max();
+  for (std::size_t thread = 0; thread < idle_.size(); ++thread) {
+    const time_point begun = idle_[thread].idle_since();
+    if (begun < since) {
+      since = begun;
+      longest = thread;
+    }
+  }
+  return longest;
+}
+
+awaitable<bool> http_server::MakeRoom() {
+  // A wait may end by itself on the way to its thread, so others are tried.
+  for (std::size_t tries = 0; tries < idle_.size(); ++tries) {
+    const std::optional<std::size_t> thread = LongestIdleThread();
+    if (!thread) {
+      co_return false;
+    }
+    const bool ended = co_await net::co_spawn(pool_.context(*thread),
+                                              EndLongestWait(idle_[*thread]),
+                                              net::use_awaitable);
+    if (ended) {
+      co_return true;
+    }
   }
+  co_return false;
 }
 
 awaitable<void> http_server::Accept() {
@@ -201,7 +230,9 @@
       co_await Pause(kAcceptPause);
       continue;
     }
-    if (open_.load(std::memory_order_relaxed) >= CurrentLimits().connections) {
+    // The connection that makes room closes a moment after the new one opens.
+    if (open_.load(std::memory_order_relaxed) >= CurrentLimits().connections &&
+        !co_await MakeRoom()) {
       continue;  // The socket closes as it goes out of scope.
     }
     open_.fetch_add(1, std::memory_order_relaxed);
@@ -229,16 +260,17 @@
   if (buffer.size() > 0) {
     co_return true;  // The client sent this request with the one before.
   }
-  idle_[thread].insert(&stream);
+  idle_connections& idle = idle_[thread];
+  const idle_connections::wait_number wait = idle.Add(stream, clock_.Now());
   if (closing_.load(std::memory_order_relaxed)) {
-    idle_[thread].erase(&stream);
+    idle.Remove(wait);
     co_return false;
   }
   constexpr std::size_t kFirstPiece = 4096;
   stream.expires_after(CurrentLimits().idle_limit);
   const auto [error, bytes] =
       co_await stream.async_read_some(buffer.prepare(kFirstPiece), kAwaitTuple);
-  idle_[thread].erase(&stream);
+  idle.Remove(wait);
   buffer.commit(bytes);
   co_return !error;
 }
--- a/wire/http_server.h
+++ b/wire/http_server.h
@@ -9,13 +9,15 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <set>
+#include <optional>
 #include <string_view>
 #include <vector>
 
 #include "common/rcu.h"
 #include "wire/http_exchange.h"
+#include "wire/idle_connections.h"
 #include "wire/io_pool.h"
+#include "wire/steady_clock.h"
 #include "wire/transfer.h"
 
 namespace anvilloom {
@@ -91,7 +93,12 @@
                                boost::beast::flat_buffer& buffer,
                                std::size_t thread);
   awaitable<void> Answer(http_exchange& exchange, std::size_t thread);
-  void CloseIdle(std::size_t thread);
+  // Ends the longest wait for a request, so that a new caller finds a place;
+  // false if every connection serves a request.
+  awaitable<bool> MakeRoom();
+  // The thread whose longest wait is the longest of all, if any waits.
+  std::optional<std::size_t> LongestIdleThread() const;
+  static awaitable<bool> EndLongestWait(idle_connections& idle);
 
   io_pool& pool_;
   http_server_limits CurrentLimits() const;
@@ -103,9 +110,9 @@
   std::atomic<std::size_t> open_{0};
   std::atomic<bool> closing_{false};
   std::atomic<bool> draining_{false};
-  // Connections that wait for a request, by thread. Each set is touched only on
-  // its own thread.
-  std::vector<std::set<boost::beast::tcp_stream*>> idle_;
+  steady_source clock_;
+  // By thread.
+  std::vector<idle_connections> idle_;
 };
 
 }  // namespace anvilloom
--- a/wire/instance_api.cc
+++ b/wire/instance_api.cc
@@ -1,12 +1,17 @@
 #include "wire/instance_api.h"
 
-#include <stdexcept>
+#include <boost/throw_exception.hpp>
+
+#include "common/unread_failure.h"
 
 namespace anvilloom {
 
-void throw_exception_from_error(instance_error /*error*/,
-                                const boost::source_location& /*location*/) {
-  throw std::logic_error("A failed instance call was read as a value.");
+void throw_exception_from_error(instance_error error,
+                                const boost::source_location& location) {
+  boost::throw_exception(
+      unread_failure<instance_error>(
+          "A failed instance call was read as a value.", error),
+      location);
 }
 
 }  // namespace anvilloom
--- a/wire/object_store.cc
+++ b/wire/object_store.cc
@@ -1,12 +1,16 @@
 #include "wire/object_store.h"
 
-#include <stdexcept>
+#include <boost/throw_exception.hpp>
+
+#include "common/unread_failure.h"
 
 namespace anvilloom {
 
-void throw_exception_from_error(store_error /*error*/,
-                                const boost::source_location& /*location*/) {
-  throw std::logic_error("A failed store call was read as a value.");
+void throw_exception_from_error(store_error error,
+                                const boost::source_location& location) {
+  boost::throw_exception(unread_failure<store_error>(
+                             "A failed store call was read as a value.", error),
+                         location);
 }
 
 }  // namespace anvilloom
--- a/wire/transfer.cc
+++ b/wire/transfer.cc
@@ -1,12 +1,16 @@
 #include "wire/transfer.h"
 
-#include <stdexcept>
+#include <boost/throw_exception.hpp>
+
+#include "common/unread_failure.h"
 
 namespace anvilloom {
 
-void throw_exception_from_error(const transfer_failure& /*failure*/,
-                                const boost::source_location& /*location*/) {
-  throw std::logic_error("A failed transfer was read as a value.");
+void throw_exception_from_error(const transfer_failure& failure,
+                                const boost::source_location& location) {
+  boost::throw_exception(unread_failure<transfer_failure>(
+                             "A failed transfer was read as a value.", failure),
+                         location);
 }
 
 }  // namespace anvilloom
