Delete the store's entries of instances that are gone

Entries of removed machines stayed in the store for ever, and each new instance charged their even shares for half a minute. The holder of the duties now deletes an entry half a minute after its instance was taken as removed, if it has not come back: two calls for each such instance. departed_entries_test shows who deletes, when, and who does not.

--- a/common/log.cc
+++ b/common/log.cc
@@ -250,6 +250,8 @@
       return "peer_joined";
     case log_event::kPeerGone:
       return "peer_gone";
+    case log_event::kPeerEntryRemoved:
+      return "peer_entry_removed";
     case log_event::kReportsDropped:
       return "reports_dropped";
     case log_event::kUsageReported:
--- a/common/log.h
+++ b/common/log.h
@@ -77,6 +77,7 @@
   kPeerJoined = 830,
   kPeerGone = 831,
   kReportsDropped = 832,
+  kPeerEntryRemoved = 833,
   kUsageReported = 840,
   kEnginesOrdered = 841,
   kSettingsReloaded = 850,
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "entry/announced_upstreams.h"
+#include "entry/departed_entries.h"
 #include "entry/duty_runner.h"
 #include "entry/forwarded_call.h"
 #include "entry/gateway_admin.h"
@@ -63,6 +64,7 @@
                state_.settings.name),
         reporter_(state_, control_.context(0).get_executor()),
         duties_(state_, reporter_.board(), store_, cloud_, identity_),
+        departed_(store_, reporter_.board(), kInstanceKind),
         upstreams_(builder_, [this] { PublishView(); }),
         manifests_(store_, Platform::kManifestKind, ManifestCallbacks()),
         announcements_(store_, Platform::kUpstreamKind, UpstreamCallbacks()),
@@ -85,7 +87,11 @@
     Spawn(reporter_.Receive(
         [this](const peer_report& report) { TakeChanges(report); }));
     Spawn(reporter_.Report(
-        [this](peer_report& report) { CompleteReport(report); }));
+        [this](peer_report& report) { CompleteReport(report); },
+        [this](std::string_view name) {
+          departed_.Note(name, state_.clock.Now());
+        }));
+    Spawn(RemoveDeparted());
     Spawn(Verify());
     if (!state_.settings.cloud.empty()) {
       Spawn(duties_.Run());
@@ -134,6 +140,8 @@
   static constexpr duration kConnectLimit = std::chrono::milliseconds(250);
   static constexpr duration kRegisterCall = std::chrono::seconds(1);
   static constexpr duration kRegisterPause = std::chrono::seconds(1);
+  // Entries of instances that are gone do no harm for a second more.
+  static constexpr duration kDepartedPause = std::chrono::seconds(1);
   // Descriptors for listeners, upstreams and the store.
   static constexpr std::size_t kOwnDescriptors = 700;
 
@@ -402,6 +410,13 @@
     }
   }
 
+  awaitable<void> RemoveDeparted() {
+    for (;;) {
+      co_await Pause(kDepartedPause);
+      co_await departed_.Remove(state_.clock.Now(), duties_.fencing() != 0);
+    }
+  }
+
   // Lists this instance in the store and learns of the others. False if the
   // store did not answer.
   awaitable<bool> Register() {
@@ -458,6 +473,7 @@
   std::vector<upstream_change> unrelayed_;
   std::vector<relayed_change> recent_;
   duty_runner<typename Platform::store, typename Platform::cloud> duties_;
+  departed_entries<typename Platform::store> departed_;
   serving_view_builder builder_;
   announced_upstreams upstreams_;
   kind_follower<typename Platform::store> manifests_;
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -150,7 +150,8 @@
 }
 
 awaitable<void> peer_reporter::Report(
-    std::function<void(peer_report&)> complete) {
+    std::function<void(peer_report&)> complete,
+    std::function<void(std::string_view)> gone) {
   complete_ = std::move(complete);
   for (;;) {
     const time_point now = state_.clock.Now();
@@ -161,6 +162,7 @@
         std::memory_order_relaxed);
     for (const std::string& name : board_.Sweep(now)) {
       Log(log_level::kInfo, log_event::kPeerGone, {{"peer", name}});
+      gone(name);
     }
     ChargeUnaccounted(now);
     ShareRetries();
--- a/entry/peer_reporter.h
+++ b/entry/peer_reporter.h
@@ -46,7 +46,9 @@
   void Relay(std::span<const upstream_change> changes);
   // Sends reports for ever. `complete` fills in what other parts know: the
   // fencing number under which this instance acts, and its state of the store.
-  awaitable<void> Report(std::function<void(peer_report&)> complete);
+  // `gone` gets the name of each instance that is taken as removed.
+  awaitable<void> Report(std::function<void(peer_report&)> complete,
+                         std::function<void(std::string_view)> gone);
 
  private:
   peer_report Compose();
--- /dev/null
+++ b/test/correctness/departed_entries_test.cc
@@ -0,0 +1,129 @@
+// Guards new instances against charging the shares of instances that are gone
+// for good, and live instances against losing their entries.
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "entry/departed_entries.h"
+
+namespace anvilloom {
+
+namespace {
+
+constexpr time_point kStart{std::chrono::seconds(1000)};
+constexpr std::string_view kKind = "instances";
+
+// Objects of one kind in memory.
+class small_store {
+ public:
+  std::map<std::string, std::uint64_t, std::less<>> versions;
+  int calls = 0;
+
+  awaitable<store_result<object_list>> List(std::string_view, deadline) {
+    co_return store_error::kRefused;
+  }
+  awaitable<store_result<stored_object>> Get(std::string_view,
+                                             std::string_view name,
+                                             deadline) {
+    ++calls;
+    const auto found = versions.find(name);
+    if (found == versions.end()) {
+      co_return store_error::kNotFound;
+    }
+    co_return stored_object{found->first, found->second, "{}"};
+  }
+  awaitable<store_result<std::uint64_t>> Create(std::string_view,
+                                                std::string_view,
+                                                std::string_view,
+                                                deadline) {
+    co_return store_error::kRefused;
+  }
+  awaitable<store_result<std::uint64_t>> Update(std::string_view,
+                                                std::string_view,
+                                                std::uint64_t,
+                                                std::string_view,
+                                                deadline) {
+    co_return store_error::kRefused;
+  }
+  awaitable<store_result<std::uint64_t>> Delete(std::string_view kind,
+                                                std::string_view name,
+                                                std::uint64_t version,
+                                                deadline) {
+    ++calls;
+    REQUIRE(kind == kKind);
+    const auto found = versions.find(name);
+    if (found == versions.end() || found->second != version) {
+      co_return store_error::kConflict;
+    }
+    versions.erase(found);
+    co_return version;
+  }
+  awaitable<store_result<std::uint64_t>> Watch(std::string_view,
+                                               std::uint64_t,
+                                               const object_event_sink&,
+                                               deadline) {
+    co_return store_error::kRefused;
+  }
+};
+
+static_assert(object_store<small_store>);
+
+std::size_t Remove(departed_entries<small_store>& entries,
+                   time_point now,
+                   bool may_act) {
+  boost::asio::io_context context(1);
+  auto removed = boost::asio::co_spawn(context, entries.Remove(now, may_act),
+                                       boost::asio::use_future);
+  context.run();
+  return removed.get();
+}
+
+}  // namespace
+
+SCENARIO("Entries of instances that are gone are deleted",
+         "[departed_entries]") {
+  GIVEN("an instance that was taken as removed, and one that lives") {
+    small_store store;
+    store.versions = {{"dead", 7}, {"live", 8}};
+    report_board board("self");
+    departed_entries<small_store> entries(store, board, kKind);
+    entries.Note("dead", kStart);
+    const time_point due = kStart + std::chrono::seconds(30);
+
+    THEN("its entry stays while it may come back") {
+      REQUIRE(Remove(entries, kStart + std::chrono::seconds(29), true) == 0);
+      REQUIRE(store.calls == 0);
+    }
+    THEN("the holder of the duties deletes it once") {
+      REQUIRE(Remove(entries, due, true) == 1);
+      REQUIRE(store.versions.size() == 1);
+      REQUIRE(store.versions.contains("live"));
+      REQUIRE(Remove(entries, due, true) == 0);
+    }
+    THEN("another instance deletes nothing and calls nothing") {
+      REQUIRE(Remove(entries, due, false) == 0);
+      REQUIRE(store.calls == 0);
+      REQUIRE(store.versions.contains("dead"));
+    }
+    WHEN("it comes back under its name") {
+      peer_report report;
+      report.name = "dead";
+      report.epoch = 9;
+      report.sequence = 1;
+      board.Take(report, kStart,
+                 {[](const report_board::new_grants&) {}, [](duration) {}});
+
+      THEN("its entry stays") {
+        REQUIRE(Remove(entries, due, true) == 0);
+        REQUIRE(store.versions.contains("dead"));
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
