--- a/common/log.cc
+++ b/common/log.cc
@@ -254,6 +254,8 @@
       return "peer_entry_removed";
     case log_event::kReportsDropped:
       return "reports_dropped";
+    case log_event::kUsageCountsUnreadable:
+      return "usage_counts_unreadable";
     case log_event::kUsageReported:
       return "usage_reported";
     case log_event::kEnginesOrdered:
--- a/common/log.h
+++ b/common/log.h
@@ -80,6 +80,7 @@
   kPeerEntryRemoved = 833,
   kUsageReported = 840,
   kEnginesOrdered = 841,
+  kUsageCountsUnreadable = 842,
   kSettingsReloaded = 850,
 };
 
--- /dev/null
+++ b/contracts/usage_counts.cc
@@ -0,0 +1,61 @@
+#include "contracts/usage_counts.h"
+
+#include <algorithm>
+
+namespace anvilloom {
+
+void usage_counts::Take(const counting_process& process,
+                        std::span<const usage_count> counts) {
+  for (const usage_count& count : counts) {
+    Raise(process, count);
+  }
+  DropOld();
+}
+
+void usage_counts::Merge(const usage_counts& other) {
+  for (const auto& [process, windows] : other.processes_) {
+    for (const auto& [window, by_workspace] : windows) {
+      for (const auto& [workspace, requests] : by_workspace) {
+        Raise(process, {window, workspace, requests});
+      }
+    }
+  }
+  DropOld();
+}
+
+void usage_counts::Raise(const counting_process& process,
+                         const usage_count& count) {
+  std::uint64_t& known = processes_[process][count.window][count.workspace];
+  known = std::max(known, count.requests);
+  newest_window_ = std::max(newest_window_, count.window);
+}
+
+void usage_counts::DropOld() {
+  if (newest_window_ >= usage_ledger::kKeptWindows) {
+    DropBefore(newest_window_ - usage_ledger::kKeptWindows + 1);
+  }
+}
+
+void usage_counts::DropBefore(std::uint64_t window) {
+  for (auto& [process, windows] : processes_) {
+    windows.erase(windows.begin(), windows.lower_bound(window));
+  }
+  std::erase_if(processes_,
+                [](const auto& entry) { return entry.second.empty(); });
+}
+
+usage_counts::window_counts usage_counts::Sum(std::uint64_t window) const {
+  window_counts sums;
+  for (const auto& [process, windows] : processes_) {
+    const auto found = windows.find(window);
+    if (found == windows.end()) {
+      continue;
+    }
+    for (const auto& [workspace, requests] : found->second) {
+      sums[workspace] += requests;
+    }
+  }
+  return sums;
+}
+
+}  // namespace anvilloom
--- a/entry/gateway_state.h
+++ b/entry/gateway_state.h
@@ -55,6 +55,7 @@
 struct gateway_state {
   explicit gateway_state(gateway_settings from)
       : settings(std::move(from)),
+        epoch(static_cast<std::uint64_t>(WallClockMicros())),
         view(std::make_unique<std::shared_ptr<const serving_view>>(
             std::make_shared<serving_view>())),
         wall_offset_us(OwnWallOffset()) {}
@@ -75,6 +76,8 @@
   }
 
   gateway_settings settings;
+  // Start of the process, microseconds since 1970; tells its runs apart.
+  std::uint64_t epoch;
   steady_source clock;
   rcu_cell<std::shared_ptr<const serving_view>> view;
   prefix_locations locations;
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -32,8 +32,9 @@
 constexpr std::size_t kCoSenders = 7;
 // Part of the time until the first report for which the limits are charged in
 // advance. Charging all of it refuses callers whose workspaces are below their
-// limits, since calls do not spread evenly over the instances.
-constexpr double kFirstChargeDivisor = 4;
+// limits, since calls do not spread evenly over the instances. Charging a
+// quarter let 72 restarted instances exceed a limit by one in a hundred.
+constexpr double kFirstChargeDivisor = 3;
 // After a restart of all, the instances tell each other sooner what they grant.
 constexpr duration kYoungTime = report_board::kSettle;
 // Between two bursts of queued messages; see paced_queue::kBurstBytes.
@@ -62,7 +63,6 @@
       socket_(executor, state.settings.report_listen),
       address_(WithPort(state.settings.report_listen, socket_.port())),
       board_(state.settings.name),
-      epoch_(static_cast<std::uint64_t>(WallClockMicros())),
       started_at_(state.clock.Now()) {}
 
 std::string peer_reporter::EncodeSelf() const {
@@ -186,7 +186,7 @@
 peer_report peer_reporter::Header() const {
   peer_report report;
   report.name = state_.settings.name;
-  report.epoch = epoch_;
+  report.epoch = state_.epoch;
   report.address = address_;
   return report;
 }
@@ -278,9 +278,7 @@
   complete_(report);
   const auto brief =
       std::make_shared<const std::string>(EncodePeerReport(report));
-  for (const usage_count& count : state_.usage.Counts()) {
-    report.begun.push_back({count.window, count.workspace, count.requests});
-  }
+  report.begun = state_.usage.Counts();
   const auto whole =
       std::make_shared<const std::string>(EncodePeerReport(report));
   for (const auto& each : board_.Recipients(state_.clock.Now())) {
--- a/entry/peer_reporter.h
+++ b/entry/peer_reporter.h
@@ -92,7 +92,6 @@
   datagram_socket socket_;
   std::string address_;
   report_board board_;
-  std::uint64_t epoch_;
   paced_queue queue_;
   bool sending_ = false;
   std::uint64_t sequence_ = 0;
--- a/entry/usage_record.h
+++ b/entry/usage_record.h
@@ -1,4 +1,5 @@
-// Defines the JSON encoding of a usage report in the store.
+// Defines the JSON encodings of usage in the store: of a report, and of the
+// counts that are not reported yet.
 #ifndef ENTRY_USAGE_RECORD_H_
 #define ENTRY_USAGE_RECORD_H_
 
@@ -6,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "contracts/usage_counts.h"
 #include "entry/cloud_duties.h"
 
 namespace anvilloom {
@@ -14,6 +16,10 @@
 // Nothing if the text is no usage report.
 std::optional<usage_report> DecodeUsage(std::string_view text);
 
+std::string EncodeUsageCounts(const usage_counts& counts);
+// Nothing if the text holds no counts.
+std::optional<usage_counts> DecodeUsageCounts(std::string_view text);
+
 }  // namespace anvilloom
 
 #endif  // ENTRY_USAGE_RECORD_H_
--- a/entry/usage_reporter.h
+++ b/entry/usage_reporter.h
@@ -3,6 +3,7 @@
 #ifndef ENTRY_USAGE_REPORTER_H_
 #define ENTRY_USAGE_REPORTER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <set>
@@ -12,6 +13,7 @@
 #include "common/log.h"
 #include "entry/cloud_duties.h"
 #include "entry/gateway_state.h"
+#include "entry/usage_checkpoint.h"
 #include "entry/usage_record.h"
 #include "instances/peer_report.h"
 #include "wire/object_store.h"
@@ -29,29 +31,55 @@
                  const report_board& board,
                  Store& store,
                  Cloud& cloud)
-      : state_(state), board_(board), store_(store), cloud_(cloud) {}
+      : state_(state),
+        board_(board),
+        store_(store),
+        cloud_(cloud),
+        checkpoint_(store) {}
 
-  // Reports the windows that have ended and whose counts have settled.
-  // `fencing` gives the fencing number of the duty lease; 0 once it is lost.
+  // Reports the windows that have ended and whose counts have settled, and
+  // stores the counts of the others. `fencing` gives the fencing number of the
+  // duty lease; 0 once it is lost.
   awaitable<void> Report(const std::function<std::uint64_t()>& fencing) {
+    if (acts_under_ != fencing()) {
+      acts_under_ = fencing();
+      checkpoint_.Forget();
+    }
+    // Without what earlier holders stored, a window might be reported short.
+    if (!co_await checkpoint_.Load(CallLimit())) {
+      co_return;
+    }
     const auto window_us = state_.settings.usage_window.count();
-    const auto ended = static_cast<std::uint64_t>(
-        (state_.TimeOfDayMicros() - kCountsSettle.count()) / window_us);
-    for (std::uint64_t window = ended - kOlderWindows; window < ended;
+    const auto current =
+        static_cast<std::uint64_t>(state_.TimeOfDayMicros() / window_us);
+    for (std::uint64_t window = current - kOlderWindows - 1; window < current;
          ++window) {
-      if (!reported_.contains(window)) {
+      if (!reported_.contains(window) && HasSettled(window)) {
         co_await ReportWindow(window, fencing);
       }
     }
     while (reported_.size() > 2 * kOlderWindows) {
       reported_.erase(reported_.begin());
     }
+    co_await SaveCounts(current - kOlderWindows);
   }
 
  private:
   static constexpr duration kCallLimit = std::chrono::milliseconds(1000);
-  // After the end of a window its last counts have arrived from all instances.
+  // After the end of a window its last counts have arrived from all instances
+  // that can be heard.
   static constexpr duration kCountsSettle = std::chrono::milliseconds(1500);
+  // An instance that is cut off or stands still brings its counts when it is
+  // heard again. It is waited for so long; the report is due ten seconds after
+  // the window, and another holder may have to make it.
+  static constexpr duration kLongestSettle = std::chrono::seconds(5);
+  // How long a report of the counts may be on its way.
+  static constexpr duration kReportLag = std::chrono::milliseconds(300);
+  // What is counted between two writes is lost if all processes are killed; at
+  // 300 ms that is about the tolerance for a window of five seconds. Grows with
+  // the number of instances, since the counts of each are in the object.
+  static constexpr duration kSaveInterval = std::chrono::milliseconds(300);
+  static constexpr std::size_t kMembersPerInterval = 20;
   // The last ended window, and those before that a new holder still reports.
   static constexpr std::uint64_t kOlderWindows = 3;
 
@@ -59,22 +87,49 @@
     return deadline::After(state_.clock.Now(), kCallLimit);
   }
 
+  // Everything that is known: told by the others, counted here, and stored by
+  // earlier holders.
+  usage_counts CountAll() const {
+    usage_counts counts = board_.counts();
+    counts.Take({state_.settings.name, state_.epoch}, state_.usage.Counts());
+    counts.Merge(checkpoint_.stored());
+    return counts;
+  }
+
   usage_report CountWindow(std::uint64_t window) const {
     usage_report report;
     report.window = window;
-    for (const usage_count& count : state_.usage.Counts()) {
-      if (count.window == window) {
-        report.requests[count.workspace] += count.requests;
-      }
-    }
-    for (const auto& [key, requests] : board_.BegunElsewhere()) {
-      if (key.first == window) {
-        report.requests[key.second] += requests;
-      }
+    for (const auto& [workspace, requests] : CountAll().Sum(window)) {
+      report.requests[workspace] = requests;
     }
     return report;
   }
 
+  bool HasSettled(std::uint64_t window) const {
+    const duration window_length = state_.settings.usage_window;
+    const auto end_us =
+        static_cast<std::int64_t>(window + 1) * window_length.count();
+    const duration since(state_.TimeOfDayMicros() - end_us);
+    if (since < kCountsSettle) {
+      return false;
+    }
+    const time_point told = state_.clock.Now() - since + kReportLag;
+    return since >= kLongestSettle || board_.HeardAllSince(told);
+  }
+
+  awaitable<void> SaveCounts(std::uint64_t oldest) {
+    const time_point now = state_.clock.Now();
+    if (!save_at_.Expired(now)) {
+      co_return;
+    }
+    const auto factor = static_cast<std::int64_t>(
+        std::max<std::size_t>(board_.Members() / kMembersPerInterval, 1));
+    save_at_ = deadline::After(now, kSaveInterval * factor);
+    usage_counts counts = CountAll();
+    counts.DropBefore(oldest);
+    co_await checkpoint_.Save(counts, CallLimit());
+  }
+
   // The counts are stored before they are sent: whoever reports the window
   // later sends the same ones. Nothing if the store did not say.
   awaitable<std::optional<usage_report>> Decide(std::uint64_t window) {
@@ -117,6 +172,9 @@
   const report_board& board_;
   Store& store_;
   Cloud& cloud_;
+  usage_checkpoint<Store> checkpoint_;
+  std::uint64_t acts_under_ = 0;
+  deadline save_at_ = deadline(time_point::min());
   std::set<std::uint64_t> reported_;
 };
 
--- a/instances/peer_report.cc
+++ b/instances/peer_report.cc
@@ -8,17 +8,13 @@
 
 namespace {
 
-// Windows of earlier processes are kept while a report may still be due.
-constexpr std::size_t kKeptBegunBefore = 256;
 // Every report names the workspaces whose units have grown, and each two
 // seconds, or the report after that, all of them.
 constexpr duration kAllGrantsTold = std::chrono::seconds(3);
-// How long those of an instance are kept that is no member any more: usage is
-// due ten seconds after its window, and a new holder reports three windows.
-constexpr duration kKeptDeparted = std::chrono::seconds(60);
 // Instances besides the one with the duties that get all usage, so that the
-// next holder has it.
-constexpr std::size_t kSuccessors = 3;
+// next holder has it. With three, most of seven instances killed together took
+// counts with them that no survivor had.
+constexpr std::size_t kSuccessors = 7;
 
 }  // namespace
 
@@ -44,11 +40,7 @@
     return;
   }
   NoteRunning(now);
-  const auto [known, joined] = peers_.try_emplace(report.name);
-  peer& sender = known->second;
-  if (joined) {
-    Rejoin(report, sender);
-  }
+  peer& sender = peers_[report.name];
   if (report.content == report_content::kLoad) {
     TakeLoad(sender, report);
     return;
@@ -70,13 +62,7 @@
     sender.all_known_at = now + kAllGrantsTold;
   }
   TakeGrants(report, sender, now, sink);
-  if (sender.heard && !same_process) {
-    auto& kept = sender.begun_before;
-    kept.insert(kept.end(), sender.last.begun.begin(), sender.last.begun.end());
-    if (kept.size() > kKeptBegunBefore) {
-      kept.erase(kept.begin(), kept.end() - kKeptBegunBefore);
-    }
-  }
+  counts_.Take({report.name, report.epoch}, report.begun);
   sender.address = report.address;
   sender.heard_at = now;
   sender.heard = true;
@@ -161,26 +147,7 @@
   }
 }
 
-void report_board::Rejoin(const peer_report& report, peer& sender) {
-  const auto found = departed_.find(report.name);
-  if (found == departed_.end()) {
-    return;
-  }
-  const departed_process& left_behind = found->second;
-  sender.begun_before = left_behind.begun_before;
-  // The same process counts on from where it was.
-  if (left_behind.epoch != report.epoch) {
-    sender.begun_before.insert(sender.begun_before.end(),
-                               left_behind.begun.begin(),
-                               left_behind.begun.end());
-  }
-  departed_.erase(found);
-}
-
 std::vector<std::string> report_board::Sweep(time_point now) {
-  std::erase_if(departed_, [&](const auto& entry) {
-    return entry.second.removed_at + kKeptDeparted < now;
-  });
   std::vector<std::string> removed;
   std::erase_if(peers_, [&](const auto& entry) {
     const peer& each = entry.second;
@@ -188,8 +155,6 @@
     const bool gone = left || each.heard_at + terms_.removed_after < now;
     if (gone) {
       removed.push_back(entry.first);
-      departed_[entry.first] = {each.last.epoch, now, each.last.begun,
-                                each.begun_before};
     }
     return gone;
   });
@@ -272,23 +237,10 @@
   return sums;
 }
 
-std::map<std::pair<std::uint64_t, std::string>, std::uint64_t>
-report_board::BegunElsewhere() const {
-  std::map<std::pair<std::uint64_t, std::string>, std::uint64_t> sums;
-  const auto add = [&sums](std::span<const begun_requests> counts) {
-    for (const begun_requests& count : counts) {
-      sums[{count.window, count.workspace}] += count.requests;
-    }
-  };
-  for (const auto& [name, each] : peers_) {
-    add(each.last.begun);
-    add(each.begun_before);
-  }
-  for (const auto& [name, process] : departed_) {
-    add(process.begun);
-    add(process.begun_before);
-  }
-  return sums;
+bool report_board::HeardAllSince(time_point time) const {
+  return std::ranges::all_of(peers_, [time](const auto& entry) {
+    return entry.second.heard && entry.second.heard_at >= time;
+  });
 }
 
 std::uint64_t report_board::ReadElsewhere(std::string_view service) const {
--- a/instances/peer_report.h
+++ b/instances/peer_report.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "common/time.h"
+#include "contracts/usage_counts.h"
 #include "instances/upstream_announcement.h"
 
 namespace anvilloom {
@@ -25,13 +26,6 @@
   std::uint64_t units = 0;
 };
 
-// Requests of a workspace that began to run in an accounting window.
-struct begun_requests {
-  std::uint64_t window = 0;
-  std::string workspace;
-  std::uint64_t requests = 0;
-};
-
 // Work that an instance has at one upstream.
 struct sent_work {
   std::uint64_t upstream_hash = 0;
@@ -85,7 +79,8 @@
   std::vector<upstream_change> changes;
   report_content content = report_content::kWhole;
   std::vector<granted_units> granted;
-  std::vector<begun_requests> begun;
+  // Requests that began to run.
+  std::vector<usage_count> begun;
   std::vector<sent_work> sent;
   std::vector<read_tokens> read;
 };
@@ -188,10 +183,10 @@
 
   // Work of all others at each upstream.
   std::map<std::uint64_t, sent_work> SentElsewhere(time_point now) const;
-  // Requests of all others by window and workspace, those of processes that
-  // have ended included.
-  std::map<std::pair<std::uint64_t, std::string>, std::uint64_t>
-  BegunElsewhere() const;
+  // What all others have counted, processes that have ended included.
+  const usage_counts& counts() const { return counts_; }
+  // Whether every other instance was heard at `time` or later.
+  bool HeardAllSince(time_point time) const;
   // Tokens that the others' calls to a service had upstreams read. Drops when a
   // process restarts.
   std::uint64_t ReadElsewhere(std::string_view service) const;
@@ -232,18 +227,6 @@
     // The process ran for long when it was first heard of.
     bool ran_before = false;
     time_point all_known_at = time_point::min();
-    // Counts of earlier processes under the same name.
-    std::vector<begun_requests> begun_before;
-  };
-
-  // What a process counted that is not a member any more. Its windows may still
-  // have to be reported.
-  struct departed_process {
-    std::uint64_t epoch = 0;
-    time_point removed_at;
-    std::vector<begun_requests> begun;
-    // Of processes under its name that ended before it.
-    std::vector<begun_requests> begun_before;
   };
 
   static void TakeLoad(peer& sender, const peer_report& report);
@@ -257,9 +240,6 @@
   bool HasJustResumed(time_point now) const {
     return now < resumed_at_ + silent_after_ / 2;
   }
-  // The counts that a member of this name left behind come back with it.
-  void Rejoin(const peer_report& report, peer& sender);
-
   // Whether an instance precedes this one in the order of ranks, and lives.
   bool Precedes(std::string_view name, const peer& each, time_point now) const;
 
@@ -292,7 +272,7 @@
   // Until when unseen grants were charged.
   time_point unseen_until_ = time_point::min();
   std::map<std::string, peer, std::less<>> peers_;
-  std::map<std::string, departed_process, std::less<>> departed_;
+  usage_counts counts_;
 };
 
 }  // namespace anvilloom
--- a/test/correctness/peer_report_test.cc
+++ b/test/correctness/peer_report_test.cc
@@ -75,7 +75,7 @@
     }
 
     THEN("the usage that it counted before is kept") {
-      REQUIRE(board.BegunElsewhere().at({40, "studio"}) == 9);
+      REQUIRE(board.counts().Sum(40).at("studio") == 9);
     }
 
     AND_WHEN("a late report of the old process arrives") {
@@ -148,9 +148,7 @@
     const time_point left = kStart + std::chrono::seconds(2);
     board.Sweep(left);
     REQUIRE(board.Members() == 2);
-    const auto counted = [&] {
-      return board.BegunElsewhere().at({40, "studio"});
-    };
+    const auto counted = [&] { return board.counts().Sum(40).at("studio"); };
 
     THEN("they are still there when their window is reported") {
       REQUIRE(counted() == 9);
@@ -175,12 +173,20 @@
         REQUIRE(counted() == 10);
       }
     }
+  }
 
-    AND_WHEN("no report of that window can be due any more") {
-      board.Sweep(left + std::chrono::seconds(61));
-
-      THEN("they are forgotten") {
-        REQUIRE(board.BegunElsewhere().empty());
+  WHEN("the listed one has not reported yet") {
+    THEN("not all were heard") {
+      REQUIRE_FALSE(board.HeardAllSince(kStart));
+    }
+    AND_WHEN("it reports") {
+      board.Take(Report("listed", 4, 1, 0), kStart + std::chrono::seconds(1),
+                 ignore);
+
+      THEN("all were heard since the earliest last report") {
+        REQUIRE(board.HeardAllSince(kStart));
+        REQUIRE_FALSE(
+            board.HeardAllSince(kStart + std::chrono::milliseconds(1)));
       }
     }
   }
--- /dev/null
+++ b/test/correctness/usage_counts_test.cc
@@ -0,0 +1,239 @@
+// Guards the counts of usage against loss when processes are killed, against
+// counting twice, and against damage in the store.
+
+#include "contracts/usage_counts.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "entry/usage_checkpoint.h"
+
+namespace anvilloom {
+
+namespace {
+
+const counting_process kFirstRun{"entry-a", 5};
+const counting_process kSecondRun{"entry-a", 6};
+
+// One object in memory whose writes may lose their answers.
+class one_object_store {
+ public:
+  std::optional<stored_object> held;
+  bool away = false;
+  bool loses_answer = false;
+  int writes = 0;
+
+  awaitable<store_result<object_list>> List(std::string_view, deadline) {
+    co_return store_error::kRefused;
+  }
+  awaitable<store_result<stored_object>> Get(std::string_view,
+                                             std::string_view,
+                                             deadline) {
+    if (away) {
+      co_return store_error::kUnavailable;
+    }
+    if (!held) {
+      co_return store_error::kNotFound;
+    }
+    co_return *held;
+  }
+  awaitable<store_result<std::uint64_t>> Create(std::string_view,
+                                                std::string_view name,
+                                                std::string_view value,
+                                                deadline) {
+    co_return Write(name, 0, value);
+  }
+  awaitable<store_result<std::uint64_t>> Update(std::string_view,
+                                                std::string_view name,
+                                                std::uint64_t version,
+                                                std::string_view value,
+                                                deadline) {
+    co_return Write(name, version, value);
+  }
+  awaitable<store_result<std::uint64_t>> Delete(std::string_view,
+                                                std::string_view,
+                                                std::uint64_t,
+                                                deadline) {
+    co_return store_error::kRefused;
+  }
+  awaitable<store_result<std::uint64_t>> Watch(std::string_view,
+                                               std::uint64_t,
+                                               const object_event_sink&,
+                                               deadline) {
+    co_return store_error::kRefused;
+  }
+
+ private:
+  store_result<std::uint64_t> Write(std::string_view name,
+                                    std::uint64_t version,
+                                    std::string_view value) {
+    ++writes;
+    if (away) {
+      return store_error::kUnavailable;
+    }
+    if ((held ? held->version : 0) != version) {
+      return store_error::kConflict;
+    }
+    held = stored_object{std::string(name), version + 10, std::string(value)};
+    if (std::exchange(loses_answer, false)) {
+      return store_error::kAmbiguous;
+    }
+    return held->version;
+  }
+};
+
+static_assert(object_store<one_object_store>);
+
+template <typename Value>
+Value Await(awaitable<Value> call) {
+  boost::asio::io_context context(1);
+  auto result =
+      boost::asio::co_spawn(context, std::move(call), boost::asio::use_future);
+  context.run();
+  return result.get();
+}
+
+}  // namespace
+
+SCENARIO("Counts of all processes add up once", "[usage_counts]") {
+  GIVEN("two runs of a process that counted in the same window") {
+    usage_counts counts;
+    const std::vector<usage_count> first{{40, "studio", 9}};
+    const std::vector<usage_count> second{{40, "studio", 3}, {41, "desk", 1}};
+    counts.Take(kFirstRun, first);
+    counts.Take(kSecondRun, second);
+
+    THEN("both count") {
+      REQUIRE(counts.Sum(40).at("studio") == 12);
+      REQUIRE(counts.Sum(41).at("desk") == 1);
+      REQUIRE(counts.Sum(42).empty());
+    }
+    WHEN("an older report arrives late") {
+      const std::vector<usage_count> older{{40, "studio", 4}};
+      counts.Take(kFirstRun, older);
+
+      THEN("nothing is taken away") {
+        REQUIRE(counts.Sum(40).at("studio") == 12);
+      }
+    }
+    WHEN("they are merged with a copy that knows more of one run") {
+      usage_counts other;
+      const std::vector<usage_count> later{{40, "studio", 11}};
+      other.Take(kFirstRun, later);
+      counts.Merge(other);
+
+      THEN("the larger value of each run holds") {
+        REQUIRE(counts.Sum(40).at("studio") == 14);
+      }
+    }
+    WHEN("six newer windows have begun") {
+      const std::vector<usage_count> newest{{47, "studio", 1}};
+      counts.Take(kSecondRun, newest);
+
+      THEN("the old ones are forgotten, with the run that had no others") {
+        REQUIRE(counts.Sum(40).empty());
+        REQUIRE(counts.processes().size() == 1);
+      }
+    }
+    THEN("they survive their encoding") {
+      const auto decoded = DecodeUsageCounts(EncodeUsageCounts(counts));
+      REQUIRE(decoded);
+      REQUIRE(*decoded == counts);
+    }
+    THEN("a damaged encoding is refused") {
+      constexpr std::string_view kNoCounts =
+          R"({"processes":[{"name":"a","epoch":1,"windows":[{}]}]})";
+      constexpr std::string_view kNegative =
+          R"({"processes":[{"name":"a","epoch":1,"windows":[{"window":4,)"
+          R"("requests":{"studio":-1}}]}]})";
+      for (const std::string_view text :
+           {std::string_view(), std::string_view("{}"),
+            std::string_view(R"({"processes":1})"),
+            std::string_view(R"({"processes":[{}]})"), kNoCounts, kNegative}) {
+        CAPTURE(text);
+        REQUIRE_FALSE(DecodeUsageCounts(text));
+      }
+    }
+  }
+}
+
+SCENARIO("Counts outlive all processes that know them", "[usage_checkpoint]") {
+  GIVEN("a holder that has stored counts") {
+    one_object_store store;
+    usage_checkpoint<one_object_store> holder(store);
+    usage_counts counts;
+    const std::vector<usage_count> counted{{40, "studio", 9}};
+    counts.Take(kFirstRun, counted);
+    const deadline until = deadline::Never();
+    REQUIRE(Await(holder.Save(counts, until)));
+
+    WHEN("every process is killed, and a new one becomes the holder") {
+      usage_checkpoint<one_object_store> next(store);
+      REQUIRE(Await(next.Load(until)));
+
+      THEN("it knows the counts") {
+        REQUIRE(next.stored().Sum(40).at("studio") == 9);
+      }
+      THEN("a late write of the earlier holder is refused") {
+        const std::vector<usage_count> more{{40, "studio", 10}};
+        usage_counts newer = counts;
+        newer.Take(kSecondRun, more);
+        REQUIRE(Await(next.Save(newer, until)));
+        const std::vector<usage_count> late{{40, "studio", 12}};
+        counts.Take(kFirstRun, late);
+        REQUIRE_FALSE(Await(holder.Save(counts, until)));
+        REQUIRE(DecodeUsageCounts(store.held->value)->Sum(40).at("studio") ==
+                19);
+      }
+    }
+    WHEN("nothing was counted since") {
+      REQUIRE(Await(holder.Save(counts, until)));
+
+      THEN("no call is made") {
+        REQUIRE(store.writes == 1);
+      }
+    }
+    WHEN("the answer of a write is lost") {
+      store.loses_answer = true;
+      const std::vector<usage_count> more{{41, "studio", 2}};
+      counts.Take(kFirstRun, more);
+      REQUIRE_FALSE(Await(holder.Save(counts, until)));
+
+      THEN("the next one reads the object and writes again") {
+        REQUIRE(Await(holder.Save(counts, until)));
+        REQUIRE(DecodeUsageCounts(store.held->value)->Sum(41).at("studio") ==
+                2);
+      }
+    }
+    WHEN("the store is away when another instance becomes the holder") {
+      store.away = true;
+      usage_checkpoint<one_object_store> next(store);
+
+      THEN("it does not take the counts for none") {
+        REQUIRE_FALSE(Await(next.Load(until)));
+        store.away = false;
+        REQUIRE(Await(next.Load(until)));
+        REQUIRE(next.stored().Sum(40).at("studio") == 9);
+      }
+    }
+    WHEN("the object is damaged") {
+      store.held->value = "{";
+      usage_checkpoint<one_object_store> next(store);
+
+      THEN("the next write replaces it") {
+        REQUIRE(Await(next.Load(until)));
+        REQUIRE(Await(next.Save(counts, until)));
+        REQUIRE(DecodeUsageCounts(store.held->value));
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
--- a/wire/report_codec.cc
+++ b/wire/report_codec.cc
@@ -59,7 +59,7 @@
     granted->set_workspace(each.workspace);
     granted->set_units(each.units);
   }
-  for (const begun_requests& each : report.begun) {
+  for (const usage_count& each : report.begun) {
     wire::Begun* begun = message.add_begun();
     begun->set_window(each.window);
     begun->set_workspace(each.workspace);
