--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -140,8 +140,8 @@
     }
     asked_units_ = units;
     if (!allowance->Admit(units, terms, arrived_)) {
-      return call_refusal{refusal_reason::kOverLimit,
-                          allowance->FreeAt(terms, arrived_) - arrived_};
+      limit_free_in_ = allowance->FreeAt(terms, arrived_) - arrived_;
+      return call_refusal{refusal_reason::kOverLimit, limit_free_in_};
     }
     taken_units_ = units;
     return std::nullopt;
@@ -566,6 +566,9 @@
          {"burst", workspace_ == nullptr
                        ? "0"
                        : std::to_string(workspace_->burst_units)},
+         {"free_in_us", std::to_string(limit_free_in_.count())},
+         {"unaccounted",
+          std::to_string(state_.unaccounted.load(std::memory_order_relaxed))},
          {"wait_us", std::to_string(place_.expected_wait.count())},
          {"unread", std::to_string(place_.unread_tokens)},
          {"fetched", std::to_string(place_.fetched_tokens)},
@@ -594,6 +597,8 @@
   // Units of the workspace's limit that the call asks for, and those it holds.
   std::uint64_t asked_units_ = 0;
   std::uint64_t taken_units_ = 0;
+  // Until the limit that refused the call admits another one.
+  duration limit_free_in_{0};
 
   placement place_;
   std::vector<std::uint64_t> tried_;
--- a/entry/gateway_state.h
+++ b/entry/gateway_state.h
@@ -94,6 +94,8 @@
   }
 
   std::atomic<std::int64_t> wall_offset_us;
+  // Entry instances whose even share is charged in place of their grants.
+  std::atomic<std::uint32_t> unaccounted{0};
   std::atomic<bool> draining{false};
   // Whether the store has not answered for long enough that the manifest in
   // force may be an old one.
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -336,6 +336,8 @@
 
 void peer_reporter::ChargeUnaccounted(time_point now) {
   const report_board::unseen_grants unseen = board_.TakeUnseen(now);
+  state_.unaccounted.store(static_cast<std::uint32_t>(unseen.members),
+                           std::memory_order_relaxed);
   ForEachLimit([&](const manifest_workspace& workspace,
                    shared_allowance& allowance) {
     ChargeAs(unseen.when,
--- a/instances/peer_report.cc
+++ b/instances/peer_report.cc
@@ -111,8 +111,9 @@
   NoteRunning(now);
   const bool first = unseen_until_ == time_point::min();
   unseen_grants unseen;
+  unseen.members = Unaccounted(now);
   unseen.share =
-      static_cast<double>(Unaccounted(now)) / static_cast<double>(Members());
+      static_cast<double>(unseen.members) / static_cast<double>(Members());
   unseen.passed = first ? duration::zero() : now - unseen_until_;
   unseen_until_ = now;
   // What the others granted during a pause of this process is no debt of it.
--- a/instances/peer_report.h
+++ b/instances/peer_report.h
@@ -144,7 +144,8 @@
 
   // What the instances whose grants are not known may have granted.
   struct unseen_grants {
-    // Part of each limit that is charged for them.
+    // Their number, and the part of each limit that is charged for them.
+    std::size_t members = 0;
     double share = 0;
     duration passed{0};
     grant_time when = grant_time::kSinceLastReport;
--- a/test/error/gateway_test.cc
+++ b/test/error/gateway_test.cc
@@ -5,6 +5,11 @@
 #include <signal.h>
 
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <thread>
 
 #include "test/support/platform_system.h"
 #include "test/support/raw_connection.h"
@@ -264,6 +269,54 @@
   }
 }
 
+SCENARIO("A gateway that stood still refuses no caller for it", "[gateway]") {
+  GIVEN("two gateways and a workspace with a limit of ten calls a second") {
+    platform_system system;
+    system.StartUpstream("d1", "desk");
+    system.PutManifest({"key-1"}, 10);
+    const std::uint16_t port = system.StartGateway("g1");
+    system.StartGateway("g2");
+    REQUIRE(system.AwaitReady("g1"));
+    REQUIRE(system.AwaitReady("g2"));
+    REQUIRE(system.AwaitUpstreams("g1", 1));
+    // Until neither counts as just started.
+    std::this_thread::sleep_for(std::chrono::milliseconds(4500));
+
+    WHEN("one of them is paused for 4 s and goes on") {
+      system.process("g1").Pause();
+      std::this_thread::sleep_for(std::chrono::seconds(4));
+      system.process("g1").Continue();
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+
+      THEN("its silence to itself is no debt of the workspace") {
+        for (int i = 0; i < 5; ++i) {
+          REQUIRE(system.CallOnce(port, "/safe/1").status == 200);
+          std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+      }
+    }
+
+    WHEN("calls exceed the limit") {
+      int refused = 0;
+      for (int i = 0; i < 30; ++i) {
+        refused += system.CallOnce(port, "/safe/1").status == 429 ? 1 : 0;
+      }
+
+      THEN("the log says until when, and that no instance is unaccounted for") {
+        REQUIRE(refused > 0);
+        const std::string log = system.process("g1").Output();
+        const std::size_t line = log.find("outcome=over_limit");
+        REQUIRE(line != std::string::npos);
+        const std::string_view rest = std::string_view(log).substr(line);
+        const std::string_view first = rest.substr(0, rest.find('\n'));
+        CAPTURE(first);
+        REQUIRE(first.find(" free_in_us=0 ") == std::string_view::npos);
+        REQUIRE(first.find(" unaccounted=0 ") != std::string_view::npos);
+      }
+    }
+  }
+}
+
 SCENARIO("One gateway at a time has the duties", "[gateway]") {
   platform_system system;
   system.StartUpstream("d1", "desk");
--- a/test/support/platform_system.cc
+++ b/test/support/platform_system.cc
@@ -41,7 +41,8 @@
   system_.Start("platform", "platform/standin/standin_platform");
 }
 
-void platform_system::PutManifest(const std::vector<std::string>& keys) {
+void platform_system::PutManifest(const std::vector<std::string>& keys,
+                                  std::uint32_t calls_per_second) {
   std::string list;
   for (const std::string& key : keys) {
     list += (list.empty() ? "\"" : ",\"") + key + '"';
@@ -51,6 +52,9 @@
   text =
       Replace(std::move(text), "%VERSION%", std::to_string(manifest_version_));
   text = Replace(std::move(text), "%KEYS%", list);
+  for (int i = 0; i < 2; ++i) {
+    text = Replace(std::move(text), "%RATE%", std::to_string(calls_per_second));
+  }
   Put(port("platform"), "config", "main", text);
 }
 
--- a/test/support/platform_system.h
+++ b/test/support/platform_system.h
@@ -35,14 +35,17 @@
               {"name":"desk"}],
   "limits":{"maxHeaderBytes":8192,"maxBodyBytes":65536,
             "headerTimeoutMs":3000,"idleTimeoutMs":15000},
-  "tenants":[{"name":"studio","apiKeys":[%KEYS%]}]})";
+  "tenants":[{"name":"studio","apiKeys":[%KEYS%],
+              "ratePerS":%RATE%,"burst":%RATE%}]})";
 
 class platform_system {
  public:
   platform_system();
 
-  // Writes the next version of the manifest with these keys.
-  void PutManifest(const std::vector<std::string>& keys = {"key-1"});
+  // Writes the next version of the manifest with these keys, and with a limit
+  // in calls a second unless that is 0.
+  void PutManifest(const std::vector<std::string>& keys = {"key-1"},
+                   std::uint32_t calls_per_second = 0);
   // Starts an upstream and announces it. `address` replaces the real one, for
   // example by that of a proxy.
   std::uint16_t StartUpstream(std::string_view id,
