--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -160,7 +160,8 @@
     if (!place_.target) {
       return call_refusal{refusal_reason::kNoUpstream, kNoUpstreamPause};
     }
-    const duration first = place_.expected_wait + place_.read_time;
+    expected_first_ = place_.expected_wait + place_.read_time;
+    const duration first = pool_->meter->first_token.Apply(expected_first_);
     if (attempts_ == 0 && pool_->model && first > FirstLimit()) {
       return call_refusal{refusal_reason::kOverload, place_.expected_wait};
     }
@@ -385,6 +386,10 @@
       CountBegun();
       state_.counters.first_byte.Add(Now() - arrived_);
       first_byte_at_ = Now();
+      if (attempts_ == 1) {
+        pool_->meter->first_token.Observe(expected_first_,
+                                          first_byte_at_ - sent_at_);
+      }
       const auto headers = AnswerHeaders();
       if (!co_await exchange_.BeginStream(
               answer_->status(), answer_->Header("Content-Type"), headers)) {
@@ -570,6 +575,11 @@
          {"unaccounted",
           std::to_string(state_.unaccounted.load(std::memory_order_relaxed))},
          {"wait_us", std::to_string(place_.expected_wait.count())},
+         {"expected_us", std::to_string(expected_first_.count())},
+         {"bias_permille",
+          pool_ == nullptr
+              ? "0"
+              : std::to_string(pool_->meter->first_token.permille())},
          {"unread", std::to_string(place_.unread_tokens)},
          {"fetched", std::to_string(place_.fetched_tokens)},
          {"running",
@@ -599,6 +609,8 @@
   std::uint64_t taken_units_ = 0;
   // Until the limit that refused the call admits another one.
   duration limit_free_in_{0};
+  // From the send to the first token, as the load was known before.
+  duration expected_first_{0};
 
   placement place_;
   std::vector<std::uint64_t> tried_;
--- a/links/pooled_upstream.h
+++ b/links/pooled_upstream.h
@@ -13,6 +13,7 @@
 #include "common/hash.h"
 #include "common/time.h"
 #include "instances/upstream_announcement.h"
+#include "links/delay_bias.h"
 #include "links/retry_budget.h"
 
 namespace anvilloom {
@@ -155,6 +156,8 @@
 // What all calls of this instance to one service share.
 struct service_meter {
   retry_budget retries;
+  // Of first tokens that this instance has seen.
+  delay_bias first_token;
   // Prompt tokens that upstreams had to read for this instance.
   std::atomic<std::uint64_t> read_tokens{0};
 };
