Keep a wrong clock from dropping counts, and let a stale bias lapse

Found when reading the change again: - A process that counts in a window far ahead made all others forget the current windows. The owner says which windows are kept now. - A delay bias that refuses every call would never be observed again. It is not applied a second after the last observation. - A failure to delete the entry of a gone instance is logged.

usage_counts_test and delay_bias_test cover the first two; they did not compile before, since both interfaces changed.

--- a/contracts/usage_counts.cc
+++ b/contracts/usage_counts.cc
@@ -9,7 +9,6 @@
   for (const usage_count& count : counts) {
     Raise(process, count);
   }
-  DropOld();
 }
 
 void usage_counts::Merge(const usage_counts& other) {
@@ -20,25 +19,18 @@
       }
     }
   }
-  DropOld();
 }
 
 void usage_counts::Raise(const counting_process& process,
                          const usage_count& count) {
   std::uint64_t& known = processes_[process][count.window][count.workspace];
   known = std::max(known, count.requests);
-  newest_window_ = std::max(newest_window_, count.window);
 }
 
-void usage_counts::DropOld() {
-  if (newest_window_ >= usage_ledger::kKeptWindows) {
-    DropBefore(newest_window_ - usage_ledger::kKeptWindows + 1);
-  }
-}
-
-void usage_counts::DropBefore(std::uint64_t window) {
+void usage_counts::KeepOnly(std::uint64_t first, std::uint64_t last) {
   for (auto& [process, windows] : processes_) {
-    windows.erase(windows.begin(), windows.lower_bound(window));
+    windows.erase(windows.begin(), windows.lower_bound(first));
+    windows.erase(windows.upper_bound(last), windows.end());
   }
   std::erase_if(processes_,
                 [](const auto& entry) { return entry.second.empty(); });
--- a/contracts/usage_counts.h
+++ b/contracts/usage_counts.h
@@ -29,7 +29,8 @@
 
 // Counts only grow, so the larger of two values of the same process is the
 // later one. Counts of processes that have ended stay while their windows are
-// kept.
+// kept. Which windows those are is the owner's decision: a process with a wrong
+// clock may count in windows that are far from all others.
 class usage_counts {
  public:
   // Requests by workspace, and those by window.
@@ -39,8 +40,8 @@
   void Take(const counting_process& process,
             std::span<const usage_count> counts);
   void Merge(const usage_counts& other);
-  // Forgets the windows before this one.
-  void DropBefore(std::uint64_t window);
+  // Forgets the windows outside of these.
+  void KeepOnly(std::uint64_t first, std::uint64_t last);
 
   // Requests of a window by workspace, over all processes.
   window_counts Sum(std::uint64_t window) const;
@@ -52,10 +53,8 @@
 
  private:
   void Raise(const counting_process& process, const usage_count& count);
-  void DropOld();
 
   std::map<counting_process, process_counts> processes_;
-  std::uint64_t newest_window_ = 0;
 };
 
 }  // namespace anvilloom
--- a/entry/departed_entries.h
+++ b/entry/departed_entries.h
@@ -68,16 +68,16 @@
 
   awaitable<bool> Delete(std::string_view name, deadline until) {
     const auto entry = co_await store_.Get(kind_, name, until);
-    if (!entry) {
-      co_return false;  // Deleted already, or left to the next who finds it.
+    if (!entry && entry.error() == store_error::kNotFound) {
+      co_return false;
     }
-    const auto deleted =
-        co_await store_.Delete(kind_, name, entry->version, until);
-    if (deleted) {
-      Log(log_level::kInfo, log_event::kPeerEntryRemoved,
-          {{"peer", std::string(name)}});
-    }
-    co_return deleted.has_value();
+    // An entry that could not be deleted is left to whoever finds it next.
+    const bool deleted =
+        entry && co_await store_.Delete(kind_, name, entry->version, until);
+    Log(deleted ? log_level::kInfo : log_level::kWarning,
+        log_event::kPeerEntryRemoved,
+        {{"peer", std::string(name)}, {"result", deleted ? "done" : "failed"}});
+    co_return deleted;
   }
 
   Store& store_;
--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -161,7 +161,8 @@
       return call_refusal{refusal_reason::kNoUpstream, kNoUpstreamPause};
     }
     expected_first_ = place_.expected_wait + place_.read_time;
-    const duration first = pool_->meter->first_token.Apply(expected_first_);
+    const duration first =
+        pool_->meter->first_token.Apply(expected_first_, question.now);
     if (attempts_ == 0 && pool_->model && first > FirstLimit()) {
       return call_refusal{refusal_reason::kOverload, place_.expected_wait};
     }
@@ -387,8 +388,8 @@
       state_.counters.first_byte.Add(Now() - arrived_);
       first_byte_at_ = Now();
       if (attempts_ == 1) {
-        pool_->meter->first_token.Observe(expected_first_,
-                                          first_byte_at_ - sent_at_);
+        pool_->meter->first_token.Observe(
+            expected_first_, first_byte_at_ - sent_at_, first_byte_at_);
       }
       const auto headers = AnswerHeaders();
       if (!co_await exchange_.BeginStream(
@@ -579,7 +580,7 @@
          {"bias_permille",
           pool_ == nullptr
               ? "0"
-              : std::to_string(pool_->meter->first_token.permille())},
+              : std::to_string(pool_->meter->first_token.permille(Now()))},
          {"unread", std::to_string(place_.unread_tokens)},
          {"fetched", std::to_string(place_.fetched_tokens)},
          {"running",
--- a/entry/gateway_state.h
+++ b/entry/gateway_state.h
@@ -93,6 +93,12 @@
            wall_offset_us.load(std::memory_order_relaxed);
   }
 
+  // The accounting window that this time of day lies in.
+  std::uint64_t CurrentWindow() const {
+    return static_cast<std::uint64_t>(TimeOfDayMicros() /
+                                      settings.usage_window.count());
+  }
+
   std::atomic<std::int64_t> wall_offset_us;
   // Entry instances whose even share is charged in place of their grants.
   std::atomic<std::uint32_t> unaccounted{0};
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -164,6 +164,9 @@
       Log(log_level::kInfo, log_event::kPeerGone, {{"peer", name}});
       gone(name);
     }
+    const std::uint64_t window = state_.CurrentWindow();
+    // The clocks of the others may be a little ahead.
+    board_.KeepCounts(window - usage_ledger::kKeptWindows, window + 1);
     ChargeUnaccounted(now);
     ShareRetries();
     SpreadLoad(now);
--- a/entry/usage_checkpoint.h
+++ b/entry/usage_checkpoint.h
@@ -36,7 +36,7 @@
   const usage_counts& stored() const { return stored_; }
 
   // Reads the object unless its version is known. False if the store did not
-  // answer, or if the object can't be read.
+  // answer.
   awaitable<bool> Load(deadline until) {
     if (version_) {
       co_return true;
--- a/entry/usage_reporter.h
+++ b/entry/usage_reporter.h
@@ -49,9 +49,7 @@
     if (!co_await checkpoint_.Load(CallLimit())) {
       co_return;
     }
-    const auto window_us = state_.settings.usage_window.count();
-    const auto current =
-        static_cast<std::uint64_t>(state_.TimeOfDayMicros() / window_us);
+    const std::uint64_t current = state_.CurrentWindow();
     for (std::uint64_t window = current - kOlderWindows - 1; window < current;
          ++window) {
       if (!reported_.contains(window) && HasSettled(window)) {
@@ -61,7 +59,7 @@
     while (reported_.size() > 2 * kOlderWindows) {
       reported_.erase(reported_.begin());
     }
-    co_await SaveCounts(current - kOlderWindows);
+    co_await SaveCounts(current);
   }
 
  private:
@@ -117,7 +115,7 @@
     return since >= kLongestSettle || board_.HeardAllSince(told);
   }
 
-  awaitable<void> SaveCounts(std::uint64_t oldest) {
+  awaitable<void> SaveCounts(std::uint64_t current) {
     const time_point now = state_.clock.Now();
     if (!save_at_.Expired(now)) {
       co_return;
@@ -126,7 +124,9 @@
         std::max<std::size_t>(board_.Members() / kMembersPerInterval, 1));
     save_at_ = deadline::After(now, kSaveInterval * factor);
     usage_counts counts = CountAll();
-    counts.DropBefore(oldest);
+    counts.KeepOnly(current - kOlderWindows, current + 1);
+    // What could not be saved is saved with the next counts. The followers log
+    // an outage of the store.
     co_await checkpoint_.Save(counts, CallLimit());
   }
 
--- a/instances/peer_report.h
+++ b/instances/peer_report.h
@@ -186,6 +186,9 @@
   std::map<std::uint64_t, sent_work> SentElsewhere(time_point now) const;
   // What all others have counted, processes that have ended included.
   const usage_counts& counts() const { return counts_; }
+  void KeepCounts(std::uint64_t first_window, std::uint64_t last_window) {
+    counts_.KeepOnly(first_window, last_window);
+  }
   // Whether every other instance was heard at `time` or later.
   bool HeardAllSince(time_point time) const;
   // Tokens that the others' calls to a service had upstreams read. Drops when a
--- a/links/delay_bias.h
+++ b/links/delay_bias.h
@@ -18,7 +18,7 @@
 class delay_bias {
  public:
   // Takes in a first token. Both times count from the send.
-  void Observe(duration expected, duration real) {
+  void Observe(duration expected, duration real, time_point now) {
     if (expected < kLeastExpected) {
       return;
     }
@@ -28,15 +28,22 @@
     // Two threads at once may lose one of many observations.
     permille_.store(before + (ratio - before) / kObservations,
                     std::memory_order_relaxed);
+    observed_us_.store(now.time_since_epoch().count(),
+                       std::memory_order_relaxed);
   }
 
   // The delay to reckon with.
-  duration Apply(duration expected) const {
-    return expected * permille() / kOne;
+  duration Apply(duration expected, time_point now) const {
+    return expected * permille(now) / kOne;
   }
 
-  std::int64_t permille() const {
-    return permille_.load(std::memory_order_relaxed);
+  // Without recent observations nothing is corrected: a bias that refuses every
+  // call would never be observed again.
+  std::int64_t permille(time_point now) const {
+    const time_point observed(
+        duration(observed_us_.load(std::memory_order_relaxed)));
+    return now - observed > kRecent ? kOne
+                                    : permille_.load(std::memory_order_relaxed);
   }
 
  private:
@@ -49,7 +56,11 @@
   // Below it, constant costs outweigh the work that was counted.
   static constexpr duration kLeastExpected = std::chrono::milliseconds(100);
 
+  // The load of a service changes within a second.
+  static constexpr duration kRecent = std::chrono::seconds(1);
+
   std::atomic<std::int64_t> permille_{kOne};
+  std::atomic<monotonic::rep> observed_us_{0};
 };
 
 }  // namespace anvilloom
--- a/test/correctness/delay_bias_test.cc
+++ b/test/correctness/delay_bias_test.cc
@@ -12,9 +12,10 @@
 
 namespace {
 
-using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
+constexpr time_point kStart{std::chrono::seconds(1000)};
+
 struct burst_result {
   int in_time = 0;
   int late = 0;
@@ -41,12 +42,13 @@
   duration free_at{0};
   for (duration now{0}; now < kLength; now += kArrivals) {
     while (!running.empty() && running.front().first_at <= now) {
-      bias.Observe(running.front().expected, running.front().real);
+      bias.Observe(running.front().expected, running.front().real,
+                   kStart + now);
       running.pop_front();
     }
     const duration ahead = std::max(free_at - now, duration::zero());
     const duration expected = ahead * 600 / 1000 + kReading;
-    if (expect(expected) > kTarget) {
+    if (expect(expected, kStart + now) > kTarget) {
       ++result.refused;
       continue;
     }
@@ -65,15 +67,17 @@
 
   WHEN("admission trusts what is expected") {
     const burst_result plain =
-        PlayBurst(bias, [](duration expected) { return expected; });
+        PlayBurst(bias, [](duration expected, time_point) { return expected; });
 
     THEN("most answers come late") {
       REQUIRE(plain.late > plain.in_time);
     }
   }
   WHEN("admission reckons with the bias that was seen") {
-    const burst_result corrected = PlayBurst(
-        bias, [&](duration expected) { return bias.Apply(expected); });
+    const burst_result corrected =
+        PlayBurst(bias, [&](duration expected, time_point now) {
+          return bias.Apply(expected, now);
+        });
 
     THEN("nearly all answers are in time, and as many calls are served") {
       const int served = corrected.in_time + corrected.late;
@@ -88,30 +92,36 @@
   delay_bias bias;
 
   THEN("without observations nothing is corrected") {
-    REQUIRE(bias.Apply(milliseconds(300)) == milliseconds(300));
+    REQUIRE(bias.Apply(milliseconds(300), kStart) == milliseconds(300));
   }
   WHEN("short delays are exceeded many times over") {
     for (int i = 0; i < 100; ++i) {
-      bias.Observe(milliseconds(10), milliseconds(90));
+      bias.Observe(milliseconds(10), milliseconds(90), kStart);
     }
     THEN("they say nothing of long ones") {
-      REQUIRE(bias.permille() == 1000);
+      REQUIRE(bias.permille(kStart) == 1000);
     }
   }
   WHEN("one engine is far too slow") {
     for (int i = 0; i < 1000; ++i) {
-      bias.Observe(milliseconds(100), milliseconds(5000));
+      bias.Observe(milliseconds(100), milliseconds(5000), kStart);
     }
     THEN("the service is not shut for it") {
-      REQUIRE(bias.permille() <= 2000);
+      REQUIRE(bias.permille(kStart) <= 2000);
+    }
+    AND_WHEN("nothing is observed for more than a second") {
+      THEN("calls are admitted again, so that something is") {
+        REQUIRE(bias.permille(kStart) > 1900);
+        REQUIRE(bias.permille(kStart + milliseconds(1001)) == 1000);
+      }
     }
     AND_WHEN("first tokens are early again") {
       for (int i = 0; i < 100; ++i) {
-        bias.Observe(milliseconds(200), milliseconds(50));
+        bias.Observe(milliseconds(200), milliseconds(50), kStart);
       }
       THEN("the bias goes, and never below what is expected") {
-        REQUIRE(bias.permille() >= 1000);
-        REQUIRE(bias.permille() < 1020);
+        REQUIRE(bias.permille(kStart) >= 1000);
+        REQUIRE(bias.permille(kStart) < 1020);
       }
     }
   }
--- a/test/correctness/usage_counts_test.cc
+++ b/test/correctness/usage_counts_test.cc
@@ -133,12 +133,23 @@
         REQUIRE(counts.Sum(40).at("studio") == 14);
       }
     }
-    WHEN("six newer windows have begun") {
-      const std::vector<usage_count> newest{{47, "studio", 1}};
-      counts.Take(kSecondRun, newest);
+    WHEN("a process with a wrong clock counts in a window far ahead") {
+      const std::vector<usage_count> ahead{{4'000, "studio", 1}};
+      counts.Take(kSecondRun, ahead);
 
-      THEN("the old ones are forgotten, with the run that had no others") {
+      THEN("the others are still there") {
+        REQUIRE(counts.Sum(40).at("studio") == 12);
+        counts.KeepOnly(39, 42);
+        REQUIRE(counts.Sum(40).at("studio") == 12);
+        REQUIRE(counts.Sum(4'000).empty());
+      }
+    }
+    WHEN("old windows are forgotten") {
+      counts.KeepOnly(41, 46);
+
+      THEN("so is the run that had no others") {
         REQUIRE(counts.Sum(40).empty());
+        REQUIRE(counts.Sum(41).at("desk") == 1);
         REQUIRE(counts.processes().size() == 1);
       }
     }
