Forget stored usage counts that the store no longer holds

Found when reading the change again: - Each read of the stored counts was merged into those read before, so windows of long ago piled up in a holder whose writes lose answers now and then. The object holds all that earlier holders stored, so the latest one replaces them. usage_counts_test fails with the earlier code. - One loop replaces the time at which a bucket is full; three had the same. - The factor by which intervals grow with the instances, and the units that a share of a limit allows, are worked out in one place each. - Tests share refusing_store in place of three stores with the same refusals.

Nothing else behaves differently.

--- a/contracts/shared_allowance.cc
+++ b/contracts/shared_allowance.cc
@@ -18,6 +18,19 @@
   return at.time_since_epoch().count();
 }
 
+// Replaces the time at which a bucket is full by what `next` makes of it.
+template <typename Next>
+void Move(std::atomic<std::int64_t>& full_at_us, const Next& next) {
+  std::int64_t before = full_at_us.load(std::memory_order_relaxed);
+  for (;;) {
+    const std::int64_t after = next(before);
+    if (after == before || full_at_us.compare_exchange_weak(
+                               before, after, std::memory_order_relaxed)) {
+      return;
+    }
+  }
+}
+
 }  // namespace
 
 bool shared_allowance::Admit(std::uint64_t units,
@@ -50,12 +63,9 @@
   if (terms.per_second == 0 || units == 0) {
     return;
   }
-  const std::int64_t now_us = Micros(now);
-  std::int64_t full_at = full_at_us_.load(std::memory_order_relaxed);
-  while (!full_at_us_.compare_exchange_weak(
-      full_at, std::max(full_at, now_us) + AccrualUs(units, terms),
-      std::memory_order_relaxed)) {
-  }
+  Move(full_at_us_, [&](std::int64_t full_at) {
+    return std::max(full_at, Micros(now)) + AccrualUs(units, terms);
+  });
 }
 
 void shared_allowance::ChargeEarlier(std::uint64_t units,
@@ -64,18 +74,12 @@
   if (terms.per_second == 0 || units == 0) {
     return;
   }
-  const std::int64_t now_us = Micros(now);
-  const std::int64_t empty_at = now_us + AccrualUs(terms.burst, terms);
-  std::int64_t full_at = full_at_us_.load(std::memory_order_relaxed);
-  for (;;) {
+  const std::int64_t empty_at = Micros(now) + AccrualUs(terms.burst, terms);
+  Move(full_at_us_, [&](std::int64_t full_at) {
     const std::int64_t charged =
-        std::min(std::max(full_at, now_us) + AccrualUs(units, terms), empty_at);
-    if (charged <= full_at ||
-        full_at_us_.compare_exchange_weak(full_at, charged,
-                                          std::memory_order_relaxed)) {
-      return;
-    }
-  }
+        std::max(full_at, Micros(now)) + AccrualUs(units, terms);
+    return std::max(full_at, std::min(charged, empty_at));
+  });
 }
 
 void shared_allowance::TakeBack(std::uint64_t units,
@@ -85,15 +89,10 @@
     return;
   }
   const std::int64_t empty_at = Micros(now) + AccrualUs(terms.burst, terms);
-  std::int64_t full_at = full_at_us_.load(std::memory_order_relaxed);
-  for (;;) {
-    const std::int64_t left =
-        std::max(full_at - AccrualUs(units, terms), empty_at);
-    if (left >= full_at || full_at_us_.compare_exchange_weak(
-                               full_at, left, std::memory_order_relaxed)) {
-      return;
-    }
-  }
+  Move(full_at_us_, [&](std::int64_t full_at) {
+    const std::int64_t left = full_at - AccrualUs(units, terms);
+    return std::min(full_at, std::max(left, empty_at));
+  });
 }
 
 void shared_allowance::Refund(std::uint64_t units,
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -24,9 +24,6 @@
 // Part of the shared extra repeats that the instances may save up together. The
 // rest is for repeats that cross two windows.
 constexpr std::uint32_t kSavedRepeatsDivisor = 2;
-// Each instance reports to each other one, so the interval grows with their
-// number. At 60 instances and 500 bytes a report, that is 49 KB a second.
-constexpr std::size_t kMembersPerInterval = 20;
 // Instances that tell each other at once what they send to an upstream. Among
 // fewer instances, all do.
 constexpr std::size_t kCoSenders = 7;
@@ -300,9 +297,7 @@
 }
 
 duration peer_reporter::SteadyInterval() const {
-  const std::size_t factor = board_.Members() / kMembersPerInterval;
-  return state_.settings.report_interval *
-         static_cast<std::int64_t>(std::max<std::size_t>(factor, 1));
+  return state_.settings.report_interval * board_.IntervalFactor();
 }
 
 void peer_reporter::ComposeGranted(const serving_view& view,
@@ -354,16 +349,15 @@
     return;
   }
   const time_point now = state_.clock.Now();
-  const double ahead =
-      static_cast<double>(Interval().count()) / kFirstChargeDivisor / 1e6;
-  ForEachLimit([now, ahead](const manifest_workspace& workspace,
-                            shared_allowance& allowance) {
+  const duration until_report = Interval();
+  ForEachLimit([now, until_report](const manifest_workspace& workspace,
+                                   shared_allowance& allowance) {
     const allowance_terms terms = TermsOf(workspace);
-    const double units =
-        static_cast<double>(workspace.units_per_second) * ahead;
     allowance.ChargeEarlier(workspace.burst_units, terms, now);
     // Until the first report, no share of the others is charged.
-    allowance.Charge(static_cast<std::uint64_t>(units), terms, now);
+    allowance.Charge(UnitsIn(until_report, workspace.units_per_second,
+                             1 / kFirstChargeDivisor),
+                     terms, now);
   });
 }
 
--- a/entry/usage_checkpoint.h
+++ b/entry/usage_checkpoint.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "common/log.h"
 #include "common/time.h"
@@ -20,9 +21,9 @@
 inline constexpr std::string_view kUsageCountsKind = "usage-counts";
 inline constexpr std::string_view kUsageCountsName = "latest";
 
-// Written by the holder of the duties only. Every write is conditional, and
-// counts are merged by taking the larger value, so that a late write of an
-// earlier holder takes nothing away.
+// Written by the holder of the duties only. Every write is conditional, and a
+// holder writes what it has read too, so that the object holds all that earlier
+// ones stored and a late write of one of them takes nothing away.
 template <object_store Store>
 class usage_checkpoint {
  public:
@@ -50,9 +51,8 @@
       co_return version_.has_value();
     }
     version_ = object->version;
-    const auto counts = DecodeUsageCounts(object->value);
-    if (counts) {
-      stored_.Merge(*counts);
+    if (auto counts = DecodeUsageCounts(object->value)) {
+      stored_ = std::move(*counts);
     } else {
       // The next write replaces it.
       Log(log_level::kError, log_event::kUsageCountsUnreadable,
--- a/entry/usage_reporter.h
+++ b/entry/usage_reporter.h
@@ -3,7 +3,6 @@
 #ifndef ENTRY_USAGE_REPORTER_H_
 #define ENTRY_USAGE_REPORTER_H_
 
-#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <set>
@@ -77,7 +76,6 @@
   // 300 ms that is about the tolerance for a window of five seconds. Grows with
   // the number of instances, since the counts of each are in the object.
   static constexpr duration kSaveInterval = std::chrono::milliseconds(300);
-  static constexpr std::size_t kMembersPerInterval = 20;
   // The last ended window, and those before that a new holder still reports.
   static constexpr std::uint64_t kOlderWindows = 3;
 
@@ -120,9 +118,7 @@
     if (!save_at_.Expired(now)) {
       co_return;
     }
-    const auto factor = static_cast<std::int64_t>(
-        std::max<std::size_t>(board_.Members() / kMembersPerInterval, 1));
-    save_at_ = deadline::After(now, kSaveInterval * factor);
+    save_at_ = deadline::After(now, kSaveInterval * board_.IntervalFactor());
     usage_counts counts = CountAll();
     counts.KeepOnly(current - kOlderWindows, current + 1);
     // What could not be saved is saved with the next counts. The followers log
--- a/instances/peer_report.h
+++ b/instances/peer_report.h
@@ -161,6 +161,12 @@
 
   // Instances that are known, this one included.
   std::size_t Members() const { return peers_.size() + 1; }
+  // By how much longer than for a few instances anything takes that costs one
+  // message or value for each.
+  std::int64_t IntervalFactor() const {
+    return static_cast<std::int64_t>(
+        std::max<std::size_t>(Members() / kMembersPerInterval, 1));
+  }
   // Those of them that are silent at `now`.
   std::size_t Silent(time_point now) const;
   // Those of them whose grants are not known: they are silent, or their
@@ -265,6 +271,9 @@
   }
 
   static constexpr int kMissedReports = 4;
+  // Each instance reports to each other one, so the interval grows with their
+  // number. At 60 instances and 500 bytes a report, that is 49 KB a second.
+  static constexpr std::size_t kMembersPerInterval = 20;
 
   std::string own_name_;
   report_board_terms terms_;
--- a/test/correctness/departed_entries_test.cc
+++ b/test/correctness/departed_entries_test.cc
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "entry/departed_entries.h"
+#include "test/support/refusing_store.h"
 
 namespace anvilloom {
 
@@ -19,14 +20,11 @@
 constexpr std::string_view kKind = "instances";
 
 // Objects of one kind in memory.
-class small_store {
+class small_store : public refusing_store {
  public:
   std::map<std::string, std::uint64_t, std::less<>> versions;
   int calls = 0;
 
-  awaitable<store_result<object_list>> List(std::string_view, deadline) {
-    co_return store_error::kRefused;
-  }
   awaitable<store_result<stored_object>> Get(std::string_view,
                                              std::string_view name,
                                              deadline) {
@@ -37,19 +35,6 @@
     }
     co_return stored_object{found->first, found->second, "{}"};
   }
-  awaitable<store_result<std::uint64_t>> Create(std::string_view,
-                                                std::string_view,
-                                                std::string_view,
-                                                deadline) {
-    co_return store_error::kRefused;
-  }
-  awaitable<store_result<std::uint64_t>> Update(std::string_view,
-                                                std::string_view,
-                                                std::uint64_t,
-                                                std::string_view,
-                                                deadline) {
-    co_return store_error::kRefused;
-  }
   awaitable<store_result<std::uint64_t>> Delete(std::string_view kind,
                                                 std::string_view name,
                                                 std::uint64_t version,
@@ -63,12 +48,6 @@
     versions.erase(found);
     co_return version;
   }
-  awaitable<store_result<std::uint64_t>> Watch(std::string_view,
-                                               std::uint64_t,
-                                               const object_event_sink&,
-                                               deadline) {
-    co_return store_error::kRefused;
-  }
 };
 
 static_assert(object_store<small_store>);
--- a/test/correctness/lease_storage_test.cc
+++ b/test/correctness/lease_storage_test.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "entry/lease_runner.h"
+#include "test/support/refusing_store.h"
 #include "wire/lease_json.h"
 
 namespace anvilloom {
@@ -34,7 +35,7 @@
 };
 
 // One lease object in memory, with scripted faults.
-class scripted_store {
+class scripted_store : public refusing_store {
  public:
   write_fate fate = write_fate::kApplied;
   bool reads_fail = false;
@@ -46,9 +47,6 @@
     held = stored_object{std::string(kName), ++version_, std::string(text)};
   }
 
-  awaitable<store_result<object_list>> List(std::string_view, deadline) {
-    co_return store_error::kRefused;
-  }
   awaitable<store_result<stored_object>> Get(std::string_view,
                                              std::string_view,
                                              deadline) {
@@ -75,18 +73,6 @@
                                                 deadline) {
     co_return Write(version, value);
   }
-  awaitable<store_result<std::uint64_t>> Delete(std::string_view,
-                                                std::string_view,
-                                                std::uint64_t,
-                                                deadline) {
-    co_return store_error::kRefused;
-  }
-  awaitable<store_result<std::uint64_t>> Watch(std::string_view,
-                                               std::uint64_t,
-                                               const object_event_sink&,
-                                               deadline) {
-    co_return store_error::kRefused;
-  }
 
  private:
   bool Apply(std::uint64_t condition, std::string_view value) {
--- a/test/correctness/usage_counts_test.cc
+++ b/test/correctness/usage_counts_test.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "entry/usage_checkpoint.h"
+#include "test/support/refusing_store.h"
 
 namespace anvilloom {
 
@@ -23,16 +24,13 @@
 const counting_process kSecondRun{"entry-a", 6};
 
 // One object in memory whose writes may lose their answers.
-class one_object_store {
+class one_object_store : public refusing_store {
  public:
   std::optional<stored_object> held;
   bool away = false;
   bool loses_answer = false;
   int writes = 0;
 
-  awaitable<store_result<object_list>> List(std::string_view, deadline) {
-    co_return store_error::kRefused;
-  }
   awaitable<store_result<stored_object>> Get(std::string_view,
                                              std::string_view,
                                              deadline) {
@@ -57,18 +55,6 @@
                                                 deadline) {
     co_return Write(name, version, value);
   }
-  awaitable<store_result<std::uint64_t>> Delete(std::string_view,
-                                                std::string_view,
-                                                std::uint64_t,
-                                                deadline) {
-    co_return store_error::kRefused;
-  }
-  awaitable<store_result<std::uint64_t>> Watch(std::string_view,
-                                               std::uint64_t,
-                                               const object_event_sink&,
-                                               deadline) {
-    co_return store_error::kRefused;
-  }
 
  private:
   store_result<std::uint64_t> Write(std::string_view name,
@@ -204,6 +190,21 @@
                 19);
       }
     }
+    WHEN("the object is read again and again as windows pass") {
+      usage_checkpoint<one_object_store> reader(store);
+      for (std::uint64_t window = 41; window < 60; ++window) {
+        const std::vector<usage_count> newer{{window, "studio", 1}};
+        counts.Take(kFirstRun, newer);
+        counts.KeepOnly(window - 3, window);
+        REQUIRE(Await(holder.Save(counts, until)));
+        reader.Forget();
+        REQUIRE(Await(reader.Load(until)));
+      }
+
+      THEN("what it has read does not pile up") {
+        REQUIRE(reader.stored() == counts);
+      }
+    }
     WHEN("nothing was counted since") {
       REQUIRE(Await(holder.Save(counts, until)));
 
--- a/test/support/platform_system.cc
+++ b/test/support/platform_system.cc
@@ -52,9 +52,9 @@
   text =
       Replace(std::move(text), "%VERSION%", std::to_string(manifest_version_));
   text = Replace(std::move(text), "%KEYS%", list);
-  for (int i = 0; i < 2; ++i) {
-    text = Replace(std::move(text), "%RATE%", std::to_string(calls_per_second));
-  }
+  const std::string rate = std::to_string(calls_per_second);
+  text = Replace(std::move(text), "%LIMIT%",
+                 R"("ratePerS":)" + rate + R"(,"burst":)" + rate);
   Put(port("platform"), "config", "main", text);
 }
 
--- a/test/support/platform_system.h
+++ b/test/support/platform_system.h
@@ -35,8 +35,7 @@
               {"name":"desk"}],
   "limits":{"maxHeaderBytes":8192,"maxBodyBytes":65536,
             "headerTimeoutMs":3000,"idleTimeoutMs":15000},
-  "tenants":[{"name":"studio","apiKeys":[%KEYS%],
-              "ratePerS":%RATE%,"burst":%RATE%}]})";
+  "tenants":[{"name":"studio","apiKeys":[%KEYS%],%LIMIT%}]})";
 
 class platform_system {
  public:
