--- a/test/error/handover_test.cc
+++ b/test/error/handover_test.cc
@@ -96,6 +96,13 @@
 
       THEN("the other peer takes the stream, and nothing is lost") {
         const followed_stream stream = followed.get();
+        // What explains a stream that did not end.
+        CAPTURE(stream.status, stream.stream_id, stream.reconnects,
+                stream.text.size());
+        INFO(entries.system().process("entry-a").Output());
+        INFO(entries.system()
+                 .process(paused == "entry-b" ? "entry-c" : "entry-b")
+                 .Output());
         REQUIRE(exit_code == 0);
         REQUIRE(stream.ended);
         REQUIRE(stream.text == ExpectedAnswer("paused peer", 400));
