Judge the reclaim plan in a wave whose exports fit the notice

Cause, reproduced: routing puts 16 of the 24 streams on one engine, whose exports go one after the other and take 1.9 s on an idle machine. Beside 24 busy processes and compilers on 6 cores an export takes 210 ms instead of 116 ms: 21 and 17 by export, the test fails. The plan itself does what it says: it prefills what does not fit.

Ruled out: another split of the streams (16 and 8 in the failing run, too), so starting the streams one by one changes nothing; that trial is reverted.

The wave now has 5 s of notice and streams of 400 tokens, and the check is stricter: 98 in 100 tokens saved instead of 9 in 10, so that not one stream may be prefilled. A failure prints the split and the log.

--- a/test/performance/reclaim_wave_test.cc
+++ b/test/performance/reclaim_wave_test.cc
@@ -15,8 +15,13 @@
 namespace {
 
 constexpr int kStreams = 24;
-constexpr std::uint32_t kTokens = 200;
-constexpr std::uint32_t kNoticeMs = 2000;
+// At 25 ms each, so that no stream ends before the reclaim.
+constexpr std::uint32_t kTokens = 400;
+// Routing puts 16 of the 24 streams on one engine, and their exports take 1.9 s
+// on an idle machine; beside four busy processes and compilers on each core one
+// export took 210 ms instead of 116 ms. With 2 s the scheduling of the machine
+// decided how many were in time, not the plan.
+constexpr std::uint32_t kNoticeMs = 5000;
 constexpr std::size_t kPromptBytes = 4000;
 
 // What one wave cost.
@@ -25,6 +30,10 @@
   double exported = 0;
   double prefilled = 0;
   int whole = 0;
+  // Streams on each leaving engine when the notice was given.
+  std::vector<std::uint64_t> split;
+  // What the entry instance logged.
+  std::string log;
 };
 
 std::string Prompt(int number) {
@@ -54,6 +63,10 @@
     return world.Outstanding(number);
   });
   numbers.resize(2);
+  wave_cost cost;
+  for (const std::size_t leaving : numbers) {
+    cost.split.push_back(world.Outstanding(leaving));
+  }
   for (const std::size_t leaving : numbers) {
     world.GiveNotice(leaving, kNoticeMs);
   }
@@ -61,7 +74,6 @@
   for (const std::size_t leaving : numbers) {
     world.engine(leaving).Kill();
   }
-  wave_cost cost;
   for (int i = 0; i < kStreams; ++i) {
     const streamed_answer answer = answers[i].get();
     const bool whole = answer.ended && answer.consecutive &&
@@ -71,26 +83,29 @@
   cost.recomputed = world.Metric("recomputed_tokens_total") - before;
   cost.exported = world.Metric("streams_moved_by_export_total");
   cost.prefilled = world.Metric("streams_moved_by_prefill_total");
+  cost.log = world.system().process("entry-a").Output();
   return cost;
 }
 
 }  // namespace
 
 SCENARIO("The reclaim plan saves recomputed tokens in a wave") {
-  GIVEN("two of four engines that are reclaimed after 2 s, 24 streams") {
+  GIVEN("two of four engines that are reclaimed after 5 s, 24 streams") {
     const wave_cost with = RunWave("true");
     const wave_cost without = RunWave("false");
-    WARN("Recomputed tokens: " << with.recomputed << " with the plan ("
-                               << with.exported << " exported, "
-                               << with.prefilled << " prefilled), "
-                               << without.recomputed << " without");
+    WARN("Recomputed tokens: "
+         << with.recomputed << " with the plan (" << with.exported
+         << " exported, " << with.prefilled << " prefilled), "
+         << without.recomputed << " without; streams on the leaving engines: "
+         << with.split.at(0) << " and " << with.split.at(1));
 
     THEN("every stream is whole either way") {
+      INFO(with.log);
       REQUIRE(with.whole == kStreams);
       REQUIRE(without.whole == kStreams);
-      AND_THEN("the plan saves at least nine tokens in ten") {
+      AND_THEN("the plan saves at least 98 tokens in 100") {
         REQUIRE(without.recomputed > 0);
-        REQUIRE(with.recomputed * 10 < without.recomputed);
+        REQUIRE(with.recomputed * 50 < without.recomputed);
       }
     }
   }
