List the requests of a followed stream when the hand-over test fails

A stream that did not end may have waited in one request or been refused in many; the port, status, time and bytes of each request tell which.

--- a/test/error/handover_test.cc
+++ b/test/error/handover_test.cc
@@ -97,8 +97,7 @@
       THEN("the other peer takes the stream, and nothing is lost") {
         const followed_stream stream = followed.get();
         // What explains a stream that did not end.
-        CAPTURE(stream.status, stream.stream_id, stream.reconnects,
-                stream.text.size());
+        CAPTURE(stream.stream_id, stream.requests);
         INFO(entries.system().process("entry-a").Output());
         INFO(entries.system()
                  .process(paused == "entry-b" ? "entry-c" : "entry-b")
--- a/test/support/stream_reader.cc
+++ b/test/support/stream_reader.cc
@@ -136,6 +136,8 @@
     if (!last_event_id.empty()) {
       request.set("Last-Event-ID", last_event_id);
     }
+    const time_point asked_at = steady_source().Now();
+    const std::size_t bytes_before = followed.text.size();
     boost::asio::io_context context(1);
     http_client client(context.get_executor());
     boost::asio::co_spawn(
@@ -143,6 +145,12 @@
         ReadOnce(client, port, std::move(request), followed, last_event_id),
         boost::asio::detached);
     context.run();
+    const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(
+        steady_source().Now() - asked_at);
+    followed.requests +=
+        std::to_string(port) + " status " + std::to_string(followed.status) +
+        " " + std::to_string(taken.count()) + " ms " +
+        std::to_string(followed.text.size() - bytes_before) + " bytes\n";
     if (followed.ended || followed.reconnects == most_reconnects) {
       break;
     }
--- a/test/support/stream_reader.h
+++ b/test/support/stream_reader.h
@@ -21,6 +21,8 @@
   std::uint32_t misplaced = 0;
   // The status of the latest answer.
   unsigned status = 0;
+  // One line for each request: its port, status, time in ms, bytes of text.
+  std::string requests;
 };
 
 // Asks ports[0]. Each time the connection ends early, goes on at the next of
