Give attempts of different holders of a stream different ids

The instance that takes a stream over numbered its attempts from 1 again, so that its first request had the id of the request that the former holder still had at the engine: "<stream>/1" twice. An engine that looks requests up by id (export, cancel) can't tell them apart, and one that refuses a second request under a running id would cost the stream its best engine.

The id is "<stream>/<transfer>.<number>", where the transfer counts hand-overs.

--- a/entry/stream_attempt.cc
+++ b/entry/stream_attempt.cc
@@ -56,7 +56,10 @@
       session_(std::move(session)),
       chosen_(std::move(chosen)),
       number_(number),
-      id_(session_->order().stream_id + "/" + std::to_string(number)),
+      // The number begins anew at each holder of the stream, whose last attempt
+      // may still run at the engine, so the id says which holder it is.
+      id_(session_->order().stream_id + "/" +
+          std::to_string(session_->transfer()) + "." + std::to_string(number)),
       stall_(StallLimitsOf(session_->order().target.terms)),
       check_(id_, session_->tokens()),
       started_at_(self.process().clock.Now()),
--- a/standins/model_engine.cc
+++ b/standins/model_engine.cc
@@ -106,9 +106,10 @@
     leaving_ = true;
     co_await exchange.Respond(http_status::ok, kJsonType, "{}");
   } else if (path == "/seen") {
-    co_await exchange.Respond(
-        http_status::ok, kJsonType,
-        R"({"requests":)" + std::to_string(requests_) + "}");
+    co_await exchange.Respond(http_status::ok, kJsonType,
+                              R"({"requests":)" + std::to_string(requests_) +
+                                  R"(,"duplicate_ids":)" +
+                                  std::to_string(duplicate_ids_) + "}");
   }
 }
 
@@ -275,7 +276,8 @@
   }
   co_await slots_.Acquire(
       RankOf(StringMember(*parsed, "priority").value_or("normal")));
-  running_.insert_or_assign(work.request_id, &work);
+  const bool first = running_.insert_or_assign(work.request_id, &work).second;
+  duplicate_ids_ += first ? 0 : 1;
   RecordLoad();
   co_await Generate(exchange, work, fault);
   running_.erase(work.request_id);
--- a/standins/model_engine.h
+++ b/standins/model_engine.h
@@ -96,6 +96,8 @@
   std::chrono::steady_clock::time_point loaded_at_{};
   bool leaving_ = false;
   std::uint64_t requests_ = 0;
+  // Requests that began under the id of one that was running.
+  std::uint64_t duplicate_ids_ = 0;
   // Running generations by request id.
   std::map<std::string, generation*, std::less<>> running_;
 };
--- a/test/error/handover_test.cc
+++ b/test/error/handover_test.cc
@@ -73,6 +73,8 @@
         REQUIRE(b.misplaced + c.misplaced + a.misplaced == 0);
         // The hand-over really took place.
         REQUIRE(b.reconnects >= 1);
+        // An engine must be able to tell the attempts of both holders apart.
+        REQUIRE(entries.DuplicateIds() == 0);
       }
     }
   }
--- a/test/support/three_entries.cc
+++ b/test/support/three_entries.cc
@@ -76,14 +76,23 @@
 }
 
 std::uint64_t three_entries::EngineRequests() const {
-  std::uint64_t requests = 0;
+  return EngineSum("requests");
+}
+
+std::uint64_t three_entries::DuplicateIds() const {
+  return EngineSum("duplicate_ids");
+}
+
+std::uint64_t three_entries::EngineSum(std::string_view member) const {
+  std::uint64_t sum = 0;
   for (const std::string_view engine : {"e1", "e2"}) {
     const caller_answer seen =
         Call(system_.port(engine), http_verb::post, "/seen");
-    requests +=
-        boost::json::parse(seen.body).at("requests").to_number<std::uint64_t>();
+    sum += boost::json::parse(seen.body)
+               .at({member.data(), member.size()})
+               .to_number<std::uint64_t>();
   }
-  return requests;
+  return sum;
 }
 
 std::future<followed_stream> three_entries::Follow(
--- a/test/support/three_entries.h
+++ b/test/support/three_entries.h
@@ -37,6 +37,8 @@
   std::vector<std::string> Streams(std::string_view name) const;
   // Completion requests that the engines have seen.
   std::uint64_t EngineRequests() const;
+  // Completion requests that began under the id of one that was running.
+  std::uint64_t DuplicateIds() const;
 
   std::future<followed_stream> Follow(
       const std::vector<std::uint16_t>& ports,
@@ -44,6 +46,9 @@
       std::uint32_t tokens = kLongStreamTokens) const;
 
  private:
+  // Sum over the engines of a member of their account.
+  std::uint64_t EngineSum(std::string_view member) const;
+
   local_system system_;
   std::uint16_t a_ = 0;
   std::uint16_t b_ = 0;
