Judge the pace of an upstream by sixteen token intervals at a time

Cause: with one call at a time every review sees one new token. The link's average weighs it by an eighth and the baseline follows the average by a thirty-second of the difference at each review, so the baseline moves along and the average never comes to 2.5 times of it. With several calls a review sees many tokens, which hides that.

A review now judges the pace, and moves the baseline, only when 16 intervals have come since the last judgement. The baseline takes 10 judgements, at least 160 tokens; 20 reviews could be 20 tokens before.

--- a/links/health.cc
+++ b/links/health.cc
@@ -78,8 +78,13 @@
   bad_in_a_row_ += reading.bad_answers - seen_.bad_answers;
 }
 
+bool upstream_health::JudgesPace(const health_reading& reading) const {
+  return reading.token_intervals - intervals_judged_ >=
+         limits_.judged_intervals;
+}
+
 bool upstream_health::ShowsLatencyShift(const health_reading& reading) {
-  if (reading.token_intervals == seen_.token_intervals) {
+  if (!JudgesPace(reading)) {
     return false;
   }
   const bool has_baseline = baseline_age_ >= limits_.baseline_reviews;
@@ -95,10 +100,13 @@
 }
 
 void upstream_health::UpdateBaseline(const health_reading& reading) {
+  if (!JudgesPace(reading)) {
+    return;
+  }
+  intervals_judged_ = reading.token_intervals;
   const bool in_doubt =
       slow_reviews_ > 0 && slow_reviews_ <= limits_.adopt_reviews;
-  if (reading.token_intervals == seen_.token_intervals ||
-      shifted_reviews_ > 0 || in_doubt) {
+  if (shifted_reviews_ > 0 || in_doubt) {
     return;
   }
   const std::int64_t interval = reading.token_interval.count();
--- a/links/health.h
+++ b/links/health.h
@@ -24,13 +24,19 @@
   duration longest_quarantine = std::chrono::seconds(60);
   // Token interval over the baseline that counts as a shift, in thousandths.
   std::uint32_t shift_permille = 2500;
-  // Reviews with new tokens before there is a baseline.
-  std::uint32_t baseline_reviews = 20;
-  // Reviews in a row that must show the shift: one slow batch is no patch.
+  // Token intervals since the last judgement of the pace that make a review
+  // judge it again. The link's average weighs each by an eighth, so it holds
+  // 88% of a new pace then. Judged token by token, it would move the baseline
+  // along before it shows a shift.
+  std::uint32_t judged_intervals = 16;
+  // Judgements before there is a baseline.
+  std::uint32_t baseline_reviews = 10;
+  // Judgements in a row that must show the shift: one slow batch is no patch.
   std::uint32_t shift_reviews = 5;
-  // Reviews in a row that show a shift at an unusual load before both count as
-  // usual: ten seconds at the entry instance's interval. Calls stay longer at
-  // an upstream that became slower, so its load grows until routing avoids it.
+  // Judgements in a row that show a shift at an unusual load before both count
+  // as usual: at least ten seconds at the entry instance's interval. Calls stay
+  // longer at an upstream that became slower, so its load grows until routing
+  // avoids it.
   std::uint32_t adopt_reviews = 200;
 };
 
@@ -66,6 +72,7 @@
  private:
   health_cause FindCause(const health_reading& reading);
   void CountBadAnswers(const health_reading& reading);
+  bool JudgesPace(const health_reading& reading) const;
   bool ShowsLatencyShift(const health_reading& reading);
   void UpdateBaseline(const health_reading& reading);
   void BeginQuarantine(health_cause cause, time_point now);
@@ -87,8 +94,10 @@
   std::int64_t baseline_load_ = 0;
   std::uint32_t baseline_age_ = 0;
   std::uint32_t shifted_reviews_ = 0;
-  // Reviews in a row with a shift, whatever the load.
+  // Judgements in a row with a shift, whatever the load.
   std::uint32_t slow_reviews_ = 0;
+  // Token intervals at the last judgement of the pace.
+  std::uint32_t intervals_judged_ = 0;
 };
 
 }  // namespace anvilloom
--- a/test/correctness/upstream_health_test.cc
+++ b/test/correctness/upstream_health_test.cc
@@ -164,6 +164,21 @@
       }
     }
 
+    WHEN("it becomes slower and answers one call at a time") {
+      int tokens = 0;
+      while (upstream.path().condition() == link_condition::kHealthy &&
+             tokens < 200) {
+        upstream.path().ObserveTokenInterval(milliseconds(80));
+        upstream.Review();
+        ++tokens;
+      }
+
+      THEN("the shift is found within a hundred tokens") {
+        REQUIRE(upstream.health().cause() == health_cause::kLatencyShift);
+        REQUIRE(tokens <= 100);
+      }
+    }
+
     WHEN("a higher load stays for good") {
       for (int i = 0; i < 8; ++i) {
         upstream.path().Begin();
