Share what limits, run names and pace tests wrote more than once

- Charges of a shared allowance begin with the same guard and accrual; they stand in MoveBy() now, and the empty bucket in EmptyAtUs().
- Name and epoch of a run were joined in three places (owner of claims, holder of the fleet lease, stream ids); process_state::RunName() does it.
- upstream_health: the state intervals_at_judgement_ no longer has nearly the name of the limit judged_intervals.

No behaviour changes.

--- a/contracts/shared_allowance.cc
+++ b/contracts/shared_allowance.cc
@@ -24,12 +24,25 @@
   return at.time_since_epoch().count();
 }
 
-// Replaces the time at which a bucket is full by what `next` makes of it.
+// When a bucket that is empty at `now` will be full.
+std::int64_t EmptyAtUs(const allowance_terms& terms, time_point now) {
+  return Micros(now) + AccrualUs(terms.burst, terms);
+}
+
+// Replaces the time at which a bucket is full by what `next` makes of it and of
+// the time in which `units` accrue. Does nothing where there is no limit.
 template <typename Next>
-void Move(std::atomic<std::int64_t>& full_at_us, const Next& next) {
+void MoveBy(std::atomic<std::int64_t>& full_at_us,
+            std::uint64_t units,
+            const allowance_terms& terms,
+            const Next& next) {
+  if (terms.per_second == 0 || units == 0) {
+    return;
+  }
+  const std::int64_t accrual = AccrualUs(units, terms);
   std::int64_t before = full_at_us.load(std::memory_order_relaxed);
   for (;;) {
-    const std::int64_t after = next(before);
+    const std::int64_t after = next(before, accrual);
     if (after == before || full_at_us.compare_exchange_weak(
                                before, after, std::memory_order_relaxed)) {
       return;
@@ -70,39 +83,31 @@
 void shared_allowance::Charge(std::uint64_t units,
                               const allowance_terms& terms,
                               time_point now) {
-  if (terms.per_second == 0 || units == 0) {
-    return;
-  }
-  Move(full_at_us_, [&](std::int64_t full_at) {
-    return std::max(full_at, Micros(now)) + AccrualUs(units, terms);
-  });
+  MoveBy(full_at_us_, units, terms,
+         [&](std::int64_t full_at, std::int64_t accrual) {
+           return std::max(full_at, Micros(now)) + accrual;
+         });
 }
 
 void shared_allowance::ChargeEarlier(std::uint64_t units,
                                      const allowance_terms& terms,
                                      time_point now) {
-  if (terms.per_second == 0 || units == 0) {
-    return;
-  }
-  const std::int64_t empty_at = Micros(now) + AccrualUs(terms.burst, terms);
-  Move(full_at_us_, [&](std::int64_t full_at) {
-    const std::int64_t charged =
-        std::max(full_at, Micros(now)) + AccrualUs(units, terms);
-    return std::max(full_at, std::min(charged, empty_at));
-  });
+  MoveBy(full_at_us_, units, terms,
+         [&](std::int64_t full_at, std::int64_t accrual) {
+           const std::int64_t charged =
+               std::max(full_at, Micros(now)) + accrual;
+           return std::max(full_at, std::min(charged, EmptyAtUs(terms, now)));
+         });
 }
 
 void shared_allowance::TakeBack(std::uint64_t units,
                                 const allowance_terms& terms,
                                 time_point now) {
-  if (terms.per_second == 0 || units == 0) {
-    return;
-  }
-  const std::int64_t empty_at = Micros(now) + AccrualUs(terms.burst, terms);
-  Move(full_at_us_, [&](std::int64_t full_at) {
-    const std::int64_t left = full_at - AccrualUs(units, terms);
-    return std::min(full_at, std::max(left, empty_at));
-  });
+  MoveBy(full_at_us_, units, terms,
+         [&](std::int64_t full_at, std::int64_t accrual) {
+           const std::int64_t left = full_at - accrual;
+           return std::min(full_at, std::max(left, EmptyAtUs(terms, now)));
+         });
 }
 
 void shared_allowance::Refund(std::uint64_t units,
--- a/entry/claim_owners.cc
+++ b/entry/claim_owners.cc
@@ -10,15 +10,13 @@
 
 namespace {
 
-constexpr char kEpochMark = '.';
-
 struct owner_name {
   std::string_view instance;
   std::string_view epoch;
 };
 
 owner_name SplitOwner(std::string_view owner) {
-  const std::size_t mark = owner.rfind(kEpochMark);
+  const std::size_t mark = owner.rfind(process_state::kRunMark);
   if (mark == std::string_view::npos) {
     return {owner, {}};
   }
@@ -27,10 +25,6 @@
 
 }  // namespace
 
-std::string ClaimOwnerName(const process_state& process) {
-  return process.settings.name + kEpochMark + process.epoch;
-}
-
 bool claim_owners::Gone(std::string_view owner) const {
   const owner_name wanted = SplitOwner(owner);
   if (wanted.epoch.empty()) {
--- a/entry/claim_owners.h
+++ b/entry/claim_owners.h
@@ -3,22 +3,18 @@
 #ifndef ENTRY_CLAIM_OWNERS_H_
 #define ENTRY_CLAIM_OWNERS_H_
 
-#include <string>
 #include <string_view>
 
 #include "entry/process_state.h"
 
 namespace anvilloom {
 
-// The owner that claims of this run of the process name.
-std::string ClaimOwnerName(const process_state& process);
-
 class claim_owners {
  public:
   // `process` must outlive the view.
   explicit claim_owners(const process_state& process) : process_(process) {}
 
-  // Whether `owner`, a name made by ClaimOwnerName, is known to be gone: it
+  // Whether `owner`, a process_state::RunName(), is known to be gone: it
   // left, was taken for failed, or a later run has its instance's name. An
   // owner that is not remembered counts as present.
   bool Gone(std::string_view owner) const;
--- a/entry/fleet_runner.cc
+++ b/entry/fleet_runner.cc
@@ -86,11 +86,7 @@
           TermsFor(std::chrono::milliseconds(process.settings.fleet_lease_ms))),
       store_(executor_, process.settings.object_api),
       engines_(executor_),
-      lease_(store_,
-             process.clock,
-             kFleetLease,
-             process.settings.name + "." + process.epoch,
-             terms_) {}
+      lease_(store_, process.clock, kFleetLease, process.RunName(), terms_) {}
 
 void fleet_runner::Start() {
   if (!process_.settings.fleet) {
--- a/entry/plain_handler.cc
+++ b/entry/plain_handler.cc
@@ -234,7 +234,7 @@
   claimed_send send(self, target, std::move(request), tell_by);
   claim_runner runner(self.objects(), process.clock, claim_owners(process),
                       process.unfinished, operation->name);
-  claim_identity identity{self.NextAttemptToken(), ClaimOwnerName(process),
+  claim_identity identity{self.NextAttemptToken(), process.RunName(),
                           operation->request_digest};
   const claim_verdict verdict =
       co_await runner.Run(std::move(identity), claim_terms{}, tell_by, send);
--- a/entry/process_state.cc
+++ b/entry/process_state.cc
@@ -25,6 +25,10 @@
       world(topology_builder().Build()),
       members(std::make_unique<const membership_snapshot>()) {}
 
+std::string process_state::RunName() const {
+  return settings.name + kRunMark + epoch;
+}
+
 bool process_state::ready() const {
   return revision_in_force.load(std::memory_order_acquire) > 0 &&
          !draining.load(std::memory_order_acquire) &&
--- a/entry/process_state.h
+++ b/entry/process_state.h
@@ -59,6 +59,12 @@
   // still being stored. A planned stop waits for them.
   std::atomic<std::uint32_t> unfinished{0};
 
+  // Between name and epoch in RunName(). A name may contain it, an epoch does
+  // not.
+  static constexpr char kRunMark = '.';
+  // Names this run of the process among all of the fleet.
+  std::string RunName() const;
+
   // Whether the balancer may send new requests here. Not before the hold-down
   // of the limits ends: callers of limited workspaces would be refused.
   bool ready() const;
--- a/entry/worker.cc
+++ b/entry/worker.cc
@@ -14,9 +14,7 @@
       objects_(context.get_executor(), process.settings.object_api) {}
 
 std::string worker::NextStreamId() {
-  std::string id = process_.settings.name;
-  id += '.';
-  id += process_.epoch;
+  std::string id = process_.RunName();
   id += '.';
   id += std::to_string(thread_);
   id += '.';
--- a/links/health.cc
+++ b/links/health.cc
@@ -79,7 +79,7 @@
 }
 
 bool upstream_health::JudgesPace(const health_reading& reading) const {
-  return reading.token_intervals - intervals_judged_ >=
+  return reading.token_intervals - intervals_at_judgement_ >=
          limits_.judged_intervals;
 }
 
@@ -103,7 +103,7 @@
   if (!JudgesPace(reading)) {
     return;
   }
-  intervals_judged_ = reading.token_intervals;
+  intervals_at_judgement_ = reading.token_intervals;
   const bool in_doubt =
       slow_reviews_ > 0 && slow_reviews_ <= limits_.adopt_reviews;
   if (shifted_reviews_ > 0 || in_doubt) {
--- a/links/health.h
+++ b/links/health.h
@@ -96,8 +96,8 @@
   std::uint32_t shifted_reviews_ = 0;
   // Judgements in a row with a shift, whatever the load.
   std::uint32_t slow_reviews_ = 0;
-  // Token intervals at the last judgement of the pace.
-  std::uint32_t intervals_judged_ = 0;
+  // The reading's token intervals at the last judgement of the pace.
+  std::uint32_t intervals_at_judgement_ = 0;
 };
 
 }  // namespace anvilloom
--- a/test/correctness/claim_owners_test.cc
+++ b/test/correctness/claim_owners_test.cc
@@ -33,7 +33,7 @@
     const claim_owners owners(process);
 
     THEN("this run of the process is not gone, an earlier one is") {
-      CHECK_FALSE(owners.Gone(ClaimOwnerName(process)));
+      CHECK_FALSE(owners.Gone(process.RunName()));
       CHECK(owners.Gone("entry-a.0"));
     }
     THEN("a member that is only suspected is not gone, its earlier run is") {
--- a/test/correctness/upstream_health_test.cc
+++ b/test/correctness/upstream_health_test.cc
@@ -43,13 +43,27 @@
     path_.RecordGoodAnswer();
   }
 
-  void Settle() {
-    for (int i = 0; i < 60; ++i) {
-      Answer(milliseconds(20));
+  // Answers and reviews in turn.
+  void AnswerOften(int times, duration interval) {
+    for (int i = 0; i < times; ++i) {
+      Answer(interval);
       Review();
     }
   }
 
+  void Settle() { AnswerOften(60, milliseconds(20)); }
+
+  // Answers and reviews in turn while it is healthy, at most 100 times; returns
+  // how often.
+  int AnswerWhileHealthy(duration interval) {
+    int reviews = 0;
+    while (path_.condition() == link_condition::kHealthy && reviews < 100) {
+      AnswerOften(1, interval);
+      ++reviews;
+    }
+    return reviews;
+  }
+
   time_point now() const { return now_; }
   const upstream_health& health() const { return health_; }
 
@@ -108,13 +122,7 @@
     }
 
     WHEN("its tokens take three times as long at the same load") {
-      int reviews = 0;
-      while (upstream.path().condition() == link_condition::kHealthy &&
-             reviews < 100) {
-        upstream.Answer(milliseconds(60));
-        upstream.Review();
-        ++reviews;
-      }
+      const int reviews = upstream.AnswerWhileHealthy(milliseconds(60));
 
       THEN("the shift is found within a second of reviews") {
         REQUIRE(upstream.health().cause() == health_cause::kLatencyShift);
@@ -126,10 +134,7 @@
       for (int i = 0; i < 8; ++i) {
         upstream.path().Begin();
       }
-      for (int i = 0; i < 100; ++i) {
-        upstream.Answer(milliseconds(60));
-        upstream.Review();
-      }
+      upstream.AnswerOften(100, milliseconds(60));
 
       THEN("that is no fault") {
         REQUIRE(upstream.path().condition() == link_condition::kHealthy);
@@ -142,21 +147,12 @@
       for (int i = 0; i < 4; ++i) {
         upstream.path().Begin();
       }
-      for (int i = 0; i < 40; ++i) {
-        upstream.Answer(milliseconds(80));
-        upstream.Review();
-      }
+      upstream.AnswerOften(40, milliseconds(80));
       REQUIRE(upstream.path().condition() == link_condition::kHealthy);
       for (int i = 0; i < 4; ++i) {
         upstream.path().End();
       }
-      int reviews = 0;
-      while (upstream.path().condition() == link_condition::kHealthy &&
-             reviews < 100) {
-        upstream.Answer(milliseconds(80));
-        upstream.Review();
-        ++reviews;
-      }
+      const int reviews = upstream.AnswerWhileHealthy(milliseconds(80));
 
       THEN("the shift is found once they have ended") {
         REQUIRE(upstream.health().cause() == health_cause::kLatencyShift);
@@ -183,18 +179,9 @@
       for (int i = 0; i < 8; ++i) {
         upstream.path().Begin();
       }
-      for (int i = 0; i < 500; ++i) {
-        upstream.Answer(milliseconds(60));
-        upstream.Review();
-      }
+      upstream.AnswerOften(500, milliseconds(60));
       REQUIRE(upstream.path().condition() == link_condition::kHealthy);
-      int reviews = 0;
-      while (upstream.path().condition() == link_condition::kHealthy &&
-             reviews < 100) {
-        upstream.Answer(milliseconds(200));
-        upstream.Review();
-        ++reviews;
-      }
+      const int reviews = upstream.AnswerWhileHealthy(milliseconds(200));
 
       THEN("it becomes the usual one, and a shift on top of it is found") {
         REQUIRE(upstream.health().cause() == health_cause::kLatencyShift);
