Accept fractions in the settings that the platform renders

Cause: bounds are stated as whole numbers or fractions.

Change: retry_extra, lease_ms and threads are read as numbers that may have a fraction; part of a core counts as a thread.

--- a/entry/gateway_settings.cc
+++ b/entry/gateway_settings.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/leaf/error.hpp>
+#include <cmath>
 #include <fstream>
 #include <iterator>
 
@@ -20,17 +21,19 @@
     "threads",        "descriptors",       "stop_limit_s", "lease_ms",
     "usage_window_s", "usage_due_s",       "retry_share",  "retry_extra",
     "retry_window_s", "report_interval_ms"};
-constexpr std::size_t kMaxThreads = 64;
+constexpr double kMinThreads = 0.01;
+constexpr double kMaxThreads = 64;
 // With fewer file descriptors, listeners and upstream connections leave none
 // for callers.
 constexpr std::size_t kMinDescriptors = 256;
 constexpr std::size_t kMaxDescriptors = 1'048'576;
+constexpr duration kMillisecond = std::chrono::milliseconds(1);
 constexpr std::size_t kMinTimeMs = 50;
 constexpr std::size_t kMaxTimeMs = 600'000;
 constexpr double kMinTimeS = 0.05;
 constexpr double kMaxTimeS = 600;
 constexpr double kMaxShare = 1;
-constexpr std::size_t kMaxExtra = 1'000'000;
+constexpr double kMaxExtra = 1'000'000;
 
 }  // namespace
 
@@ -61,16 +64,22 @@
   reader.ReadAddress("report_listen", true, settings.report_listen);
   reader.ReadAddress("store", true, settings.store);
   reader.ReadAddress("cloud", false, settings.cloud);
-  reader.ReadCount("threads", 1, kMaxThreads, settings.threads);
+  // A part of a core counts as one.
+  auto threads = static_cast<double>(settings.threads);
+  reader.ReadNumber("threads", kMinThreads, kMaxThreads, threads);
+  settings.threads = static_cast<std::size_t>(std::ceil(threads));
   reader.ReadCount("descriptors", kMinDescriptors, kMaxDescriptors,
                    settings.descriptors);
   reader.ReadSeconds("stop_limit_s", kMinTimeS, kMaxTimeS, settings.stop_limit);
-  reader.ReadMilliseconds("lease_ms", kMinTimeMs, kMaxTimeMs, settings.lease);
+  auto lease_ms = static_cast<double>(settings.lease / kMillisecond);
+  reader.ReadNumber("lease_ms", kMinTimeMs, kMaxTimeMs, lease_ms);
+  settings.lease =
+      duration(static_cast<std::int64_t>(lease_ms * kMillisecond.count()));
   reader.ReadSeconds("usage_window_s", kMinTimeS, kMaxTimeS,
                      settings.usage_window);
   reader.ReadSeconds("usage_due_s", kMinTimeS, kMaxTimeS, settings.usage_due);
   reader.ReadNumber("retry_share", 0, kMaxShare, settings.retry_share);
-  reader.ReadCount("retry_extra", 0, kMaxExtra, settings.retry_extra);
+  reader.ReadNumber("retry_extra", 0, kMaxExtra, settings.retry_extra);
   reader.ReadSeconds("retry_window_s", kMinTimeS, kMaxTimeS,
                      settings.retry_window);
   reader.ReadMilliseconds("report_interval_ms", kMinTimeMs, kMaxTimeMs,
--- a/entry/gateway_settings.h
+++ b/entry/gateway_settings.h
@@ -42,9 +42,10 @@
   duration usage_window = std::chrono::seconds(5);
   duration usage_due = std::chrono::seconds(10);
   // Retry budget of all instances together for one service within
-  // `retry_window`: a fraction of the calls, plus a constant number.
+  // `retry_window`: a fraction of the calls, plus a constant number,
+  // which may have a fraction in a small deployment.
   double retry_share = 0.2;
-  std::size_t retry_extra = 50;
+  double retry_extra = 50;
   duration retry_window = std::chrono::seconds(10);
   // Interval between two reports to the other instances, before it is scaled
   // with their number.
