Learn the speed of the engines and share overload fairly by slack

Cause: the time that an engine needs for a prompt was a constant of the first deployments' engines (31 us a token and 0.74 ns a pair). Besides, calls with little slack (long prompts, short targets) lose to others in any queue: offline, at twice the capacity, the largest tenth is admitted 0 to 0.07 times as often as all.

Change: - profile_estimator fits the time to the first token (fixed, per token, per pair) to the latest 128 first tokens by least absolute relative errors; instances report their fits to each other, and each upstream has a pace of its own. - placement_costs holds the profile; what was a time in microseconds is now a share of it, or follows from the manifest (transfer of a cached token). - first_token_admission counts calls by slack; while those of a slack are admitted less often than the average, calls with more slack must leave a queue that suits them. A refused call at an idle upstream is let through at times. - If none of the candidates is in time, placement looks at the other upstreams. - The demand counts full slots beside prefill.

--- a/contracts/decayed_counter.cc
+++ b/contracts/decayed_counter.cc
@@ -15,7 +15,10 @@
           .count());
 }
 
-float Decayed(std::uint64_t packed, std::uint32_t now_ms) {
+}  // namespace
+
+float decayed_counter::Decayed(std::uint64_t packed,
+                               std::uint32_t now_ms) const {
   const float value =
       std::bit_cast<float>(static_cast<std::uint32_t>(packed >> kValueShift));
   // Signed, because another thread may have stored a slightly later time.
@@ -24,15 +27,12 @@
   if (value == 0 || age_ms <= 0) {
     return value;
   }
-  const auto time_constant_ms =
-      static_cast<float>(std::chrono::duration_cast<std::chrono::milliseconds>(
-                             decayed_counter::kTimeConstant)
-                             .count());
+  const auto time_constant_ms = static_cast<float>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time_constant_)
+          .count());
   return value * std::exp(-static_cast<float>(age_ms) / time_constant_ms);
 }
 
-}  // namespace
-
 void decayed_counter::Add(float amount, time_point now) {
   const std::uint32_t now_ms = Milliseconds(now);
   std::uint64_t old = packed_.load(std::memory_order_relaxed);
--- a/contracts/manifest.h
+++ b/contracts/manifest.h
@@ -70,6 +70,9 @@
   bool model = false;
   // Requests that one upstream serves concurrently.
   std::uint32_t slots = 0;
+  // Time in which an engine receives one cached token from another engine, in
+  // microseconds; 0 if it is not declared.
+  double transfer_us_per_token = 0;
   // Prompt tokens that the cache of one engine holds.
   std::uint64_t cache_tokens = 0;
   std::optional<scaling_terms> scaling;
--- a/entry/call_refusal.cc
+++ b/entry/call_refusal.cc
@@ -141,6 +141,20 @@
   return "unknown";
 }
 
+std::string_view Name(admission_verdict verdict) {
+  switch (verdict) {
+    case admission_verdict::kAdmit:
+      return "admit";
+    case admission_verdict::kProbe:
+      return "probe";
+    case admission_verdict::kLate:
+      return "late";
+    case admission_verdict::kYield:
+      return "yield";
+  }
+  return "unknown";
+}
+
 awaitable<void> RespondRefused(http_exchange& exchange,
                                std::string_view id_header,
                                std::string_view request_id,
--- a/entry/call_refusal.h
+++ b/entry/call_refusal.h
@@ -8,6 +8,7 @@
 
 #include "common/time.h"
 #include "links/attempt_policy.h"
+#include "links/first_token_admission.h"
 #include "wire/http_exchange.h"
 
 namespace anvilloom {
@@ -42,6 +43,7 @@
 
 std::string_view Name(attempt_end end);
 std::string_view Name(next_step step);
+std::string_view Name(admission_verdict verdict);
 
 // Responds to a call that did not run and will not run later. Adds up to half
 // of the delay to Retry-After at random, so that callers do not retry all at
--- a/entry/engine_inventory.cc
+++ b/entry/engine_inventory.cc
@@ -15,7 +15,8 @@
     settled_ = engines_ != 0 && settled_at_.Expired(now);
   }
   if (settled_) {
-    demand_.Take(read_tokens, engines_, prefill_us_per_token, now);
+    demand_.Take({read_tokens, prefill_us_per_token, engines_, full_engines_},
+                 now);
   }
 }
 
@@ -29,12 +30,17 @@
   domains_.clear();
   engines_ = 0;
   reclaimable_ = 0;
+  full_engines_ = 0;
   for (const auto& each : pool.members) {
     if (each->leaving()) {
       continue;
     }
     domain_engine_counts& domain = domains_[each->announced().domain];
     ++engines_;
+    if (each->announced().slots > 0) {
+      full_engines_ +=
+          static_cast<double>(each->total_running()) / each->announced().slots;
+    }
     if (each->announced().reclaimable) {
       ++domain.reclaimable;
       ++reclaimable_;
--- a/entry/engine_inventory.h
+++ b/entry/engine_inventory.h
@@ -44,6 +44,7 @@
   std::map<std::string, domain_engine_counts, std::less<>> domains_;
   std::uint32_t engines_ = 0;
   std::uint32_t reclaimable_ = 0;
+  double full_engines_ = 0;
   bool settled_ = false;
   deadline settled_at_ = deadline::Never();
 };
--- a/entry/engine_scaler.h
+++ b/entry/engine_scaler.h
@@ -46,7 +46,8 @@
             pool,
             pool.stats->read_tokens.load(std::memory_order_relaxed) +
                 peer_reports_.PeerReadTokens(service.name),
-            state_.costs.prefill_us_per_token, state_.clock.Now());
+            pool.stats->profile.profile().mean_us_per_token,
+            state_.clock.Now());
       }
     }
   }
--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -20,6 +20,7 @@
 #include "links/attempt_policy.h"
 #include "links/event_splitter.h"
 #include "links/placement.h"
+#include "links/pool_call.h"
 #include "wire/http_client.h"
 
 namespace anvilloom {
@@ -164,25 +165,23 @@
     request.now = Now();
     request.random_seed = thread_random().Next();
     request.can_fetch = pool_->model;
-    placement_ = PlaceCall(*pool_, state_.locations, state_.costs, request);
+    request.latency_target = route_->latency_target;
+    placement_ = PlaceCall(*pool_, state_.locations, CostsOf(*pool_), request);
     if (!placement_.target) {
       return call_refusal{refusal_reason::kNoUpstream, kNoUpstreamRetryDelay};
     }
-    expected_first_token_ = placement_.expected_wait + placement_.prefill_time;
-    const duration first =
-        pool_->stats->first_token.Apply(expected_first_token_, request.now);
-    if (attempts_ == 0 && pool_->model && first > FirstTokenLimit()) {
+    expected_first_token_ = placement_.expected_wait + placement_.own_time;
+    if (attempts_ > 0 || !pool_->model) {
+      return std::nullopt;
+    }
+    verdict_ = AdmitPlaced(*pool_, placement_, route_->latency_target,
+                           answer_by_.Remaining(request.now), request.now);
+    if (!IsAdmitted(verdict_)) {
       return call_refusal{refusal_reason::kOverload, placement_.expected_wait};
     }
     return std::nullopt;
   }
 
-  // Time within which the first token must come: the latency target, or the
-  // time until the caller's deadline if that is shorter.
-  duration FirstTokenLimit() const {
-    return std::min(route_->latency_target, answer_by_.Remaining(Now()));
-  }
-
   awaitable<attempt_end> RunAttempt() {
     ++attempts_;
     answer_.reset();
@@ -399,9 +398,9 @@
       CountUsage();
       state_.counters.first_byte.Add(Now() - arrived_);
       first_byte_at_ = Now();
-      if (attempts_ == 1) {
-        pool_->stats->first_token.Observe(
-            expected_first_token_, first_byte_at_ - sent_at_, first_byte_at_);
+      if (attempts_ == 1 && pool_->model) {
+        ObserveFirstToken(*pool_, placement_, call_.prompt.prompt_tokens,
+                          first_byte_at_ - sent_at_, first_byte_at_);
       }
       const auto headers = AnswerHeaders();
       if (!co_await exchange_.BeginStream(
@@ -595,6 +594,7 @@
           pool_ == nullptr
               ? "0"
               : std::to_string(pool_->stats->first_token.permille(Now()))},
+         {"admission", std::string(Name(verdict_))},
          {"unread", std::to_string(placement_.unread_tokens)},
          {"fetched", std::to_string(placement_.fetched_tokens)},
          {"running",
@@ -631,6 +631,7 @@
   duration expected_first_token_{0};
 
   placement placement_;
+  admission_verdict verdict_ = admission_verdict::kAdmit;
   std::vector<std::uint64_t> tried_upstreams_;
   // Attempts that reached an upstream, and upstreams that could not be
   // connected to.
--- a/entry/gateway_state.h
+++ b/entry/gateway_state.h
@@ -13,7 +13,6 @@
 #include "contracts/usage_ledger.h"
 #include "entry/gateway_settings.h"
 #include "entry/serving_view.h"
-#include "links/placement.h"
 #include "links/prefix_locations.h"
 #include "wire/steady_clock.h"
 #include "wire/wall_clock.h"
@@ -83,7 +82,6 @@
   steady_source clock;
   rcu_cell<std::shared_ptr<const serving_view>> view;
   prefix_locations locations;
-  placement_costs costs;
   usage_ledger usage;
   gateway_counters counters;
   // Called on any thread after the load of a model engine has changed.
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -172,6 +172,7 @@
     ChargeUnaccounted(now);
     DivideRetryBudget();
     ApplyRemoteLoads(now);
+    UpdateProfiles();
     Send();
     LogDropped();
     co_await Pause(Interval());
@@ -334,7 +335,8 @@
   ComposeGranted(*view, report);
   for (const auto& [service, pool] : view->pools) {
     report.read.push_back(
-        {service, pool.stats->read_tokens.load(std::memory_order_relaxed)});
+        {service, pool.stats->read_tokens.load(std::memory_order_relaxed),
+         pool.stats->profile.own()});
   }
   ComposeSent(*view, report);
   return report;
@@ -396,6 +398,15 @@
   }
 }
 
+void peer_reporter::UpdateProfiles() {
+  const auto view = state_.View();
+  for (const auto& [service, pool] : view->pools) {
+    if (pool.model) {
+      pool.stats->profile.Update(peer_reports_.PeerProfiles(service));
+    }
+  }
+}
+
 void peer_reporter::ApplyRemoteLoads(time_point now) {
   const auto peer_load = peer_reports_.PeerUpstreamLoad(now);
   const auto view = state_.View();
--- a/entry/peer_reporter.h
+++ b/entry/peer_reporter.h
@@ -74,6 +74,8 @@
                                distributed_rate_limiter&)>& visit) const;
   void DivideRetryBudget();
   void ApplyRemoteLoads(time_point now);
+  // Learns the engines' speed from the latest first tokens and reports.
+  void UpdateProfiles();
 
   // Omits workspaces without new grants, except every kSendAllInterval.
   void ComposeGranted(const serving_view& view, peer_report& report);
--- a/entry/serving_view.cc
+++ b/entry/serving_view.cc
@@ -75,7 +75,11 @@
       if (!stats) {
         stats = std::make_shared<service_stats>();
       }
-      view->pools[service.name] = {service.name, service.model, stats, {}};
+      view->pools[service.name] = {service.name,
+                                   service.model,
+                                   stats,
+                                   service.transfer_us_per_token,
+                                   {}};
     }
     for (const manifest_workspace& workspace : manifest_->source().workspaces) {
       auto& allowance = rate_limiters_[workspace.name];
--- a/instances/demand_estimate.cc
+++ b/instances/demand_estimate.cc
@@ -4,16 +4,14 @@
 
 namespace anvilloom {
 
-void demand_estimate::Take(std::uint64_t read_tokens,
-                           std::uint32_t engines,
-                           double prefill_us_per_token,
-                           time_point now) {
+void demand_estimate::Take(const load& current, time_point now) {
+  const std::uint64_t read_tokens = current.read_tokens;
   if (!initialized_) {
     initialized_ = true;
     last_tokens_ = read_tokens;
     sampled_at_ = now;
     // Stored as a sample, so that the first calls do not lower the estimate.
-    busy_engines_ = engines * kInitialUtilization;
+    busy_engines_ = current.engines * kInitialUtilization;
     samples_.push_back({now, busy_engines_});
     return;
   }
@@ -25,8 +23,9 @@
   const auto elapsed_us = static_cast<double>((now - sampled_at_).count());
   last_tokens_ = read_tokens;
   sampled_at_ = now;
-  samples_.push_back({now, static_cast<double>(added_tokens) *
-                               prefill_us_per_token / elapsed_us});
+  const double reading = static_cast<double>(added_tokens) *
+                         current.prefill_us_per_token / elapsed_us;
+  samples_.push_back({now, std::max(reading, current.full_engines)});
   while (samples_.front().at + kSampleWindow < now) {
     samples_.pop_front();
   }
--- a/instances/demand_estimate.h
+++ b/instances/demand_estimate.h
@@ -17,16 +17,24 @@
 // lull. Not thread-safe.
 class demand_estimate {
  public:
+  // The load of a service at one time.
+  struct load {
+    // Cumulative number of prompt tokens that engines had to process. A
+    // decrease means that a process has restarted; the sample then counts no
+    // new tokens.
+    std::uint64_t read_tokens = 0;
+    double prefill_us_per_token = 0;
+    // Number of engines that serve now.
+    std::uint32_t engines = 0;
+    // Number of engines whose slots the running requests would fill.
+    double full_engines = 0;
+  };
+
   // Adds a sample if kSampleInterval has passed since the last one.
-  // `read_tokens` is the cumulative count; a decrease means that a process
-  // has restarted, and the sample then counts no new tokens. `engines` is the
-  // number of engines that serve now.
-  void Take(std::uint64_t read_tokens,
-            std::uint32_t engines,
-            double prefill_us_per_token,
-            time_point now);
-
-  // Seconds of engine time that prompt processing needs per second.
+  void Take(const load& current, time_point now);
+
+  // Number of engines that the load keeps busy, either with prompt processing
+  // or because their slots are taken, whichever is more.
   double busy_engines() const { return busy_engines_; }
 
  private:
--- a/instances/peer_report.cc
+++ b/instances/peer_report.cc
@@ -261,6 +261,19 @@
   return sum;
 }
 
+std::vector<engine_profile> peer_report_table::PeerProfiles(
+    std::string_view service) const {
+  std::vector<engine_profile> profiles;
+  for (const auto& [name, each] : peers_) {
+    const auto found =
+        std::ranges::find(each.last.read, service, &read_tokens::service);
+    if (found != each.last.read.end() && found->profile.observations > 0) {
+      profiles.push_back(found->profile);
+    }
+  }
+  return profiles;
+}
+
 std::int64_t peer_report_table::MedianWallOffset(std::int64_t own_us,
                                                  time_point now) const {
   std::vector<std::int64_t> offsets = {own_us};
--- a/instances/peer_report.h
+++ b/instances/peer_report.h
@@ -17,6 +17,7 @@
 
 #include "common/time.h"
 #include "contracts/usage_counts.h"
+#include "instances/engine_profile.h"
 #include "instances/upstream_announcement.h"
 
 namespace anvilloom {
@@ -39,6 +40,9 @@
 struct read_tokens {
   std::string service;
   std::uint64_t tokens = 0;
+  // Engine profile that the instance has observed; without observations if it
+  // has seen too few first tokens.
+  engine_profile profile;
 };
 
 // Maximum number of changes in one kChanges report. About 1,100 bytes, which
@@ -204,6 +208,8 @@
   // Prompt tokens that the upstreams of a service had to process for the other
   // instances. Decreases when a process restarts.
   std::uint64_t PeerReadTokens(std::string_view service) const;
+  // Engine profiles of a service that the other instances have reported.
+  std::vector<engine_profile> PeerProfiles(std::string_view service) const;
   // Returns the offset from the monotonic clock to the wall clock in
   // microseconds: the median of `own_us`, the offset of this instance, and
   // those of the other live instances. Clock jumps of a minority don't affect
--- a/instances/upstream_announcement.h
+++ b/instances/upstream_announcement.h
@@ -18,7 +18,8 @@
   // IP address and port.
   std::string address;
   std::string domain;
-  std::uint32_t slots = 1;
+  // Requests that it serves concurrently; 0 if it does not say so.
+  std::uint32_t slots = 0;
   bool draining = false;
   // Whether the cloud may reclaim the upstream, possibly together with its
   // whole failure domain.
--- a/links/placement.cc
+++ b/links/placement.cc
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <iterator>
 #include <limits>
+#include <optional>
 #include <vector>
 
 #include "common/hash.h"
 #include "common/random.h"
+#include "links/first_token_admission.h"
 
 namespace anvilloom {
 
@@ -77,6 +79,9 @@
         best = evaluated;
       }
     }
+    if (pool_.model && best.target && !MeetsTarget(best)) {
+      return FindInTime(largest_cache).value_or(best);
+    }
     return best;
   }
 
@@ -203,6 +208,35 @@
     return first;
   }
 
+  bool MeetsTarget(const placement& evaluated) const {
+    const duration limit = first_token_admission::Limit(
+        {evaluated.expected_wait, evaluated.own_time, question_.latency_target,
+         duration::max()});
+    return evaluated.expected_wait + evaluated.own_time <= limit;
+  }
+
+  // Returns the first upstream after a random one that has a free slot and
+  // meets the target. Any other order would lead all instances to the same one.
+  std::optional<placement> FindInTime(const candidate& largest_cache) const {
+    const auto& upstreams = fresh_load_upstreams_;
+    split_mix random(question_.random_seed);
+    const auto first =
+        random.NextBelow(static_cast<std::uint32_t>(upstreams.size()));
+    for (std::size_t i = 0; i < upstreams.size(); ++i) {
+      const member& each = *upstreams[(first + i) % upstreams.size()];
+      const placement evaluated = Evaluate({&each, 0}, largest_cache);
+      if (MeetsTarget(evaluated) && HasFreeSlot(*each)) {
+        return evaluated;
+      }
+    }
+    return std::nullopt;
+  }
+
+  static bool HasFreeSlot(const pooled_upstream& each) {
+    const std::uint32_t slots = each.announced().slots;
+    return slots == 0 || each.total_running() < slots;
+  }
+
   // Returns the upstream that probably caches the most tokens of the prompt.
   candidate FindLargestCache() const {
     if (!question_.can_fetch) {
@@ -233,23 +267,41 @@
                    evaluated.unread_tokens);
       evaluated.unread_tokens -= evaluated.fetched_tokens;
     }
-    evaluated.prefill_time =
-        PrefillTime(costs_, evaluated.unread_tokens, total_tokens);
-    evaluated.expected_wait = duration(static_cast<std::int64_t>(
-        evaluated.target->total_unread_tokens() * costs_.prefill_us_per_token));
+    const pooled_upstream& target = *evaluated.target;
+    const double pace = target.pace(question_.now);
+    evaluated.prefill_time = Scaled(
+        costs_.engine.PrefillTime({evaluated.unread_tokens, total_tokens}),
+        pace);
+    evaluated.transfer_time =
+        Microseconds(evaluated.fetched_tokens * costs_.transfer_us_per_token);
+    evaluated.own_time = evaluated.prefill_time + evaluated.transfer_time +
+                         Microseconds(costs_.engine.fixed_us);
+    evaluated.queued_tokens = target.total_unread_tokens();
+    evaluated.expected_wait = Microseconds(
+        evaluated.queued_tokens * costs_.engine.mean_us_per_token * pace);
     return evaluated;
   }
 
+  static duration Microseconds(double us) {
+    return duration(static_cast<std::int64_t>(us));
+  }
+  static duration Scaled(duration time, double factor) {
+    return Microseconds(static_cast<double>(time.count()) * factor);
+  }
+
   double Cost(const placement& evaluated) const {
     const pooled_upstream& each = *evaluated.target;
+    const double per_token = costs_.engine.mean_us_per_token;
     double cost = static_cast<double>(evaluated.expected_wait.count());
     cost += static_cast<double>(evaluated.prefill_time.count()) *
             costs_.prefill_weight;
-    cost += evaluated.fetched_tokens * costs_.fetch_us_per_token;
-    cost += each.total_running() * costs_.running_us;
-    cost += each.failed_permille() * costs_.failure_us / 1000;
+    cost += static_cast<double>(evaluated.transfer_time.count());
+    cost += evaluated.fetched_tokens * per_token * costs_.fetch_share;
+    cost += each.total_running() * per_token * costs_.running_tokens;
+    cost += each.failed_permille() * costs_.failure_share *
+            static_cast<double>(question_.latency_target.count()) / 1000;
     // Without a free slot, a call waits until another one ends.
-    if (each.total_running() >= each.announced().slots) {
+    if (!HasFreeSlot(each)) {
       cost += kFullPenaltyUs;
     }
     if (each.announced().domain != question_.domain) {
@@ -280,16 +332,6 @@
 
 }  // namespace
 
-duration PrefillTime(const placement_costs& costs,
-                     std::uint32_t uncached,
-                     std::uint32_t total_tokens) {
-  // Each computed token attends to all tokens before it.
-  const double before = total_tokens - uncached / 2.0;
-  return duration(static_cast<std::int64_t>(
-      uncached *
-      (costs.prefill_us_per_token + before * costs.prefill_us_per_pair)));
-}
-
 placement PlaceCall(const upstream_pool& pool,
                     const prefix_locations& locations,
                     const placement_costs& costs,
--- a/links/placement.h
+++ b/links/placement.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "common/time.h"
+#include "instances/engine_profile.h"
 #include "links/pooled_upstream.h"
 #include "links/prefix_locations.h"
 #include "links/prompt.h"
@@ -17,25 +18,25 @@
 
 // Cost model of placement, in microseconds of an upstream's time.
 struct placement_costs {
-  // Prefill of one prompt token: 26 us at the 38.1 tokens per millisecond that
-  // users state for their engines, plus 5 us for the token's share of a prefill
-  // step, which takes 4.4 ms per 1,024 tokens.
-  double prefill_us_per_token = 31.0;
-  // Attention between a computed token and an earlier one: users state 0.737 ms
-  // for a million pairs.
-  double prefill_us_per_pair = 0.00074;
+  // Observed times of the service's engines.
+  engine_profile engine;
+  // Time in which an engine receives one cached token from another engine of
+  // the pool. Follows from the size of a token and the bandwidth that the
+  // manifest states.
+  double transfer_us_per_token = 0;
+  // Cost of fetching a token in addition to its transfer time, as a share of
+  // the time to compute it. Transfers are priced.
+  double fetch_share = 0.2;
   // Factor on the prefill time. Other calls wait for the prefill, and tokens
   // that another upstream caches are computed a second time.
   double prefill_weight = 2.0;
-  // Fetch of a cached token from another engine of the pool instead of
-  // computing it. A token takes 164 KB, which the engines' network transfers in
-  // 1.2 us; the rest accounts for the price of the transfer.
-  double fetch_us_per_token = 8.0;
-  // Time that a running request adds to the steps of one answer.
-  double running_us = 600.0;
-  // Cost of a call that fails and is retried or lost.
-  double failure_us = 500'000.0;
-  // Cost of an additional round trip to another failure domain.
+  // Time that a running request adds to the steps of one answer, as the number
+  // of prompt tokens computed in that time.
+  double running_tokens = 20.0;
+  // Cost of a call that fails and is retried or lost, as a share of its latency
+  // target.
+  double failure_share = 0.6;
+  // Cost of an additional round trip to another failure domain of the region.
   double other_domain_us = 3000.0;
 };
 
@@ -52,6 +53,8 @@
   std::uint64_t random_seed = 0;
   // Whether upstreams can fetch cached parts of prompts from each other.
   bool can_fetch = false;
+  // Latency target of the call, in microseconds.
+  duration latency_target = std::chrono::seconds(1);
 };
 
 struct placement {
@@ -60,25 +63,28 @@
   // microseconds.
   std::uint32_t unread_tokens = 0;
   duration prefill_time{0};
+  // Time to the first token if nothing else waited: prefill, transfer and fixed
+  // time, in microseconds.
+  duration own_time{0};
+  // Part of own_time in which cached tokens are fetched.
+  duration transfer_time{0};
   // Upstream from which the target should fetch cached tokens; null if there is
   // no gain.
   std::shared_ptr<pooled_upstream> fetch_from;
   std::uint32_t fetched_tokens = 0;
   // Expected queueing time at the target, in microseconds.
   duration expected_wait{0};
+  // Tokens of other prompts that were known to wait there.
+  std::uint32_t queued_tokens = 0;
 };
 
-// Returns the time that an upstream needs to compute the last `uncached` tokens
-// of a prompt of `total_tokens`.
-duration PrefillTime(const placement_costs& costs,
-                     std::uint32_t uncached,
-                     std::uint32_t total_tokens);
-
 // Returns the cheapest of a few upstreams, or a null target if none may be
 // used. Load information is a fraction of a second old and about the same at
 // all instances. If each instance chose the best upstream of the pool, all
 // would choose the same one until the next reports. Therefore a few upstreams
 // are drawn at random and compared with those that cache parts of the prompt.
+// If none of these can meet the latency target, a random one of the others that
+// can is chosen: a long prompt often finds a queue at each of a few upstreams.
 // `locations` records where this instance has sent prompts. A prefix that it
 // has not sent yet is assumed to be cached at its home, which rendezvous
 // hashing selects among all eligible upstreams.
--- /dev/null
+++ b/links/pool_call.cc
@@ -0,0 +1,61 @@
+#include "links/pool_call.h"
+
+#include <algorithm>
+
+namespace anvilloom {
+
+namespace {
+
+duration ExpectedDelay(const placement& placed) {
+  return placed.expected_wait + placed.own_time;
+}
+
+double Ratio(duration observed, duration expected) {
+  return static_cast<double>(observed.count()) /
+         static_cast<double>(std::max<std::int64_t>(expected.count(), 1));
+}
+
+}  // namespace
+
+placement_costs CostsOf(const upstream_pool& pool) {
+  placement_costs costs;
+  costs.engine = pool.stats->profile.profile();
+  costs.transfer_us_per_token = pool.transfer_us_per_token;
+  return costs;
+}
+
+admission_verdict AdmitPlaced(const upstream_pool& pool,
+                              const placement& placed,
+                              duration target,
+                              duration time_left,
+                              time_point now) {
+  first_token_admission& admission = pool.stats->admission;
+  const first_token_estimate estimate{placed.expected_wait, placed.own_time,
+                                      target, time_left};
+  // The bias is due to queued work that is not known yet. That work delays a
+  // call whatever the length of its own prompt.
+  const duration expected = admission.TypicalDelay(estimate);
+  const duration excess =
+      pool.stats->first_token.Apply(expected, now) - expected;
+  return admission.Decide(estimate, excess, now);
+}
+
+void ObserveFirstToken(const upstream_pool& pool,
+                       const placement& placed,
+                       std::uint32_t prompt_tokens,
+                       duration delay,
+                       time_point now) {
+  pool.stats->first_token.Observe(ExpectedDelay(placed), delay, now);
+  const first_token_observation observation{
+      {placed.unread_tokens, prompt_tokens},
+      placed.queued_tokens,
+      delay - placed.transfer_time};
+  if (pool.stats->profile.Observe(observation)) {
+    // The expected delay already contains the pace known so far.
+    pooled_upstream& target = *placed.target;
+    target.RecordPace(target.pace(now) * Ratio(delay, ExpectedDelay(placed)),
+                      now);
+  }
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/links/pool_call.h
@@ -0,0 +1,38 @@
+// Defines the decisions about the first token of a call to a pool of model
+// engines: its expected cost, whether the call is admitted, and what its first
+// token tells about the engines.
+#ifndef LINKS_POOL_CALL_H_
+#define LINKS_POOL_CALL_H_
+
+#include <cstdint>
+
+#include "common/time.h"
+#include "links/first_token_admission.h"
+#include "links/placement.h"
+#include "links/pooled_upstream.h"
+
+namespace anvilloom {
+
+// Returns the cost model of the pool's engines as they are known now.
+placement_costs CostsOf(const upstream_pool& pool);
+
+// Decides whether a call that was placed at an upstream is admitted, and counts
+// it. `target` is its latency target and `time_left` the time until its
+// deadline, in microseconds.
+admission_verdict AdmitPlaced(const upstream_pool& pool,
+                              const placement& placed,
+                              duration target,
+                              duration time_left,
+                              time_point now);
+
+// Learns from the first token of a call, which came `delay` after the call was
+// sent.
+void ObserveFirstToken(const upstream_pool& pool,
+                       const placement& placed,
+                       std::uint32_t prompt_tokens,
+                       duration delay,
+                       time_point now);
+
+}  // namespace anvilloom
+
+#endif  // LINKS_POOL_CALL_H_
--- a/links/pooled_upstream.h
+++ b/links/pooled_upstream.h
@@ -4,6 +4,7 @@
 #ifndef LINKS_POOLED_UPSTREAM_H_
 #define LINKS_POOLED_UPSTREAM_H_
 
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
 #include <memory>
@@ -15,6 +16,8 @@
 #include "common/time.h"
 #include "instances/upstream_announcement.h"
 #include "links/delay_bias.h"
+#include "links/first_token_admission.h"
+#include "links/profile_estimator.h"
 #include "links/retry_budget.h"
 
 namespace anvilloom {
@@ -119,6 +122,30 @@
       backoff_until_us_.store(until, std::memory_order_relaxed);
     }
   }
+  // Records the ratio between the observed and the expected time to a first
+  // token for which the call hardly had to wait.
+  void RecordPace(double ratio, time_point now) {
+    const double before = pace(now);
+    pace_permille_.store(
+        static_cast<std::uint32_t>(
+            (before + (std::clamp(ratio, kMinPace, kMaxPace) - before) /
+                          kAveragedPaces) *
+            kPermille),
+        std::memory_order_relaxed);
+    pace_until_us_.store((now + kPaceLifetime).time_since_epoch().count(),
+                         std::memory_order_relaxed);
+  }
+  // The time that this upstream takes relative to the others of its service: 2
+  // if it is half as fast. 1 without recent observations, so that calls go
+  // there and observe it again.
+  double pace(time_point now) const {
+    const bool recent = now.time_since_epoch().count() <
+                        pace_until_us_.load(std::memory_order_relaxed);
+    return recent ? pace_permille_.load(std::memory_order_relaxed) /
+                        double{kPermille}
+                  : 1.0;
+  }
+
   // Moving average of the share of failed calls, in thousandths.
   std::uint32_t failed_permille() const {
     return failed_permille_.load(std::memory_order_relaxed);
@@ -133,6 +160,15 @@
   // Calls over which the share of failures is averaged.
   static constexpr std::uint32_t kAveragedCalls = 16;
 
+  // Calls over which the pace is averaged. Single first tokens vary by more
+  // than the pace of sound engines.
+  static constexpr double kAveragedPaces = 12;
+  // Bounds of the ratio of one call. A stalled call says nothing about the
+  // engine's speed.
+  static constexpr double kMinPace = 0.5;
+  static constexpr double kMaxPace = 4.0;
+  static constexpr duration kPaceLifetime = std::chrono::seconds(10);
+
   // Concurrent updates may lose a result, which the average tolerates.
   void RecordResult(std::uint32_t permille) {
     const std::uint32_t before = failed_permille();
@@ -159,6 +195,8 @@
   std::atomic<std::uint32_t> remote_unread_tokens_{0};
   std::atomic<std::uint32_t> consecutive_failures_{0};
   std::atomic<std::uint32_t> failed_permille_{0};
+  std::atomic<std::uint32_t> pace_permille_{kPermille};
+  std::atomic<std::int64_t> pace_until_us_{0};
   std::atomic<std::int64_t> backoff_until_us_{0};
   std::atomic<bool> leaving_{false};
   std::atomic<bool> has_fresh_load_{true};
@@ -169,6 +207,8 @@
   retry_budget retries;
   // Bias of the first tokens that this instance has observed.
   delay_bias first_token;
+  profile_estimator profile;
+  first_token_admission admission;
   // Prompt tokens that upstreams had to compute for this instance.
   std::atomic<std::uint64_t> read_tokens{0};
 };
@@ -177,6 +217,8 @@
   std::string service;
   bool model = false;
   std::shared_ptr<service_stats> stats;
+  // Transfer time of a cached token between two engines, in microseconds.
+  double transfer_us_per_token = 0;
   std::vector<std::shared_ptr<pooled_upstream>> members;
 };
 
--- /dev/null
+++ b/links/profile_estimator.cc
@@ -0,0 +1,288 @@
+#include "links/profile_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <vector>
+
+namespace anvilloom {
+
+namespace {
+
+// Shorter prompts take hardly longer than the fixed time.
+constexpr std::uint32_t kMinTokens = 128;
+// Calls that found more work waiting, relative to their own, are ignored: the
+// known queue is older than the call.
+constexpr double kMaxQueuedShare = 0.5;
+
+constexpr int kIterations = 12;
+// Relative errors below this count alike.
+constexpr double kErrorFloor = 0.02;
+constexpr std::size_t kFeatures = 3;
+enum feature : std::size_t { kPerToken, kPerPair, kFixed };
+using coefficients = std::array<double, kFeatures>;
+
+// Pulls factors towards zero. What the observations leave open, such as for
+// prompts of equal length, is taken to be time per token.
+constexpr coefficients kRegularization = {1e-5, 5e-4, 5e-4};
+
+struct sample {
+  coefficients features{};
+  double delay = 0;
+};
+
+sample MakeSample(const first_token_observation& observation) {
+  const prompt_work& work = observation.work;
+  // The prompts that wait are taken to be about as long as the call's own.
+  const double tokens =
+      static_cast<double>(work.tokens) + observation.queued_tokens;
+  const double before = work.prompt_tokens - work.tokens / 2.0;
+  return {{tokens, tokens * before, 1.0},
+          static_cast<double>(observation.delay.count())};
+}
+
+double Predict(const coefficients& factors, const sample& each) {
+  double sum = 0;
+  for (std::size_t i = 0; i < kFeatures; ++i) {
+    sum += factors[i] * each.features[i];
+  }
+  return sum;
+}
+
+// Weighted normal equations, in features scaled to a mean of 1.
+struct normal_equations {
+  std::array<coefficients, kFeatures> matrix{};
+  coefficients vector{};
+};
+
+// Solves the equations of the features in `used` by Gaussian elimination; the
+// other factors are zero.
+coefficients Solve(normal_equations equations,
+                   const std::array<bool, kFeatures>& used) {
+  auto& [matrix, vector] = equations;
+  for (std::size_t i = 0; i < kFeatures; ++i) {
+    if (!used[i]) {
+      matrix[i].fill(0);
+      for (coefficients& row : matrix) {
+        row[i] = 0;
+      }
+      matrix[i][i] = 1;
+      vector[i] = 0;
+    }
+  }
+  // The matrix is positive definite, so that no pivoting is needed.
+  for (std::size_t i = 0; i < kFeatures; ++i) {
+    for (std::size_t row = i + 1; row < kFeatures; ++row) {
+      const double factor = matrix[row][i] / matrix[i][i];
+      for (std::size_t column = i; column < kFeatures; ++column) {
+        matrix[row][column] -= factor * matrix[i][column];
+      }
+      vector[row] -= factor * vector[i];
+    }
+  }
+  coefficients solved{};
+  for (std::size_t i = kFeatures; i-- > 0;) {
+    double sum = vector[i];
+    for (std::size_t column = i + 1; column < kFeatures; ++column) {
+      sum -= matrix[i][column] * solved[column];
+    }
+    solved[i] = sum / matrix[i][i];
+  }
+  return solved;
+}
+
+// Returns the best solution without a negative factor. The time per token is
+// always part of it.
+coefficients SolveNonNegative(const normal_equations& equations) {
+  static constexpr std::array<std::array<bool, kFeatures>, 4> kSubsets = {
+      {{true, true, true},
+       {true, false, true},
+       {true, true, false},
+       {true, false, false}}};
+  coefficients best{};
+  double least_error = std::numeric_limits<double>::max();
+  for (const auto& used : kSubsets) {
+    const coefficients solved = Solve(equations, used);
+    if (std::ranges::any_of(solved, [](double each) { return each < 0; })) {
+      continue;
+    }
+    // The squared error up to a constant.
+    double error = 0;
+    for (std::size_t i = 0; i < kFeatures; ++i) {
+      error -= 2 * solved[i] * equations.vector[i];
+      for (std::size_t j = 0; j < kFeatures; ++j) {
+        error += solved[i] * equations.matrix[i][j] * solved[j];
+      }
+    }
+    if (error < least_error) {
+      least_error = error;
+      best = solved;
+    }
+  }
+  return best;
+}
+
+normal_equations MakeEquations(std::span<const sample> samples,
+                               const coefficients& factors,
+                               const coefficients& scale) {
+  normal_equations equations;
+  double total_weight = 0;
+  for (const sample& each : samples) {
+    const double predicted = std::max(Predict(factors, each), 1.0);
+    const double error = std::abs(each.delay - predicted) / predicted;
+    const double weight =
+        1 / (predicted * predicted * std::max(error, kErrorFloor));
+    total_weight += weight;
+    for (std::size_t i = 0; i < kFeatures; ++i) {
+      const double scaled = weight * each.features[i] / scale[i];
+      equations.vector[i] += scaled * each.delay;
+      for (std::size_t j = 0; j < kFeatures; ++j) {
+        equations.matrix[i][j] += scaled * each.features[j] / scale[j];
+      }
+    }
+  }
+  for (std::size_t i = 0; i < kFeatures; ++i) {
+    equations.matrix[i][i] += total_weight * kRegularization[i];
+  }
+  return equations;
+}
+
+double MedianUsPerToken(std::span<const sample> samples) {
+  std::vector<double> rates;
+  rates.reserve(samples.size());
+  for (const sample& each : samples) {
+    rates.push_back(each.delay / each.features[kPerToken]);
+  }
+  const auto middle =
+      rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
+  std::ranges::nth_element(rates, middle);
+  return *middle;
+}
+
+// An observation in one word: computed and queued tokens, the earlier tokens of
+// the prompt in units of kBeforeUnit, and the delay in units of kDelayUnit.
+constexpr unsigned kTokenBits = 24;
+constexpr unsigned kBeforeBits = 16;
+constexpr std::uint64_t kBeforeUnit = 64;
+constexpr duration kDelayUnit = std::chrono::microseconds(64);
+
+constexpr std::uint64_t MaxOf(unsigned bits) {
+  return (std::uint64_t{1} << bits) - 1;
+}
+
+std::uint64_t Pack(const first_token_observation& observation) {
+  const std::uint64_t tokens =
+      std::uint64_t{observation.work.tokens} + observation.queued_tokens;
+  const std::uint64_t before =
+      observation.work.prompt_tokens - observation.work.tokens / 2;
+  const auto delay = static_cast<std::uint64_t>(observation.delay / kDelayUnit);
+  return std::min(tokens, MaxOf(kTokenBits)) |
+         std::min(before / kBeforeUnit, MaxOf(kBeforeBits)) << kTokenBits |
+         std::min(delay, MaxOf(64 - kTokenBits - kBeforeBits))
+             << (kTokenBits + kBeforeBits);
+}
+
+first_token_observation Unpack(std::uint64_t packed) {
+  const auto tokens = static_cast<std::uint32_t>(packed & MaxOf(kTokenBits));
+  const auto before = static_cast<std::uint32_t>(
+      ((packed >> kTokenBits) & MaxOf(kBeforeBits)) * kBeforeUnit);
+  const auto delay =
+      static_cast<std::int64_t>(packed >> (kTokenBits + kBeforeBits));
+  return {{tokens, before + tokens / 2}, 0, delay * kDelayUnit};
+}
+
+}  // namespace
+
+engine_profile FitProfile(
+    std::span<const first_token_observation> observations) {
+  std::vector<sample> samples;
+  coefficients scale{};
+  for (const first_token_observation& each : observations) {
+    if (each.work.tokens == 0 || each.delay <= duration::zero()) {
+      continue;
+    }
+    samples.push_back(MakeSample(each));
+    for (std::size_t i = 0; i < kFeatures; ++i) {
+      scale[i] += samples.back().features[i];
+    }
+  }
+  if (samples.empty()) {
+    return {};
+  }
+  for (double& each : scale) {
+    each /= static_cast<double>(samples.size());
+  }
+  coefficients factors{MedianUsPerToken(samples), 0, 0};
+  for (int i = 0; i < kIterations; ++i) {
+    const coefficients solved =
+        SolveNonNegative(MakeEquations(samples, factors, scale));
+    for (std::size_t j = 0; j < kFeatures; ++j) {
+      factors[j] = solved[j] / scale[j];
+    }
+  }
+  // The means of both features have the same number of samples.
+  const double mean = factors[kPerToken] +
+                      factors[kPerPair] * scale[kPerPair] / scale[kPerToken];
+  return {factors[kFixed], factors[kPerToken], factors[kPerPair], mean,
+          static_cast<std::uint32_t>(samples.size())};
+}
+
+bool profile_estimator::Observe(const first_token_observation& observation) {
+  const prompt_work& work = observation.work;
+  if (work.tokens < kMinTokens || work.tokens > work.prompt_tokens ||
+      observation.delay <= duration::zero()) {
+    return false;
+  }
+  const bool waited_for_others =
+      observation.queued_tokens > work.tokens * kMaxQueuedShare;
+  if (waited_for_others &&
+      ignored_.fetch_add(1, std::memory_order_relaxed) < kMaxIgnored) {
+    return false;
+  }
+  ignored_.store(0, std::memory_order_relaxed);
+  const std::uint64_t position =
+      count_.fetch_add(1, std::memory_order_relaxed) % kObservations;
+  ring_[position].store(Pack(observation), std::memory_order_relaxed);
+  return true;
+}
+
+void profile_estimator::Update(std::span<const engine_profile> peers) {
+  const std::uint64_t count = count_.load(std::memory_order_relaxed);
+  if (count != fitted_count_ && count >= kMinObservations) {
+    fitted_count_ = count;
+    std::vector<first_token_observation> observations;
+    observations.reserve(kObservations);
+    const std::size_t kept = std::min<std::uint64_t>(count, kObservations);
+    for (std::size_t i = 0; i < kept; ++i) {
+      observations.push_back(Unpack(ring_[i].load(std::memory_order_relaxed)));
+    }
+    const engine_profile fitted = FitProfile(observations);
+    if (IsPlausible(fitted)) {
+      own_ = fitted;
+    }
+  }
+  std::vector<engine_profile> all = {own_};
+  std::ranges::copy_if(peers, std::back_inserter(all), IsPlausible);
+  const engine_profile merged = MergeProfiles(all);
+  if (merged.observations > 0) {
+    Publish(merged);
+  }
+}
+
+engine_profile profile_estimator::profile() const {
+  return {fixed_us_.load(std::memory_order_relaxed),
+          per_token_us_.load(std::memory_order_relaxed),
+          per_pair_us_.load(std::memory_order_relaxed),
+          mean_us_.load(std::memory_order_relaxed),
+          observations_.load(std::memory_order_relaxed)};
+}
+
+void profile_estimator::Publish(const engine_profile& profile) {
+  fixed_us_.store(profile.fixed_us, std::memory_order_relaxed);
+  per_token_us_.store(profile.prefill_us_per_token, std::memory_order_relaxed);
+  per_pair_us_.store(profile.prefill_us_per_pair, std::memory_order_relaxed);
+  mean_us_.store(profile.mean_us_per_token, std::memory_order_relaxed);
+  observations_.store(profile.observations, std::memory_order_relaxed);
+}
+
+}  // namespace anvilloom
--- a/test/correctness/engine_plan_test.cc
+++ b/test/correctness/engine_plan_test.cc
@@ -94,14 +94,14 @@
          "[demand_estimate]") {
   constexpr time_point kStart{std::chrono::seconds(1000)};
   demand_estimate demand;
-  demand.Take(0, 8, 26.0, kStart);
+  demand.Take({0, 26.0, 8}, kStart);
   REQUIRE(demand.busy_engines() == Approx(2.0));
 
   std::uint64_t tokens = 0;
   const auto run = [&](int from_s, int to_s, std::uint64_t per_second) {
     for (int s = from_s; s < to_s; ++s) {
       tokens += per_second;
-      demand.Take(tokens, 8, 26.0, kStart + std::chrono::seconds(s + 1));
+      demand.Take({tokens, 26.0, 8}, kStart + std::chrono::seconds(s + 1));
     }
   };
 
@@ -123,7 +123,7 @@
     }
 
     AND_WHEN("a process restarts and the token count drops") {
-      demand.Take(0, 8, 26.0, kStart + std::chrono::seconds(12));
+      demand.Take({0, 26.0, 8}, kStart + std::chrono::seconds(12));
 
       THEN("the estimate does not jump") {
         REQUIRE(demand.busy_engines() == Approx(3.0).epsilon(0.05));
--- a/test/correctness/placement_herd_test.cc
+++ b/test/correctness/placement_herd_test.cc
@@ -63,7 +63,7 @@
   double MeanWaitMs(std::size_t calls) {
     constexpr double kMeanTokens = 3'000;
     const double arrival_interval_us =
-        kMeanTokens * costs_.prefill_us_per_token * 1.05 /
+        kMeanTokens * costs_.engine.prefill_us_per_token * 1.05 /
         (kUtilization * static_cast<double>(kUpstreams));
     double now_us = 1e6;
     double total_wait_ms = 0;
@@ -128,8 +128,9 @@
     const std::uint32_t tokens_to_compute =
         ComputePrompt(chosen, upstream, prefix, tokens);
     const time_point starts_at = std::max(now, free_at_[upstream]);
-    free_at_[upstream] = starts_at + PrefillTime(costs_, tokens_to_compute,
-                                                 prompt.prompt_tokens);
+    free_at_[upstream] =
+        starts_at +
+        costs_.engine.PrefillTime({tokens_to_compute, prompt.prompt_tokens});
     chosen.target->Begin(chosen.unread_tokens);
     prefills_.push(
         {free_at_[upstream], instance, upstream, chosen.unread_tokens});
@@ -203,7 +204,8 @@
 
   std::size_t co_senders_;
   std::uint32_t shared_prefix_count_;
-  placement_costs costs_;
+  placement_costs costs_{.engine = {0, 31.0, 0.00074, 31.0, 1},
+                         .transfer_us_per_token = 1.8};
   // Prefix locations known to each instance, and the shared prefixes cached at
   // each upstream.
   std::vector<prefix_locations> locations_;
--- a/wire/report_codec.cc
+++ b/wire/report_codec.cc
@@ -35,6 +35,37 @@
   return change;
 }
 
+void EncodeRead(const read_tokens& read, wire::Read& message) {
+  message.set_service(read.service);
+  message.set_tokens(read.tokens);
+  const engine_profile& profile = read.profile;
+  if (profile.observations == 0) {
+    return;
+  }
+  message.set_observations(profile.observations);
+  message.set_fixed_us(static_cast<float>(profile.fixed_us));
+  message.set_prefill_us_per_token(
+      static_cast<float>(profile.prefill_us_per_token));
+  message.set_prefill_us_per_pair(
+      static_cast<float>(profile.prefill_us_per_pair));
+  message.set_mean_us_per_token(static_cast<float>(profile.mean_us_per_token));
+}
+
+read_tokens DecodeRead(const wire::Read& message) {
+  read_tokens read{message.service(), message.tokens(), {}};
+  if (message.observations() == 0) {
+    return read;
+  }
+  const engine_profile profile{
+      message.fixed_us(), message.prefill_us_per_token(),
+      message.prefill_us_per_pair(), message.mean_us_per_token(),
+      message.observations()};
+  if (IsPlausible(profile)) {
+    read.profile = profile;
+  }
+  return read;
+}
+
 }  // namespace
 
 std::string EncodePeerReport(const peer_report& report) {
@@ -72,9 +103,7 @@
     sent->set_unread_tokens(each.unread_tokens);
   }
   for (const read_tokens& each : report.read) {
-    wire::Read* read = message.add_read();
-    read->set_service(each.service);
-    read->set_tokens(each.tokens);
+    EncodeRead(each, *message.add_read());
   }
   return message.SerializeAsString();
 }
@@ -113,7 +142,7 @@
         {each.upstream_hash(), each.running(), each.unread_tokens()});
   }
   for (const wire::Read& each : message.read()) {
-    report.read.push_back({each.service(), each.tokens()});
+    report.read.push_back(DecodeRead(each));
   }
   return report;
 }
