Separate running requests in the engine profile, and isolate odd entries

In the store client, one entry that nests too deeply or holds an impossible number made a whole page of a list unreadable, and numbers were converted without a range check.

Change: the profile has a time per token and running request; calls whose cached part was not sent by this instance are not observed; the demand keeps token rates and applies the current profile to them. A page is cut into objects before it is parsed; numbers are checked; parts of the control thread are started again after an unexpected error (E851), odd entries are logged (E823).

--- a/common/log.cc
+++ b/common/log.cc
@@ -247,6 +247,8 @@
       return "upstream_draining";
     case log_event::kUpstreamGone:
       return "upstream_gone";
+    case log_event::kUpstreamEntryIgnored:
+      return "upstream_entry_ignored";
     case log_event::kPeerJoined:
       return "peer_joined";
     case log_event::kPeerGone:
@@ -263,6 +265,8 @@
       return "engines_ordered";
     case log_event::kSettingsReloaded:
       return "settings_reloaded";
+    case log_event::kTaskFailed:
+      return "task_failed";
     case log_event::kLoadOwnershipChanged:
       return "load_ownership_changed";
   }
--- a/common/log.h
+++ b/common/log.h
@@ -74,6 +74,7 @@
   kUpstreamJoined = 820,
   kUpstreamDraining = 821,
   kUpstreamGone = 822,
+  kUpstreamEntryIgnored = 823,
   kPeerJoined = 830,
   kPeerGone = 831,
   kReportsDropped = 832,
@@ -82,6 +83,7 @@
   kEnginesOrdered = 841,
   kUsageCountsUnreadable = 842,
   kSettingsReloaded = 850,
+  kTaskFailed = 851,
 };
 
 enum class log_level { kInfo, kWarning, kError };
--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
@@ -661,14 +662,29 @@
       : state_(state), clients_(clients) {}
 
   awaitable<void> Handle(http_exchange& exchange, std::size_t thread) {
-    state_.unfinished.fetch_add(1, std::memory_order_relaxed);
+    const unfinished_call counted(state_.unfinished);
     state_.counters.calls.fetch_add(1, std::memory_order_relaxed);
     forwarded_call<Codec> call(state_, *clients_[thread], exchange);
     co_await call.Run();
-    state_.unfinished.fetch_sub(1, std::memory_order_relaxed);
   }
 
  private:
+  // Counts a call until it ends, also by an exception: a planned stop waits for
+  // the counted ones.
+  class unfinished_call {
+   public:
+    explicit unfinished_call(std::atomic<std::uint32_t>& count)
+        : count_(count) {
+      count_.fetch_add(1, std::memory_order_relaxed);
+    }
+    ~unfinished_call() { count_.fetch_sub(1, std::memory_order_relaxed); }
+    unfinished_call(const unfinished_call&) = delete;
+    unfinished_call& operator=(const unfinished_call&) = delete;
+
+   private:
+    std::atomic<std::uint32_t>& count_;
+  };
+
   gateway_state& state_;
   std::vector<std::unique_ptr<http_client>>& clients_;
 };
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -4,9 +4,12 @@
 #ifndef ENTRY_GATEWAY_H_
 #define ENTRY_GATEWAY_H_
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <concepts>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,6 +25,7 @@
 #include "entry/object_watcher.h"
 #include "entry/peer_reporter.h"
 #include "entry/stale_entry_remover.h"
+#include "entry/supervised_task.h"
 #include "instances/digest_comparison.h"
 #include "instances/watch_duty.h"
 #include "wire/http_client.h"
@@ -83,20 +87,26 @@
     state_.load_changed = [this](auto upstream) {
       reporter_.RequestLoad(std::move(upstream));
     };
-    Spawn(Join());
-    Spawn(upstreams_.Run());
-    Spawn(reporter_.Receive(
-        [this](const peer_report& report) { ApplyChanges(report); }));
-    Spawn(reporter_.Report(
-        [this](peer_report& report) { CompleteReport(report); },
-        [this](std::string_view name) {
-          departed_.MarkDeparted(name, state_.clock.Now());
-        }));
-    Spawn(RemoveDeparted());
-    Spawn(Verify());
+    Run("join", [this] { return Join(); });
+    Run("manifests", [this] { return FollowManifests(); });
+    Run("announcements", [this] { return FollowAnnouncements(); });
+    Run("upstreams", [this] { return upstreams_.Run(); });
+    Run("receive", [this] {
+      return reporter_.Receive(
+          [this](const peer_report& report) { ApplyChanges(report); });
+    });
+    Run("report", [this] {
+      return reporter_.Report(
+          [this](peer_report& report) { CompleteReport(report); },
+          [this](std::string_view name) {
+            departed_.MarkDeparted(name, state_.clock.Now());
+          });
+    });
+    Run("remove_departed", [this] { return RemoveDeparted(); });
+    Run("verify", [this] { return Verify(); });
     if (!state_.settings.cloud.empty()) {
-      Spawn(duties_.Run());
-      Spawn(duties_.RunReports());
+      Run("duties", [this] { return duties_.Run(); });
+      Run("usage_reports", [this] { return duties_.RunReports(); });
     }
     caller_pool_.Start();
     control_pool_.Start();
@@ -142,13 +152,17 @@
   static constexpr duration kConnectTimeout = std::chrono::milliseconds(250);
   static constexpr duration kRegisterTimeout = std::chrono::seconds(1);
   static constexpr duration kRegisterRetryDelay = std::chrono::seconds(1);
+  static constexpr duration kJoinCheckInterval = std::chrono::milliseconds(5);
   // An entry that is removed a second late has no effect.
   static constexpr duration kRemoveDepartedInterval = std::chrono::seconds(1);
   // File descriptors reserved for listeners, upstreams and the store.
   static constexpr std::size_t kReservedDescriptors = 700;
 
-  void Spawn(awaitable<void> task) {
-    boost::asio::co_spawn(control_pool_.context(0), std::move(task),
+  // Runs a task of the control thread. An unexpected error in one must end
+  // neither the process nor the task.
+  void Run(std::string_view name, std::function<awaitable<void>()> task) {
+    boost::asio::co_spawn(control_pool_.context(0),
+                          RunSupervised(name, std::move(task)),
                           boost::asio::detached);
   }
 
@@ -383,6 +397,8 @@
     for (const stored_object& object : list.objects) {
       if (auto each = Platform::DecodeUpstream(object.name, object.value)) {
         announced.push_back({object.version, false, std::move(*each)});
+      } else {
+        ReportIgnored(object);
       }
     }
     return upstreams_.ApplyList(list.version, announced, state_.clock.Now());
@@ -400,9 +416,29 @@
     change.announced.id = event.object.name;
     if (announced) {
       change.announced = std::move(*announced);
+    } else if (event.kind == object_event_kind::kPut) {
+      ReportIgnored(event.object);
     }
     upstreams_.ApplyChange(change, state_.clock.Now());
-    pending_changes_.push_back(std::move(change));
+    if (change.announced.id.size() <= kMaxRelayedName) {
+      pending_changes_.push_back(std::move(change));
+    }
+  }
+
+  // Logs an entry that names no usable upstream, once for each revision among
+  // the latest ones.
+  void ReportIgnored(const stored_object& entry) {
+    if (std::ranges::find(ignored_revisions_, entry.version) !=
+        ignored_revisions_.end()) {
+      return;
+    }
+    ignored_revisions_[next_ignored_++ % ignored_revisions_.size()] =
+        entry.version;
+    state_.counters.ignored_entries.fetch_add(1, std::memory_order_relaxed);
+    Log(log_level::kWarning, log_event::kUpstreamEntryIgnored,
+        {{"entry", entry.name.substr(0, kMaxLoggedName)},
+         {"revision", std::to_string(entry.version)},
+         {"bytes", std::to_string(entry.value.size())}});
   }
 
   // Lists the other instances before it starts to serve, so that no limit is
@@ -410,14 +446,29 @@
   // the first attempt to read it fails.
   awaitable<void> Join() {
     bool listed = co_await Register();
-    Spawn(manifests_.Run());
-    Spawn(announcements_.Run());
+    tried_to_join_ = true;
     while (!listed) {
       co_await Pause(kRegisterRetryDelay);
       listed = co_await Register();
     }
   }
 
+  awaitable<void> FollowManifests() {
+    co_await AwaitJoinAttempt();
+    co_await manifests_.Run();
+  }
+
+  awaitable<void> FollowAnnouncements() {
+    co_await AwaitJoinAttempt();
+    co_await announcements_.Run();
+  }
+
+  awaitable<void> AwaitJoinAttempt() {
+    while (!tried_to_join_) {
+      co_await Pause(kJoinCheckInterval);
+    }
+  }
+
   awaitable<void> RemoveDeparted() {
     for (;;) {
       co_await Pause(kRemoveDepartedInterval);
@@ -462,6 +513,11 @@
   // until a missed change is found to 1.7 s; the requirement is 2 s.
   static constexpr duration kMinDifferenceTime = std::chrono::milliseconds(500);
 
+  // No upstream has a longer id, so no other instance needs to know of it.
+  static constexpr std::size_t kMaxRelayedName = 128;
+  static constexpr std::size_t kMaxLoggedName = 64;
+  static constexpr std::size_t kRememberedIgnored = 64;
+
   struct relayed_change {
     // Remaining retransmissions.
     int remaining = 0;
@@ -472,6 +528,8 @@
   io_pool control_pool_;
   io_pool caller_pool_;
   std::string identity_;
+  // Whether the first attempt to list the other instances has ended.
+  bool tried_to_join_ = false;
   typename Platform::store store_;
   typename Platform::cloud cloud_;
   peer_reporter reporter_;
@@ -480,6 +538,9 @@
   deadline read_manifest_at_ = deadline(time_point::min());
   watch_duty watch_duty_;
   digest_comparison digest_comparison_{kMinDifferenceTime};
+  // Store revisions of the ignored entries that were logged last.
+  std::array<std::uint64_t, kRememberedIgnored> ignored_revisions_{};
+  std::size_t next_ignored_ = 0;
   std::vector<upstream_change> pending_changes_;
   std::vector<relayed_change> retransmissions_;
   duty_runner<typename Platform::store, typename Platform::cloud> duties_;
--- a/entry/gateway_admin.cc
+++ b/entry/gateway_admin.cc
@@ -37,6 +37,22 @@
   }
 }
 
+json::object DumpProfiles(const serving_view& view) {
+  json::object profiles;
+  for (const auto& [service, pool] : view.pools) {
+    if (pool.model) {
+      const engine_profile known = pool.stats->profile.profile();
+      profiles[service] = {{"fixed_us", known.fixed_us},
+                           {"prefill_us_per_token", known.prefill_us_per_token},
+                           {"prefill_us_per_pair", known.prefill_us_per_pair},
+                           {"running_us_per_token", known.running_us_per_token},
+                           {"mean_us_per_token", known.mean_us_per_token},
+                           {"observations", known.observations}};
+    }
+  }
+  return profiles;
+}
+
 }  // namespace
 
 bool gateway_admin::Ready() const {
@@ -73,6 +89,7 @@
   AppendCounter(out, "abandoned_total", counters.abandoned.load());
   AppendCounter(out, "repeats_total", counters.repeats.load());
   AppendCounter(out, "resumed_streams_total", counters.resumed_streams.load());
+  AppendCounter(out, "ignored_entries_total", counters.ignored_entries.load());
   AppendCounter(out, "unfinished", state_.unfinished.load());
   const auto view = state_.View();
   AppendCounter(out, "manifest_version",
@@ -102,10 +119,12 @@
                            {"running", each->running()},
                            {"running_in_all", each->total_running()},
                            {"unread_tokens", each->total_unread_tokens()},
+                           {"pace", each->pace(state_.clock.Now())},
                            {"failed_permille", each->failed_permille()}});
     }
   }
   dump["upstreams"] = std::move(upstreams);
+  dump["engine_profiles"] = DumpProfiles(*view);
   return json::serialize(dump);
 }
 
--- a/entry/gateway_state.h
+++ b/entry/gateway_state.h
@@ -46,6 +46,8 @@
   std::atomic<std::uint64_t> abandoned{0};
   std::atomic<std::uint64_t> repeats{0};
   std::atomic<std::uint64_t> resumed_streams{0};
+  // Entries of the store that name no usable upstream, by revision.
+  std::atomic<std::uint64_t> ignored_entries{0};
   latency_histogram first_byte;
   latency_histogram whole_answer;
 };
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "common/log.h"
+#include "wire/endpoint.h"
 #include "wire/json_text.h"
 #include "wire/pause.h"
 #include "wire/report_codec.h"
@@ -40,6 +41,9 @@
 // Reports may be lost, so grants are sent again at this interval.
 constexpr duration kSendAllInterval = std::chrono::seconds(2);
 
+// Longest name of an instance. Names are part of each report.
+constexpr std::size_t kMaxNameBytes = 128;
+
 // Returns the units that a share of a limit allows in a time.
 std::uint64_t UnitsIn(duration time, std::uint64_t per_second, double share) {
   const double seconds = std::chrono::duration<double>(time).count();
@@ -74,7 +78,9 @@
     const auto parsed = ParseJson(entry.value);
     const auto address =
         parsed ? StringMember(*parsed, "address") : std::nullopt;
-    if (address) {
+    // Another program may have left an entry here; it is no instance.
+    if (address && ParseEndpoint(*address) &&
+        entry.name.size() <= kMaxNameBytes) {
       peer_reports_.Expect(entry.name, *address, state_.clock.Now());
     }
   }
--- a/instances/demand_estimate.cc
+++ b/instances/demand_estimate.cc
@@ -12,7 +12,7 @@
     sampled_at_ = now;
     // Stored as a sample, so that the first calls do not lower the estimate.
     busy_engines_ = current.engines * kInitialUtilization;
-    samples_.push_back({now, busy_engines_});
+    samples_.push_back({now, 0, busy_engines_});
     return;
   }
   if (now - sampled_at_ < kSampleInterval) {
@@ -23,13 +23,16 @@
   const auto elapsed_us = static_cast<double>((now - sampled_at_).count());
   last_tokens_ = read_tokens;
   sampled_at_ = now;
-  const double reading = static_cast<double>(added_tokens) *
-                         current.prefill_us_per_token / elapsed_us;
-  samples_.push_back({now, std::max(reading, current.full_engines)});
+  samples_.push_back({now, static_cast<double>(added_tokens) / elapsed_us,
+                      current.full_engines});
   while (samples_.front().at + kSampleWindow < now) {
     samples_.pop_front();
   }
-  busy_engines_ = std::ranges::max_element(samples_, {}, &sample::busy)->busy;
+  busy_engines_ = 0;
+  for (const sample& each : samples_) {
+    busy_engines_ = std::max(
+        {busy_engines_, each.busy, each.rate * current.prefill_us_per_token});
+  }
 }
 
 }  // namespace anvilloom
--- a/instances/demand_estimate.h
+++ b/instances/demand_estimate.h
@@ -12,9 +12,9 @@
 
 // Computed from the cumulative number of prompt tokens that engines had to
 // process. The estimate is the maximum over the samples of the last
-// kSampleWindow: it follows an increase with the next sample, and a decrease
-// only after kSampleWindow, so that engines are not released during a short
-// lull. Not thread-safe.
+// kSampleWindow, at the current prefill time: it follows an increase with the
+// next sample, and a decrease only after kSampleWindow, so that engines are not
+// released during a short lull. Not thread-safe.
 class demand_estimate {
  public:
   // The load of a service at one time.
@@ -47,6 +47,8 @@
 
   struct sample {
     time_point at;
+    // Prompt tokens per microsecond, and the least number of busy engines.
+    double rate = 0;
     double busy = 0;
   };
 
--- a/instances/engine_profile.h
+++ b/instances/engine_profile.h
@@ -17,6 +17,8 @@
   std::uint32_t tokens = 0;
   // Length of the whole prompt, in tokens.
   std::uint32_t prompt_tokens = 0;
+  // Other requests that the engine runs at the same time.
+  std::uint32_t running = 0;
 };
 
 // All times are in microseconds.
@@ -30,8 +32,11 @@
   double prefill_us_per_token = 20.0;
   // Attention between a computed token and an earlier token of its prompt.
   double prefill_us_per_pair = 0;
-  // Average prefill time of a token, attention included, over the observed
-  // prompts.
+  // Time by which each other running request delays a token, because both take
+  // part in the same steps.
+  double running_us_per_token = 0;
+  // Average prefill time of a token at an idle engine, attention included, over
+  // the observed prompts.
   double mean_us_per_token = prefill_us_per_token;
   // Number of observations that the values follow from; 0 for the initial ones.
   std::uint32_t observations = 0;
--- a/links/placement.cc
+++ b/links/placement.cc
@@ -92,16 +92,18 @@
     const member* upstream = nullptr;
     // Prompt tokens that it probably caches.
     std::uint32_t cached_tokens = 0;
+    // Whether this instance has sent them there.
+    bool is_known = true;
   };
 
   // Keeps the larger number of tokens if the upstream is already a candidate.
-  void Add(const member& upstream, std::uint32_t cached_tokens) {
+  void Add(const candidate& added) {
     const auto found =
-        std::ranges::find(candidates_, &upstream, &candidate::upstream);
+        std::ranges::find(candidates_, added.upstream, &candidate::upstream);
     if (found == candidates_.end()) {
-      candidates_.push_back({&upstream, cached_tokens});
-    } else {
-      found->cached_tokens = std::max(found->cached_tokens, cached_tokens);
+      candidates_.push_back(added);
+    } else if (added.cached_tokens > found->cached_tokens) {
+      *found = added;
     }
   }
 
@@ -121,7 +123,7 @@
          ++i) {
       const auto index = random.NextBelow(
           static_cast<std::uint32_t>(fresh_load_upstreams_.size()));
-      Add(*fresh_load_upstreams_[index], 0);
+      Add({fresh_load_upstreams_[index], 0});
     }
   }
 
@@ -138,9 +140,9 @@
           continue;
         }
         if (HasFreshLoad(**each)) {
-          Add(*each, prefix.tokens);
+          Add({each, prefix.tokens});
         } else {
-          RecordFetchSource(*each, prefix.tokens);
+          RecordFetchSource({each, prefix.tokens});
         }
       }
     }
@@ -152,9 +154,9 @@
 
   // Records an upstream that is no candidate, but caches a prefix that others
   // can fetch.
-  void RecordFetchSource(const member& upstream, std::uint32_t cached_tokens) {
-    if (cached_tokens > fetch_source_.cached_tokens) {
-      fetch_source_ = {&upstream, cached_tokens};
+  void RecordFetchSource(const candidate& source) {
+    if (source.cached_tokens > fetch_source_.cached_tokens) {
+      fetch_source_ = source;
     }
   }
 
@@ -177,16 +179,16 @@
       return;
     }
     if (HasFreshLoad(**home) || !HasSent(prefix)) {
-      Add(*home, prefix.tokens);
+      Add({home, prefix.tokens, false});
     } else {
-      RecordFetchSource(*home, prefix.tokens);
+      RecordFetchSource({home, prefix.tokens, false});
     }
     const member* first =
         FirstByRendezvous(fresh_load_upstreams_, prefix, nullptr);
-    Add(*first, 0);
+    Add({first, 0});
     if (const member* second =
             FirstByRendezvous(fresh_load_upstreams_, prefix, first)) {
-      Add(*second, 0);
+      Add({second, 0});
     }
   }
 
@@ -255,6 +257,7 @@
                      const candidate& largest_cache) const {
     placement evaluated;
     evaluated.target = *each.upstream;
+    evaluated.cache_known = each.is_known;
     const std::uint32_t total_tokens = question_.prompt->prompt_tokens;
     evaluated.unread_tokens =
         total_tokens - std::min(total_tokens, each.cached_tokens);
@@ -262,6 +265,7 @@
         largest_cache.upstream != each.upstream &&
         largest_cache.cached_tokens >= each.cached_tokens + kMinFetchedTokens) {
       evaluated.fetch_from = *largest_cache.upstream;
+      evaluated.cache_known = each.is_known && largest_cache.is_known;
       evaluated.fetched_tokens =
           std::min(largest_cache.cached_tokens - each.cached_tokens,
                    evaluated.unread_tokens);
@@ -269,6 +273,7 @@
     }
     const pooled_upstream& target = *evaluated.target;
     const double pace = target.pace(question_.now);
+    evaluated.running = target.total_running();
     evaluated.prefill_time = Scaled(
         costs_.engine.PrefillTime({evaluated.unread_tokens, total_tokens}),
         pace);
--- a/links/placement.h
+++ b/links/placement.h
@@ -74,8 +74,14 @@
   std::uint32_t fetched_tokens = 0;
   // Expected queueing time at the target, in microseconds.
   duration expected_wait{0};
-  // Tokens of other prompts that were known to wait there.
+  // Tokens of other prompts that were known to wait there, and the requests
+  // that ran there.
   std::uint32_t queued_tokens = 0;
+  std::uint32_t running = 0;
+  // Whether all cached parts that the placement counts on, at the target or at
+  // the source of a fetch, were sent there by this instance. Others are only
+  // likely to be cached.
+  bool cache_known = true;
 };
 
 // Returns the cheapest of a few upstreams, or a null target if none may be
--- a/links/pool_call.cc
+++ b/links/pool_call.cc
@@ -46,8 +46,12 @@
                        duration delay,
                        time_point now) {
   pool.stats->first_token.Observe(ExpectedDelay(placed), delay, now);
+  // A part that was assumed to be cached may have been computed.
+  if (!placed.cache_known) {
+    return;
+  }
   const first_token_observation observation{
-      {placed.unread_tokens, prompt_tokens},
+      {placed.unread_tokens, prompt_tokens, placed.running},
       placed.queued_tokens,
       delay - placed.transfer_time};
   if (pool.stats->profile.Observe(observation)) {
--- a/links/profile_estimator.cc
+++ b/links/profile_estimator.cc
@@ -18,13 +18,13 @@
 constexpr int kIterations = 12;
 // Relative errors below this count alike.
 constexpr double kErrorFloor = 0.02;
-constexpr std::size_t kFeatures = 3;
-enum feature : std::size_t { kPerToken, kPerPair, kFixed };
+constexpr std::size_t kFeatures = 4;
+enum feature : std::size_t { kPerToken, kPerPair, kPerRunning, kFixed };
 using coefficients = std::array<double, kFeatures>;
 
 // Pulls factors towards zero. What the observations leave open, such as for
 // prompts of equal length, is taken to be time per token.
-constexpr coefficients kRegularization = {1e-5, 5e-4, 5e-4};
+constexpr coefficients kRegularization = {1e-5, 5e-4, 5e-4, 5e-4};
 
 struct sample {
   coefficients features{};
@@ -37,7 +37,7 @@
   const double tokens =
       static_cast<double>(work.tokens) + observation.queued_tokens;
   const double before = work.prompt_tokens - work.tokens / 2.0;
-  return {{tokens, tokens * before, 1.0},
+  return {{tokens, tokens * before, tokens * work.running, 1.0},
           static_cast<double>(observation.delay.count())};
 }
 
@@ -94,14 +94,13 @@
 // Returns the best solution without a negative factor. The time per token is
 // always part of it.
 coefficients SolveNonNegative(const normal_equations& equations) {
-  static constexpr std::array<std::array<bool, kFeatures>, 4> kSubsets = {
-      {{true, true, true},
-       {true, false, true},
-       {true, true, false},
-       {true, false, false}}};
   coefficients best{};
   double least_error = std::numeric_limits<double>::max();
-  for (const auto& used : kSubsets) {
+  for (unsigned optional = 0; optional < 1U << (kFeatures - 1); ++optional) {
+    std::array<bool, kFeatures> used{true};
+    for (std::size_t i = 1; i < kFeatures; ++i) {
+      used[i] = (optional >> (i - 1) & 1) != 0;
+    }
     const coefficients solved = Solve(equations, used);
     if (std::ranges::any_of(solved, [](double each) { return each < 0; })) {
       continue;
@@ -159,10 +158,14 @@
   return *middle;
 }
 
-// An observation in one word: computed and queued tokens, the earlier tokens of
-// the prompt in units of kBeforeUnit, and the delay in units of kDelayUnit.
-constexpr unsigned kTokenBits = 24;
-constexpr unsigned kBeforeBits = 16;
+// An observation in one word: computed and queued tokens in units of
+// kTokenUnit, the earlier tokens of the prompt in units of kBeforeUnit, the
+// running requests, and the delay in units of kDelayUnit.
+constexpr unsigned kTokenBits = 19;
+constexpr unsigned kBeforeBits = 15;
+constexpr unsigned kRunningBits = 10;
+constexpr unsigned kDelayBits = 64 - kTokenBits - kBeforeBits - kRunningBits;
+constexpr std::uint64_t kTokenUnit = 4;
 constexpr std::uint64_t kBeforeUnit = 64;
 constexpr duration kDelayUnit = std::chrono::microseconds(64);
 
@@ -176,19 +179,33 @@
   const std::uint64_t before =
       observation.work.prompt_tokens - observation.work.tokens / 2;
   const auto delay = static_cast<std::uint64_t>(observation.delay / kDelayUnit);
-  return std::min(tokens, MaxOf(kTokenBits)) |
-         std::min(before / kBeforeUnit, MaxOf(kBeforeBits)) << kTokenBits |
-         std::min(delay, MaxOf(64 - kTokenBits - kBeforeBits))
-             << (kTokenBits + kBeforeBits);
+  std::uint64_t packed = std::min(delay, MaxOf(kDelayBits));
+  packed =
+      packed << kRunningBits |
+      std::min<std::uint64_t>(observation.work.running, MaxOf(kRunningBits));
+  packed = packed << kBeforeBits |
+           std::min(before / kBeforeUnit, MaxOf(kBeforeBits));
+  return packed << kTokenBits |
+         std::min(tokens / kTokenUnit, MaxOf(kTokenBits));
+}
+
+// Removes the lowest bits and returns them.
+std::uint64_t TakeBits(std::uint64_t& packed, unsigned bits) {
+  const std::uint64_t taken = packed & MaxOf(bits);
+  packed >>= bits;
+  return taken;
 }
 
 first_token_observation Unpack(std::uint64_t packed) {
-  const auto tokens = static_cast<std::uint32_t>(packed & MaxOf(kTokenBits));
-  const auto before = static_cast<std::uint32_t>(
-      ((packed >> kTokenBits) & MaxOf(kBeforeBits)) * kBeforeUnit);
-  const auto delay =
-      static_cast<std::int64_t>(packed >> (kTokenBits + kBeforeBits));
-  return {{tokens, before + tokens / 2}, 0, delay * kDelayUnit};
+  first_token_observation observation;
+  prompt_work& work = observation.work;
+  work.tokens =
+      static_cast<std::uint32_t>(TakeBits(packed, kTokenBits) * kTokenUnit);
+  const std::uint64_t before = TakeBits(packed, kBeforeBits) * kBeforeUnit;
+  work.prompt_tokens = static_cast<std::uint32_t>(before) + work.tokens / 2;
+  work.running = static_cast<std::uint32_t>(TakeBits(packed, kRunningBits));
+  observation.delay = static_cast<std::int64_t>(packed) * kDelayUnit;
+  return observation;
 }
 
 }  // namespace
@@ -212,7 +229,11 @@
   for (double& each : scale) {
     each /= static_cast<double>(samples.size());
   }
-  coefficients factors{MedianUsPerToken(samples), 0, 0};
+  // Without other running requests, their feature has no scale.
+  for (double& each : scale) {
+    each = std::max(each, 1e-9);
+  }
+  coefficients factors{MedianUsPerToken(samples)};
   for (int i = 0; i < kIterations; ++i) {
     const coefficients solved =
         SolveNonNegative(MakeEquations(samples, factors, scale));
@@ -223,7 +244,11 @@
   // The means of both features have the same number of samples.
   const double mean = factors[kPerToken] +
                       factors[kPerPair] * scale[kPerPair] / scale[kPerToken];
-  return {factors[kFixed], factors[kPerToken], factors[kPerPair], mean,
+  return {factors[kFixed],
+          factors[kPerToken],
+          factors[kPerPair],
+          factors[kPerRunning],
+          mean,
           static_cast<std::uint32_t>(samples.size())};
 }
 
@@ -273,6 +298,7 @@
   return {fixed_us_.load(std::memory_order_relaxed),
           per_token_us_.load(std::memory_order_relaxed),
           per_pair_us_.load(std::memory_order_relaxed),
+          running_us_.load(std::memory_order_relaxed),
           mean_us_.load(std::memory_order_relaxed),
           observations_.load(std::memory_order_relaxed)};
 }
@@ -281,6 +307,7 @@
   fixed_us_.store(profile.fixed_us, std::memory_order_relaxed);
   per_token_us_.store(profile.prefill_us_per_token, std::memory_order_relaxed);
   per_pair_us_.store(profile.prefill_us_per_pair, std::memory_order_relaxed);
+  running_us_.store(profile.running_us_per_token, std::memory_order_relaxed);
   mean_us_.store(profile.mean_us_per_token, std::memory_order_relaxed);
   observations_.store(profile.observations, std::memory_order_relaxed);
 }
--- a/links/profile_estimator.h
+++ b/links/profile_estimator.h
@@ -17,7 +17,8 @@
 
 // The first token of one call.
 struct first_token_observation {
-  // The call's own prompt, as far as it was not known to be cached.
+  // The call's own prompt, as far as it was not known to be cached, and the
+  // engine's other requests.
   prompt_work work;
   // Tokens of other prompts that were waiting at the engine when it was sent.
   std::uint32_t queued_tokens = 0;
@@ -73,6 +74,7 @@
   std::atomic<double> fixed_us_{engine_profile{}.fixed_us};
   std::atomic<double> per_token_us_{engine_profile{}.prefill_us_per_token};
   std::atomic<double> per_pair_us_{engine_profile{}.prefill_us_per_pair};
+  std::atomic<double> running_us_{engine_profile{}.running_us_per_token};
   std::atomic<double> mean_us_{engine_profile{}.mean_us_per_token};
   std::atomic<std::uint32_t> observations_{0};
 };
--- a/test/correctness/profile_estimator_test.cc
+++ b/test/correctness/profile_estimator_test.cc
@@ -24,10 +24,10 @@
   double us_per_pair = 0;
   int slots = 0;
 
-  duration FirstToken(const prompt_work& work, int running) const {
+  duration FirstToken(const prompt_work& work) const {
     constexpr double kChunkTokens = 1024;
     const double steps = std::ceil(work.tokens / kChunkTokens) + 0.5;
-    const double slower = 1 + 0.5 * running / slots;
+    const double slower = 1 + 0.5 * work.running / slots;
     const double before = work.prompt_tokens - work.tokens / 2.0;
     const double us = work.tokens / tokens_per_ms * 1000 +
                       work.tokens * before * us_per_pair +
@@ -55,10 +55,10 @@
              split_mix& random) {
   constexpr double kMaxNoise = 0.1;
   for (int i = 0; i < count; ++i) {
-    const prompt_work work = RandomWork(random);
-    const auto running = static_cast<int>(random.NextBelow(
-        static_cast<std::uint32_t>(std::max(speed.slots / 2, 1))));
-    auto delay = static_cast<double>(speed.FirstToken(work, running).count());
+    prompt_work work = RandomWork(random);
+    work.running = random.NextBelow(
+        static_cast<std::uint32_t>(std::max(speed.slots / 2, 1)));
+    auto delay = static_cast<double>(speed.FirstToken(work).count());
     delay *= 1 + (random.NextUnit() * 2 - 1) * kMaxNoise;
     const double kind = random.NextUnit();
     if (kind < 0.10) {
@@ -79,9 +79,9 @@
                    split_mix random) {
   std::vector<double> errors;
   for (int i = 0; i < 400; ++i) {
-    const prompt_work work = RandomWork(random);
-    const auto actual =
-        static_cast<double>(speed.FirstToken(work, speed.slots / 4).count());
+    prompt_work work = RandomWork(random);
+    work.running = static_cast<std::uint32_t>(speed.slots / 4);
+    const auto actual = static_cast<double>(speed.FirstToken(work).count());
     const double expected =
         static_cast<double>(profile.PrefillTime(work).count()) +
         profile.fixed_us;
@@ -189,7 +189,7 @@
     for (int i = 0; i < 16 * 64; ++i) {
       const prompt_work own{1000, 1000};
       const prompt_work all{5000, 5000};
-      estimator.Observe({own, 4000, speed.FirstToken(all, 0)});
+      estimator.Observe({own, 4000, speed.FirstToken(all)});
     }
     estimator.Update({});
     THEN("the profile is learned from some of them") {
--- a/wire/json_text.cc
+++ b/wire/json_text.cc
@@ -1,6 +1,8 @@
 #include "wire/json_text.h"
 
+#include <algorithm>
 #include <boost/json/parse.hpp>
+#include <utility>
 
 namespace anvilloom {
 
@@ -24,8 +26,143 @@
   return parsed;
 }
 
+// Cuts JSON text at the boundaries of values, without recursion.
+class json_cutter {
+ public:
+  explicit json_cutter(std::string_view text) : text_(text) { SkipSpace(); }
+
+  // Skips the character `expected` and space; false if another one follows.
+  bool Skip(char expected) {
+    if (text_.empty() || text_.front() != expected) {
+      return false;
+    }
+    text_.remove_prefix(1);
+    SkipSpace();
+    return true;
+  }
+
+  // Returns the next value and skips it and space; empty if none follows.
+  std::string_view TakeValue() {
+    const std::size_t size = ValueSize();
+    const std::string_view value = text_.substr(0, size);
+    text_.remove_prefix(size);
+    SkipSpace();
+    return value;
+  }
+
+  bool at_end() const { return text_.empty(); }
+
+ private:
+  void SkipSpace() {
+    const std::size_t begin = text_.find_first_not_of(" \t\r\n");
+    text_.remove_prefix(std::min(begin, text_.size()));
+  }
+
+  // Size of the string that begins at `at`, with its quotes; 0 if it does not
+  // end.
+  std::size_t StringSize(std::size_t at) const {
+    for (std::size_t end = at + 1; end < text_.size(); ++end) {
+      if (text_[end] == '\\') {
+        ++end;
+      } else if (text_[end] == '"') {
+        return end + 1 - at;
+      }
+    }
+    return 0;
+  }
+
+  std::size_t ValueSize() const {
+    if (text_.empty()) {
+      return 0;
+    }
+    if (text_.front() == '"') {
+      return StringSize(0);
+    }
+    if (text_.front() != '{' && text_.front() != '[') {
+      return std::min(text_.find_first_of(",:]}{[\" \t\r\n"), text_.size());
+    }
+    std::size_t depth = 0;
+    for (std::size_t at = 0; at < text_.size(); ++at) {
+      const char each = text_[at];
+      if (each == '"') {
+        const std::size_t size = StringSize(at);
+        if (size == 0) {
+          return 0;
+        }
+        at += size - 1;
+      } else if (each == '{' || each == '[') {
+        ++depth;
+      } else if ((each == '}' || each == ']') && --depth == 0) {
+        return at + 1;
+      }
+    }
+    return 0;
+  }
+
+  std::string_view text_;
+};
+
+std::string_view WithoutQuotes(std::string_view text) {
+  return text.size() < 2 ? std::string_view{} : text.substr(1, text.size() - 2);
+}
+
 }  // namespace
 
+std::optional<json_elements> SplitArray(std::string_view text) {
+  json_cutter cutter(text);
+  json_elements elements;
+  if (!cutter.Skip('[')) {
+    return std::nullopt;
+  }
+  if (!cutter.Skip(']')) {
+    do {
+      elements.push_back(cutter.TakeValue());
+      if (elements.back().empty()) {
+        return std::nullopt;
+      }
+    } while (cutter.Skip(','));
+    if (!cutter.Skip(']')) {
+      return std::nullopt;
+    }
+  }
+  return cutter.at_end() ? std::optional(std::move(elements)) : std::nullopt;
+}
+
+std::optional<json_members> SplitObject(std::string_view text) {
+  json_cutter cutter(text);
+  json_members members;
+  if (!cutter.Skip('{')) {
+    return std::nullopt;
+  }
+  if (!cutter.Skip('}')) {
+    do {
+      const std::string_view key = cutter.TakeValue();
+      if (!key.starts_with('"') || !cutter.Skip(':')) {
+        return std::nullopt;
+      }
+      members.push_back({WithoutQuotes(key), cutter.TakeValue()});
+      if (members.back().value.empty()) {
+        return std::nullopt;
+      }
+    } while (cutter.Skip(','));
+    if (!cutter.Skip('}')) {
+      return std::nullopt;
+    }
+  }
+  return cutter.at_end() ? std::optional(std::move(members)) : std::nullopt;
+}
+
+std::string_view FindValue(const json_members& members, std::string_view key) {
+  // The last one of several counts, as in parsed objects.
+  std::string_view value;
+  for (const json_member& each : members) {
+    if (each.key == key) {
+      value = each.value;
+    }
+  }
+  return value;
+}
+
 std::optional<json::value> ParseJson(std::string_view text) {
   return Parse(text, false);
 }
--- a/wire/json_text.h
+++ b/wire/json_text.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace anvilloom {
 
@@ -16,6 +17,24 @@
 // Same as ParseJson, but also accepts // and /* */ comments.
 std::optional<boost::json::value> ParseJsonWithComments(std::string_view text);
 
+// Views of the elements of a JSON array, or of the values of an object's
+// members. Only the outermost structure is examined: an element may itself be
+// malformed, too deep or out of range, so that it fails to parse alone.
+using json_elements = std::vector<std::string_view>;
+struct json_member {
+  // Without quotes, as it stands in the text.
+  std::string_view key;
+  std::string_view value;
+};
+using json_members = std::vector<json_member>;
+
+// Return nothing if the text is not an array or an object, or has text after
+// it.
+std::optional<json_elements> SplitArray(std::string_view text);
+std::optional<json_members> SplitObject(std::string_view text);
+// Returns the value of a member, or an empty view if there is none.
+std::string_view FindValue(const json_members& members, std::string_view key);
+
 // Returns a member of an object, or null if it is absent or `object` is not an
 // object.
 const boost::json::value* FindMember(const boost::json::value& object,
--- a/wire/report_codec.cc
+++ b/wire/report_codec.cc
@@ -48,6 +48,8 @@
       static_cast<float>(profile.prefill_us_per_token));
   message.set_prefill_us_per_pair(
       static_cast<float>(profile.prefill_us_per_pair));
+  message.set_running_us_per_token(
+      static_cast<float>(profile.running_us_per_token));
   message.set_mean_us_per_token(static_cast<float>(profile.mean_us_per_token));
 }
 
@@ -56,10 +58,12 @@
   if (message.observations() == 0) {
     return read;
   }
-  const engine_profile profile{
-      message.fixed_us(), message.prefill_us_per_token(),
-      message.prefill_us_per_pair(), message.mean_us_per_token(),
-      message.observations()};
+  const engine_profile profile{message.fixed_us(),
+                               message.prefill_us_per_token(),
+                               message.prefill_us_per_pair(),
+                               message.running_us_per_token(),
+                               message.mean_us_per_token(),
+                               message.observations()};
   if (IsPlausible(profile)) {
     read.profile = profile;
   }
