Learn the time of waiting tokens, and obey engines that leave or ask for a pause

Cause: the wait was the waiting tokens times the prefill time. Nothing read Server-Leaving, nor Retry-After of an engine's 503, and a body without end could fill the memory.

Change: waiting tokens have a time of their own in the profile. An engine that says that it leaves gets no call in that lifetime, one that asks for a pause none before its end. Receive buffers, events and the sum of buffered answers have limits.

--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -37,6 +37,10 @@
 // attempts remain.
 inline constexpr std::int64_t kRepeatableAttemptTimeoutPermille = 1200;
 
+// A longer event is no sound stream. Bounds the memory of a call whose upstream
+// sends bytes without end.
+inline constexpr std::size_t kMaxEventBytes = std::size_t{256} * 1024;
+
 template <call_codec Codec>
 class forwarded_call {
  public:
@@ -50,7 +54,10 @@
         view_(state.View()),
         arrived_(state.clock.Now()) {}
 
-  ~forwarded_call() { exchange_.UnwatchClient(); }
+  ~forwarded_call() {
+    exchange_.UnwatchClient();
+    ReleaseBody();
+  }
   forwarded_call(const forwarded_call&) = delete;
   forwarded_call& operator=(const forwarded_call&) = delete;
 
@@ -169,7 +176,9 @@
     request.latency_target = route_->latency_target;
     placement_ = PlaceCall(*pool_, state_.locations, CostsOf(*pool_), request);
     if (!placement_.target) {
-      return call_refusal{refusal_reason::kNoUpstream, kNoUpstreamRetryDelay};
+      return call_refusal{
+          refusal_reason::kNoUpstream,
+          TimeUntilOneAccepts(*pool_, kNoUpstreamRetryDelay, request.now)};
     }
     expected_first_token_ = placement_.expected_wait + placement_.own_time;
     if (attempts_ > 0 || !pool_->model) {
@@ -317,6 +326,7 @@
       head = Codec::DecodeAnswer(answer_->fields());
     }
     const auto status = static_cast<unsigned>(answer_->status());
+    RecordUpstreamState(target, head, status);
     constexpr unsigned kMisdirected = 421;
     if (status == kMisdirected) {
       // Another upstream process has taken over the address.
@@ -336,6 +346,21 @@
     co_return co_await ReadWholeAnswer(status, limit);
   }
 
+  // Applies what the answer says about the upstream itself.
+  void RecordUpstreamState(pooled_upstream& target,
+                           const upstream_answer& head,
+                           unsigned status) {
+    if (head.leaving && !target.said_leaving()) {
+      target.LeaveByOwnWord();
+      Log(log_level::kInfo, log_event::kUpstreamDraining,
+          {{"upstream", target.announced().id}, {"source", "answer"}});
+    }
+    constexpr unsigned kUnavailable = 503;
+    if (status == kUnavailable && head.refuses_for > duration::zero()) {
+      target.RefuseUntil(deadline::After(Now(), head.refuses_for));
+    }
+  }
+
   // An error response may lack the request id; a stale answer carries the id of
   // an earlier request.
   bool MatchesCall(const upstream_answer& head) const {
@@ -344,6 +369,13 @@
             static_cast<unsigned>(answer_->status()) >= kFirstErrorStatus);
   }
 
+  // Discards a buffered answer.
+  void ReleaseBody() {
+    state_.answer_bytes.Remove(buffered_bytes_);
+    buffered_bytes_ = 0;
+    body_.clear();
+  }
+
   // Fails the attempt. The connection is not reused, since its further bytes
   // cannot be trusted.
   attempt_end RejectAnswer() {
@@ -352,7 +384,7 @@
   }
 
   awaitable<attempt_end> ReadWholeAnswer(unsigned status, deadline limit) {
-    body_.clear();
+    ReleaseBody();
     for (;;) {
       const auto bytes = co_await answer_->ReadSome(limit);
       if (!bytes) {
@@ -361,6 +393,10 @@
       if (bytes->empty()) {
         break;
       }
+      if (!state_.answer_bytes.TryAdd(bytes->size())) {
+        co_return RejectAnswer();
+      }
+      buffered_bytes_ += bytes->size();
       body_.append(*bytes);
     }
     CountUsage();
@@ -381,6 +417,9 @@
       events_.Append(*bytes);
       const std::string_view whole = events_.CompleteEvents();
       if (whole.empty()) {
+        if (events_.pending_bytes() > kMaxEventBytes) {
+          co_return RejectAnswer();
+        }
         continue;
       }
       if (!co_await WriteEvents(whole)) {
@@ -648,6 +687,7 @@
   http_call_handle handle_;
   std::unique_ptr<http_response_stream> answer_;
   std::string body_;
+  std::size_t buffered_bytes_ = 0;
   event_splitter events_;
   bool streaming_ = false;
 };
--- a/entry/gateway_admin.cc
+++ b/entry/gateway_admin.cc
@@ -47,6 +47,7 @@
                            {"prefill_us_per_pair", known.prefill_us_per_pair},
                            {"running_us_per_token", known.running_us_per_token},
                            {"mean_us_per_token", known.mean_us_per_token},
+                           {"queued_us_per_token", known.queued_us_per_token},
                            {"observations", known.observations}};
     }
   }
--- a/entry/gateway_state.h
+++ b/entry/gateway_state.h
@@ -52,6 +52,32 @@
   latency_histogram whole_answer;
 };
 
+// Limits the bytes of answers that all calls together buffer. Thread-safe.
+class answer_budget {
+ public:
+  // Adds bytes unless the limit would be exceeded.
+  bool TryAdd(std::size_t bytes) {
+    const std::size_t before =
+        used_.fetch_add(bytes, std::memory_order_relaxed);
+    if (before + bytes <= kMaxBytes) {
+      return true;
+    }
+    Remove(bytes);
+    return false;
+  }
+  void Remove(std::size_t bytes) {
+    used_.fetch_sub(bytes, std::memory_order_relaxed);
+  }
+  std::size_t used() const { return used_.load(std::memory_order_relaxed); }
+
+ private:
+  // Enough for thousands of ordinary answers; an instance has at least four
+  // times as much memory.
+  static constexpr std::size_t kMaxBytes = std::size_t{32} * 1024 * 1024;
+
+  std::atomic<std::size_t> used_{0};
+};
+
 // Members are set before the threads start, are atomics, or are read through
 // read-copy-update.
 struct gateway_state {
@@ -85,6 +111,7 @@
   rcu_cell<std::shared_ptr<const serving_view>> view;
   prefix_locations locations;
   usage_ledger usage;
+  answer_budget answer_bytes;
   gateway_counters counters;
   // Called on any thread after the load of a model engine has changed.
   std::function<void(std::shared_ptr<const pooled_upstream>)> load_changed =
--- a/entry/inbound_call.h
+++ b/entry/inbound_call.h
@@ -56,6 +56,11 @@
   bool is_signed = false;
   // The upstream states that the call did not run.
   bool not_run = false;
+  // The upstream is leaving and must get no new calls.
+  bool leaving = false;
+  // Time from now in which the upstream wants no calls from this instance, in
+  // microseconds; zero if it does not say so.
+  duration refuses_for{0};
   // Whether the body has a content encoding, so that its bytes are not those of
   // the plain answer.
   bool encoded = false;
--- a/entry/serving_view.cc
+++ b/entry/serving_view.cc
@@ -1,5 +1,6 @@
 #include "entry/serving_view.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace anvilloom {
@@ -33,12 +34,17 @@
       return false;
     }
     // The same id belongs to a restarted upstream, or has another address.
+    RememberLeaving(*found->second);
     found->second->Leave();
   }
   auto upstream = std::make_shared<pooled_upstream>(announced);
   if (announced.draining) {
     upstream->Leave();
   }
+  if (std::ranges::find(said_leaving_, upstream->hash()) !=
+      said_leaving_.end()) {
+    upstream->LeaveByOwnWord();
+  }
   upstreams_.insert_or_assign(announced.id, std::move(upstream));
   return true;
 }
@@ -48,11 +54,22 @@
   if (found == upstreams_.end()) {
     return false;
   }
+  RememberLeaving(*found->second);
   found->second->Leave();
   upstreams_.erase(found);
   return true;
 }
 
+void serving_view_builder::RememberLeaving(const pooled_upstream& upstream) {
+  if (!upstream.said_leaving()) {
+    return;
+  }
+  said_leaving_.push_back(upstream.hash());
+  if (said_leaving_.size() > kRememberedLifetimes) {
+    said_leaving_.pop_front();
+  }
+}
+
 std::vector<std::string> serving_view_builder::UpstreamIds() const {
   std::vector<std::string> ids;
   for (const auto& [id, upstream] : upstreams_) {
--- a/entry/serving_view.h
+++ b/entry/serving_view.h
@@ -3,6 +3,9 @@
 #ifndef ENTRY_SERVING_VIEW_H_
 #define ENTRY_SERVING_VIEW_H_
 
+#include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -51,9 +54,19 @@
   std::shared_ptr<const serving_view> Build();
 
  private:
+  // Lifetimes of upstreams that are remembered after their entries have gone or
+  // changed. More than an instance sees within the time in which a store that
+  // was away brings entries back.
+  static constexpr std::size_t kRememberedLifetimes = 1024;
+
+  // Remembers that the upstream has said that it is leaving.
+  void RememberLeaving(const pooled_upstream& upstream);
+
   std::shared_ptr<const manifest_index> manifest_;
   std::map<std::string, std::shared_ptr<pooled_upstream>, std::less<>>
       upstreams_;
+  // Hashes of lifetimes that have said that they are leaving, oldest first.
+  std::deque<std::uint64_t> said_leaving_;
   std::map<std::string, std::shared_ptr<service_stats>, std::less<>> stats_;
   std::map<std::string, std::shared_ptr<distributed_rate_limiter>, std::less<>>
       rate_limiters_;
--- a/instances/engine_profile.cc
+++ b/instances/engine_profile.cc
@@ -28,25 +28,28 @@
 
 engine_profile MergeProfiles(std::span<const engine_profile> profiles) {
   double total = 0;
-  engine_profile sum{0, 0, 0, 0, 0, 0};
   for (const engine_profile& each : profiles) {
-    const double weight = each.observations;
-    total += weight;
-    sum.fixed_us += weight * each.fixed_us;
-    sum.prefill_us_per_token += weight * each.prefill_us_per_token;
-    sum.prefill_us_per_pair += weight * each.prefill_us_per_pair;
-    sum.running_us_per_token += weight * each.running_us_per_token;
-    sum.mean_us_per_token += weight * each.mean_us_per_token;
+    total += each.observations;
   }
   if (total == 0) {
     return {};
   }
-  return {sum.fixed_us / total,
-          sum.prefill_us_per_token / total,
-          sum.prefill_us_per_pair / total,
-          sum.running_us_per_token / total,
-          sum.mean_us_per_token / total,
-          static_cast<std::uint32_t>(total)};
+  const auto average = [&](double engine_profile::*value) {
+    double sum = 0;
+    for (const engine_profile& each : profiles) {
+      sum += each.observations * each.*value;
+    }
+    return sum / total;
+  };
+  engine_profile merged;
+  merged.fixed_us = average(&engine_profile::fixed_us);
+  merged.prefill_us_per_token = average(&engine_profile::prefill_us_per_token);
+  merged.prefill_us_per_pair = average(&engine_profile::prefill_us_per_pair);
+  merged.running_us_per_token = average(&engine_profile::running_us_per_token);
+  merged.mean_us_per_token = average(&engine_profile::mean_us_per_token);
+  merged.queued_us_per_token = average(&engine_profile::queued_us_per_token);
+  merged.observations = static_cast<std::uint32_t>(total);
+  return merged;
 }
 
 bool IsPlausible(const engine_profile& profile) {
@@ -55,6 +58,7 @@
                  kMaxPrefillUsPerToken) &&
          InRange(profile.prefill_us_per_pair, 0, kMaxPrefillUsPerPair) &&
          InRange(profile.running_us_per_token, 0, kMaxPrefillUsPerToken) &&
+         InRange(profile.queued_us_per_token, 0, 10 * kMaxPrefillUsPerToken) &&
          InRange(profile.mean_us_per_token, kMinPrefillUsPerToken,
                  10 * kMaxPrefillUsPerToken);
 }
--- a/instances/engine_profile.h
+++ b/instances/engine_profile.h
@@ -38,6 +38,10 @@
   // Average prefill time of a token at an idle engine, attention included, over
   // the observed prompts.
   double mean_us_per_token = prefill_us_per_token;
+  // Time by which each token of other prompts that was known to wait at the
+  // engine delays a call. Less than the prefill time: part of the work is done
+  // when the call arrives, and engines compute prompts together.
+  double queued_us_per_token = prefill_us_per_token;
   // Number of observations that the values follow from; 0 for the initial ones.
   std::uint32_t observations = 0;
 
--- a/links/event_splitter.h
+++ b/links/event_splitter.h
@@ -23,6 +23,7 @@
 
   // Whether data is buffered; after ConsumeEvents(), an incomplete event.
   bool HasIncompleteEvent() const { return !pending_.empty(); }
+  std::size_t pending_bytes() const { return pending_.size(); }
   // The id of the last event that ConsumeEvents() removed; empty if none had an
   // id.
   const std::string& last_id() const { return last_id_; }
--- a/links/placement.cc
+++ b/links/placement.cc
@@ -23,7 +23,7 @@
 constexpr std::uint32_t kMinHomePrefixTokens = 256;
 
 bool IsEligible(const pooled_upstream& each, const placement_request& request) {
-  return !each.leaving() &&
+  return !each.leaving() && each.refuses_until().Expired(request.now) &&
          std::ranges::find(request.tried, each.hash()) == request.tried.end();
 }
 
@@ -283,7 +283,7 @@
                          Microseconds(costs_.engine.fixed_us);
     evaluated.queued_tokens = target.total_unread_tokens();
     evaluated.expected_wait = Microseconds(
-        evaluated.queued_tokens * costs_.engine.mean_us_per_token * pace);
+        evaluated.queued_tokens * costs_.engine.queued_us_per_token * pace);
     return evaluated;
   }
 
--- a/links/pool_call.cc
+++ b/links/pool_call.cc
@@ -6,6 +6,11 @@
 
 namespace {
 
+// A call tells the pace of its upstream if it computes at least so many tokens
+// and finds no more than this part of them waiting there.
+constexpr std::uint32_t kMinTokensForPace = 128;
+constexpr double kMaxQueuedShare = 0.5;
+
 duration ExpectedDelay(const placement& placed) {
   return placed.expected_wait + placed.own_time;
 }
@@ -54,7 +59,10 @@
       {placed.unread_tokens, prompt_tokens, placed.running},
       placed.queued_tokens,
       delay - placed.transfer_time};
-  if (pool.stats->profile.Observe(observation)) {
+  pool.stats->profile.Observe(observation);
+  const bool waited_for_others =
+      placed.queued_tokens > placed.unread_tokens * kMaxQueuedShare;
+  if (placed.unread_tokens >= kMinTokensForPace && !waited_for_others) {
     // The expected delay already contains the pace known so far.
     pooled_upstream& target = *placed.target;
     target.RecordPace(target.pace(now) * Ratio(delay, ExpectedDelay(placed)),
@@ -62,4 +70,16 @@
   }
 }
 
+duration TimeUntilOneAccepts(const upstream_pool& pool,
+                             duration fallback,
+                             time_point now) {
+  deadline first = deadline::Never();
+  for (const auto& each : pool.members) {
+    if (!each->leaving() && !each->refuses_until().Expired(now)) {
+      first = first.Earlier(each->refuses_until());
+    }
+  }
+  return first == deadline::Never() ? fallback : first.Remaining(now);
+}
+
 }  // namespace anvilloom
--- a/links/pool_call.h
+++ b/links/pool_call.h
@@ -33,6 +33,12 @@
                        duration delay,
                        time_point now);
 
+// Returns the time until one of the upstreams that have asked for a pause takes
+// calls again, in microseconds, or `fallback` if none has asked for one.
+duration TimeUntilOneAccepts(const upstream_pool& pool,
+                             duration fallback,
+                             time_point now);
+
 }  // namespace anvilloom
 
 #endif  // LINKS_POOL_CALL_H_
--- a/links/pooled_upstream.h
+++ b/links/pooled_upstream.h
@@ -80,6 +80,28 @@
   // address belongs to another upstream.
   void Leave() { leaving_.store(true, std::memory_order_relaxed); }
   bool leaving() const { return leaving_.load(std::memory_order_relaxed); }
+  // Same as Leave(), since the upstream has said so in an answer. That holds
+  // for this lifetime whatever its entry in the store says.
+  void LeaveByOwnWord() {
+    said_leaving_.store(true, std::memory_order_relaxed);
+    Leave();
+  }
+  bool said_leaving() const {
+    return said_leaving_.load(std::memory_order_relaxed);
+  }
+
+  // Stops new calls until `until`, since the upstream has asked for it.
+  void RefuseUntil(deadline until) {
+    std::int64_t known = refuses_until_us_.load(std::memory_order_relaxed);
+    const std::int64_t us = until.at().time_since_epoch().count();
+    while (known < us && !refuses_until_us_.compare_exchange_weak(
+                             known, us, std::memory_order_relaxed)) {
+    }
+  }
+  deadline refuses_until() const {
+    return deadline(time_point(
+        duration(refuses_until_us_.load(std::memory_order_relaxed))));
+  }
 
   // A success resets the count of consecutive failures. From
   // kToleratedFailures on, each one doubles the backoff.
@@ -199,6 +221,8 @@
   std::atomic<std::int64_t> pace_until_us_{0};
   std::atomic<std::int64_t> backoff_until_us_{0};
   std::atomic<bool> leaving_{false};
+  std::atomic<bool> said_leaving_{false};
+  std::atomic<std::int64_t> refuses_until_us_{0};
   std::atomic<bool> has_fresh_load_{true};
 };
 
--- a/links/profile_estimator.cc
+++ b/links/profile_estimator.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
+#include <optional>
 #include <vector>
 
 namespace anvilloom {
@@ -11,20 +13,28 @@
 
 // Shorter prompts take hardly longer than the fixed time.
 constexpr std::uint32_t kMinTokens = 128;
-// Calls that found more work waiting, relative to their own, are ignored: the
-// known queue is older than the call.
-constexpr double kMaxQueuedShare = 0.5;
+// With less waiting work relative to the own, its effect is not known.
+constexpr double kMinQueuedShare = 0.05;
+// Bounds of the delay by a waiting token, relative to the prefill time of one.
+constexpr double kMinQueuedFactor = 0.3;
+constexpr double kMaxQueuedFactor = 2;
 
 constexpr int kIterations = 12;
 // Relative errors below this count alike.
 constexpr double kErrorFloor = 0.02;
-constexpr std::size_t kFeatures = 4;
-enum feature : std::size_t { kPerToken, kPerPair, kPerRunning, kFixed };
+constexpr std::size_t kFeatures = 5;
+enum feature : std::size_t {
+  kPerToken,
+  kPerPair,
+  kPerRunning,
+  kPerQueued,
+  kFixed
+};
 using coefficients = std::array<double, kFeatures>;
 
 // Pulls factors towards zero. What the observations leave open, such as for
 // prompts of equal length, is taken to be time per token.
-constexpr coefficients kRegularization = {1e-5, 5e-4, 5e-4, 5e-4};
+constexpr coefficients kRegularization = {1e-5, 5e-4, 5e-4, 5e-4, 5e-4};
 
 struct sample {
   coefficients features{};
@@ -33,11 +43,10 @@
 
 sample MakeSample(const first_token_observation& observation) {
   const prompt_work& work = observation.work;
-  // The prompts that wait are taken to be about as long as the call's own.
-  const double tokens =
-      static_cast<double>(work.tokens) + observation.queued_tokens;
-  const double before = work.prompt_tokens - work.tokens / 2.0;
-  return {{tokens, tokens * before, tokens * work.running, 1.0},
+  const auto tokens = static_cast<double>(work.tokens);
+  const double before = work.prompt_tokens - tokens / 2;
+  return {{tokens, tokens * before, tokens * work.running,
+           static_cast<double>(observation.queued_tokens), 1.0},
           static_cast<double>(observation.delay.count())};
 }
 
@@ -158,35 +167,32 @@
   return *middle;
 }
 
-// An observation in one word: computed and queued tokens in units of
-// kTokenUnit, the earlier tokens of the prompt in units of kBeforeUnit, the
-// running requests, and the delay in units of kDelayUnit.
-constexpr unsigned kTokenBits = 19;
-constexpr unsigned kBeforeBits = 15;
+// Returns the delay by a waiting token. `fitted` is used if enough work waited
+// relative to the observed prompts, and `prefill`, the time to compute a token,
+// otherwise.
+double QueuedTime(double fitted, double queued_share, double prefill) {
+  return queued_share < kMinQueuedShare
+             ? prefill
+             : std::clamp(fitted, prefill * kMinQueuedFactor,
+                          prefill * kMaxQueuedFactor);
+}
+
+// Layout of the two words of an observation, from the lowest bits on.
+constexpr unsigned kNumberBits = 8;
+constexpr unsigned kTokenBits = 28;
 constexpr unsigned kRunningBits = 10;
-constexpr unsigned kDelayBits = 64 - kTokenBits - kBeforeBits - kRunningBits;
-constexpr std::uint64_t kTokenUnit = 4;
-constexpr std::uint64_t kBeforeUnit = 64;
-constexpr duration kDelayUnit = std::chrono::microseconds(64);
+constexpr unsigned kQueuedBits = 20;
+constexpr unsigned kDelayBits = 26;
+constexpr std::uint64_t kQueuedUnit = 4;
+constexpr duration kDelayUnit = std::chrono::microseconds(8);
 
 constexpr std::uint64_t MaxOf(unsigned bits) {
   return (std::uint64_t{1} << bits) - 1;
 }
 
-std::uint64_t Pack(const first_token_observation& observation) {
-  const std::uint64_t tokens =
-      std::uint64_t{observation.work.tokens} + observation.queued_tokens;
-  const std::uint64_t before =
-      observation.work.prompt_tokens - observation.work.tokens / 2;
-  const auto delay = static_cast<std::uint64_t>(observation.delay / kDelayUnit);
-  std::uint64_t packed = std::min(delay, MaxOf(kDelayBits));
-  packed =
-      packed << kRunningBits |
-      std::min<std::uint64_t>(observation.work.running, MaxOf(kRunningBits));
-  packed = packed << kBeforeBits |
-           std::min(before / kBeforeUnit, MaxOf(kBeforeBits));
-  return packed << kTokenBits |
-         std::min(tokens / kTokenUnit, MaxOf(kTokenBits));
+// Adds `value` below the bits that are packed so far.
+void AddBits(std::uint64_t& packed, std::uint64_t value, unsigned bits) {
+  packed = packed << bits | std::min(value, MaxOf(bits));
 }
 
 // Removes the lowest bits and returns them.
@@ -196,15 +202,40 @@
   return taken;
 }
 
-first_token_observation Unpack(std::uint64_t packed) {
+std::uint64_t PackPrompt(const prompt_work& work, std::uint64_t number) {
+  std::uint64_t packed = 0;
+  AddBits(packed, work.prompt_tokens, kTokenBits);
+  AddBits(packed, work.tokens, kTokenBits);
+  AddBits(packed, number & MaxOf(kNumberBits), kNumberBits);
+  return packed;
+}
+
+std::uint64_t PackDelay(const first_token_observation& observation,
+                        std::uint64_t number) {
+  std::uint64_t packed = 0;
+  AddBits(packed, static_cast<std::uint64_t>(observation.delay / kDelayUnit),
+          kDelayBits);
+  AddBits(packed, observation.queued_tokens / kQueuedUnit, kQueuedBits);
+  AddBits(packed, observation.work.running, kRunningBits);
+  AddBits(packed, number & MaxOf(kNumberBits), kNumberBits);
+  return packed;
+}
+
+// Returns nothing if the words belong to different observations.
+std::optional<first_token_observation> Unpack(std::uint64_t prompt,
+                                              std::uint64_t delay) {
+  if (TakeBits(prompt, kNumberBits) != TakeBits(delay, kNumberBits)) {
+    return std::nullopt;
+  }
   first_token_observation observation;
   prompt_work& work = observation.work;
-  work.tokens =
-      static_cast<std::uint32_t>(TakeBits(packed, kTokenBits) * kTokenUnit);
-  const std::uint64_t before = TakeBits(packed, kBeforeBits) * kBeforeUnit;
-  work.prompt_tokens = static_cast<std::uint32_t>(before) + work.tokens / 2;
-  work.running = static_cast<std::uint32_t>(TakeBits(packed, kRunningBits));
-  observation.delay = static_cast<std::int64_t>(packed) * kDelayUnit;
+  work.tokens = static_cast<std::uint32_t>(TakeBits(prompt, kTokenBits));
+  work.prompt_tokens = static_cast<std::uint32_t>(TakeBits(prompt, kTokenBits));
+  work.running = static_cast<std::uint32_t>(TakeBits(delay, kRunningBits));
+  observation.queued_tokens =
+      static_cast<std::uint32_t>(TakeBits(delay, kQueuedBits) * kQueuedUnit);
+  observation.delay =
+      static_cast<std::int64_t>(TakeBits(delay, kDelayBits)) * kDelayUnit;
   return observation;
 }
 
@@ -244,31 +275,28 @@
   // The means of both features have the same number of samples.
   const double mean = factors[kPerToken] +
                       factors[kPerPair] * scale[kPerPair] / scale[kPerToken];
-  return {factors[kFixed],
-          factors[kPerToken],
-          factors[kPerPair],
-          factors[kPerRunning],
-          mean,
-          static_cast<std::uint32_t>(samples.size())};
+  engine_profile fitted;
+  fitted.fixed_us = factors[kFixed];
+  fitted.prefill_us_per_token = factors[kPerToken];
+  fitted.prefill_us_per_pair = factors[kPerPair];
+  fitted.running_us_per_token = factors[kPerRunning];
+  fitted.mean_us_per_token = mean;
+  fitted.queued_us_per_token = QueuedTime(
+      factors[kPerQueued], scale[kPerQueued] / scale[kPerToken], mean);
+  fitted.observations = static_cast<std::uint32_t>(samples.size());
+  return fitted;
 }
 
-bool profile_estimator::Observe(const first_token_observation& observation) {
+void profile_estimator::Observe(const first_token_observation& observation) {
   const prompt_work& work = observation.work;
   if (work.tokens < kMinTokens || work.tokens > work.prompt_tokens ||
       observation.delay <= duration::zero()) {
-    return false;
+    return;
   }
-  const bool waited_for_others =
-      observation.queued_tokens > work.tokens * kMaxQueuedShare;
-  if (waited_for_others &&
-      ignored_.fetch_add(1, std::memory_order_relaxed) < kMaxIgnored) {
-    return false;
-  }
-  ignored_.store(0, std::memory_order_relaxed);
-  const std::uint64_t position =
-      count_.fetch_add(1, std::memory_order_relaxed) % kObservations;
-  ring_[position].store(Pack(observation), std::memory_order_relaxed);
-  return true;
+  const std::uint64_t number = count_.fetch_add(1, std::memory_order_relaxed);
+  packed_observation& into = ring_[number % kObservations];
+  into.prompt.store(PackPrompt(work, number), std::memory_order_relaxed);
+  into.delay.store(PackDelay(observation, number), std::memory_order_relaxed);
 }
 
 void profile_estimator::Update(std::span<const engine_profile> peers) {
@@ -279,7 +307,12 @@
     observations.reserve(kObservations);
     const std::size_t kept = std::min<std::uint64_t>(count, kObservations);
     for (std::size_t i = 0; i < kept; ++i) {
-      observations.push_back(Unpack(ring_[i].load(std::memory_order_relaxed)));
+      const auto observation =
+          Unpack(ring_[i].prompt.load(std::memory_order_relaxed),
+                 ring_[i].delay.load(std::memory_order_relaxed));
+      if (observation) {
+        observations.push_back(*observation);
+      }
     }
     const engine_profile fitted = FitProfile(observations);
     if (IsPlausible(fitted)) {
@@ -300,6 +333,7 @@
           per_pair_us_.load(std::memory_order_relaxed),
           running_us_.load(std::memory_order_relaxed),
           mean_us_.load(std::memory_order_relaxed),
+          queued_us_.load(std::memory_order_relaxed),
           observations_.load(std::memory_order_relaxed)};
 }
 
@@ -309,6 +343,7 @@
   per_pair_us_.store(profile.prefill_us_per_pair, std::memory_order_relaxed);
   running_us_.store(profile.running_us_per_token, std::memory_order_relaxed);
   mean_us_.store(profile.mean_us_per_token, std::memory_order_relaxed);
+  queued_us_.store(profile.queued_us_per_token, std::memory_order_relaxed);
   observations_.store(profile.observations, std::memory_order_relaxed);
 }
 
--- a/links/profile_estimator.h
+++ b/links/profile_estimator.h
@@ -42,14 +42,10 @@
   static constexpr std::size_t kObservations = 128;
   // With fewer observations of its own, an instance has no profile to report.
   static constexpr std::size_t kMinObservations = 16;
-  // After this many calls that mostly waited for others, one of them counts, so
-  // that the profile is learned and followed under constant overload.
-  static constexpr std::uint32_t kMaxIgnored = 16;
 
-  // Ignores observations whose delay says little about the engine: of short
-  // prompts, and of calls that mostly waited for others, unless an overload
-  // leaves hardly any other ones. Returns whether the observation counts.
-  bool Observe(const first_token_observation& observation);
+  // Ignores observations of short prompts, whose delay says little about the
+  // engine.
+  void Observe(const first_token_observation& observation);
 
   // Computes the profile in force from the own observations and the profiles
   // that other instances report.
@@ -64,11 +60,15 @@
  private:
   void Publish(const engine_profile& profile);
 
-  // Packed observations, so that each is written and read at once.
-  std::array<std::atomic<std::uint64_t>, kObservations> ring_{};
+  // An observation in two words, each with the low bits of its number, by which
+  // a reader recognizes two words that do not belong together.
+  struct packed_observation {
+    std::atomic<std::uint64_t> prompt{0};
+    std::atomic<std::uint64_t> delay{0};
+  };
+
+  std::array<packed_observation, kObservations> ring_;
   std::atomic<std::uint64_t> count_{0};
-  // Observations since the last one that counted.
-  std::atomic<std::uint32_t> ignored_{0};
   std::uint64_t fitted_count_ = 0;
   engine_profile own_;
   std::atomic<double> fixed_us_{engine_profile{}.fixed_us};
@@ -76,6 +76,7 @@
   std::atomic<double> per_pair_us_{engine_profile{}.prefill_us_per_pair};
   std::atomic<double> running_us_{engine_profile{}.running_us_per_token};
   std::atomic<double> mean_us_{engine_profile{}.mean_us_per_token};
+  std::atomic<double> queued_us_{engine_profile{}.queued_us_per_token};
   std::atomic<std::uint32_t> observations_{0};
 };
 
--- a/wire/http_client.cc
+++ b/wire/http_client.cc
@@ -35,6 +35,7 @@
 constexpr std::size_t kReadBufferBytes = std::size_t{4} * 1024;
 // Model engines and plain services send small response headers.
 constexpr std::uint32_t kHeaderLimitBytes = 16 * 1024;
+constexpr std::size_t kReceiveBufferBytes = std::size_t{64} * 1024;
 
 // TCP keep-alive: the first probe is sent after one idle second, then one per
 // second. The connection fails after three seconds without an acknowledgement.
@@ -187,7 +188,9 @@
 
   std::string address_;
   boost::beast::tcp_stream stream_;
-  boost::beast::flat_buffer buffer_;
+  // Holds at most a header and a part of the body. Without a limit it would
+  // grow with a chunk header or a trailer that never ends.
+  boost::beast::flat_buffer buffer_{kReceiveBufferBytes};
   std::optional<http::response_parser<http::buffer_body>> parser_;
   std::array<char, kReadBufferBytes> read_buffer_;
   bool reused_ = false;
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -252,7 +252,11 @@
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   boost::beast::tcp_stream stream(std::move(socket));
-  boost::beast::flat_buffer buffer;
+  // Holds a header, or a part of the body. Without a limit it would grow with a
+  // chunk header or a trailer that never ends.
+  constexpr std::size_t kBodyPartBytes = std::size_t{64} * 1024;
+  boost::beast::flat_buffer buffer(CurrentLimits().header_bytes +
+                                   kBodyPartBytes);
   bool more = true;
   while (more && !closing_.load(std::memory_order_relaxed)) {
     more = co_await ServeRequest(stream, buffer, thread);
--- a/wire/report_codec.cc
+++ b/wire/report_codec.cc
@@ -50,6 +50,8 @@
       static_cast<float>(profile.prefill_us_per_pair));
   message.set_running_us_per_token(
       static_cast<float>(profile.running_us_per_token));
+  message.set_queued_us_per_token(
+      static_cast<float>(profile.queued_us_per_token));
   message.set_mean_us_per_token(static_cast<float>(profile.mean_us_per_token));
 }
 
@@ -63,6 +65,7 @@
                                message.prefill_us_per_pair(),
                                message.running_us_per_token(),
                                message.mean_us_per_token(),
+                               message.queued_us_per_token(),
                                message.observations()};
   if (IsPlausible(profile)) {
     read.profile = profile;
