--- a/instances/engine_profile.cc
+++ b/instances/engine_profile.cc
@@ -1,5 +1,6 @@
 #include "instances/engine_profile.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace anvilloom {
@@ -18,12 +19,17 @@
 
 }  // namespace
 
+duration ToDuration(double us) {
+  constexpr double kMaxUs = 1e15;
+  return duration(static_cast<std::int64_t>(std::clamp(us, 0.0, kMaxUs)));
+}
+
 duration engine_profile::PrefillTime(const prompt_work& work) const {
   // Each computed token attends to all tokens before it.
   const double before = work.prompt_tokens - work.tokens / 2.0;
-  return duration(static_cast<std::int64_t>(
-      work.tokens * (prefill_us_per_token + before * prefill_us_per_pair +
-                     work.running * running_us_per_token)));
+  return ToDuration(work.tokens *
+                    (prefill_us_per_token + before * prefill_us_per_pair +
+                     work.running * running_us_per_token));
 }
 
 engine_profile MergeProfiles(std::span<const engine_profile> profiles) {
--- a/instances/engine_profile.h
+++ b/instances/engine_profile.h
@@ -49,6 +49,10 @@
   duration PrefillTime(const prompt_work& work) const;
 };
 
+// Converts microseconds to a duration. Times beyond thirty years, which follow
+// from token counts that no prompt has, count as thirty years.
+duration ToDuration(double us);
+
 // Returns the average of the profiles, weighted by their observations; the
 // initial profile if there are no observations.
 engine_profile MergeProfiles(std::span<const engine_profile> profiles);
--- a/links/placement.cc
+++ b/links/placement.cc
@@ -278,20 +278,17 @@
         costs_.engine.PrefillTime({evaluated.unread_tokens, total_tokens}),
         pace);
     evaluated.transfer_time =
-        Microseconds(evaluated.fetched_tokens * costs_.transfer_us_per_token);
+        ToDuration(evaluated.fetched_tokens * costs_.transfer_us_per_token);
     evaluated.own_time = evaluated.prefill_time + evaluated.transfer_time +
-                         Microseconds(costs_.engine.fixed_us);
+                         ToDuration(costs_.engine.fixed_us);
     evaluated.queued_tokens = target.total_unread_tokens();
-    evaluated.expected_wait = Microseconds(
+    evaluated.expected_wait = ToDuration(
         evaluated.queued_tokens * costs_.engine.queued_us_per_token * pace);
     return evaluated;
   }
 
-  static duration Microseconds(double us) {
-    return duration(static_cast<std::int64_t>(us));
-  }
   static duration Scaled(duration time, double factor) {
-    return Microseconds(static_cast<double>(time.count()) * factor);
+    return ToDuration(static_cast<double>(time.count()) * factor);
   }
 
   double Cost(const placement& evaluated) const {
--- a/test/correctness/placement_test.cc
+++ b/test/correctness/placement_test.cc
@@ -110,6 +110,59 @@
     }
   }
 
+  GIVEN(
+      "queues at most upstreams, and a prompt that needs most of its target") {
+    request.latency_target = std::chrono::milliseconds(250);
+    for (const std::size_t busy : {0, 1, 3}) {
+      pool.members[busy]->Begin(20'000);
+    }
+
+    THEN("it goes to the idle upstream, whichever ones were drawn") {
+      for (std::uint64_t seed = 0; seed < 50; ++seed) {
+        request.random_seed = seed;
+        REQUIRE(PlaceCall(pool, locations, costs, request).target ==
+                pool.members[2]);
+      }
+    }
+  }
+
+  GIVEN("a queue at the upstream that caches the prompt") {
+    RecordPlacement(locations, *pool.members[2], prompt, kNow);
+    pool.members[2]->Begin(7'000);
+    REQUIRE(PlaceCall(pool, locations, costs, request).target ==
+            pool.members[2]);
+
+    WHEN("it has been three times slower than the others") {
+      for (int i = 0; i < 60; ++i) {
+        pool.members[2]->RecordPace(3, kNow);
+      }
+
+      THEN("the call goes elsewhere") {
+        REQUIRE(pool.members[2]->pace(kNow) == Approx(3).epsilon(0.05));
+        REQUIRE(PlaceCall(pool, locations, costs, request).target !=
+                pool.members[2]);
+      }
+      THEN("it gets calls again when nothing was observed for a while") {
+        request.now = kNow + std::chrono::seconds(11);
+        REQUIRE(PlaceCall(pool, locations, costs, request).target ==
+                pool.members[2]);
+      }
+    }
+  }
+
+  GIVEN("token counts that no prompt has") {
+    const prompt_shape huge{{}, UINT32_MAX, UINT32_MAX};
+    request.prompt = &huge;
+    pool.members[1]->Begin(UINT32_MAX);
+
+    THEN("the expected time is long and does not overflow") {
+      placement_costs slow = costs;
+      slow.engine.prefill_us_per_pair = 1000;
+      const auto chosen = PlaceCall(pool, locations, slow, request);
+      REQUIRE(chosen.own_time > std::chrono::hours(24));
+    }
+  }
+
   GIVEN("load from other instances") {
     const auto home = PlaceCall(pool, locations, costs, request).target;
     home->SetPeerLoad(10, 80'000);
--- /dev/null
+++ b/test/support/scripted_engine.cc
@@ -0,0 +1,94 @@
+#include "test/support/scripted_engine.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
+#include <utility>
+
+namespace anvilloom {
+
+namespace net = boost::asio;
+using tcp = net::ip::tcp;
+
+scripted_engine::scripted_engine(
+    std::function<scripted_answer(std::string_view)> script)
+    : script_(std::move(script)),
+      acceptor_(context_, tcp::endpoint(net::ip::address_v4::loopback(), 0)),
+      accepting_([this] { Accept(); }) {}
+
+scripted_engine::~scripted_engine() {
+  stopping_ = true;
+  // Ends the blocking accept.
+  ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+  accepting_.join();
+  const std::lock_guard lock(mutex_);
+  for (const auto& socket : sockets_) {
+    ::shutdown(socket->native_handle(), SHUT_RDWR);
+  }
+  connections_.clear();
+}
+
+void scripted_engine::Accept() {
+  while (!stopping_) {
+    auto socket = std::make_shared<tcp::socket>(context_);
+    boost::system::error_code error;
+    acceptor_.accept(*socket, error);
+    if (error) {
+      return;
+    }
+    const std::lock_guard lock(mutex_);
+    sockets_.push_back(socket);
+    connections_.emplace_back([this, socket] { Serve(*socket); });
+  }
+}
+
+void scripted_engine::Serve(tcp::socket& socket) {
+  std::string received;
+  for (;;) {
+    boost::system::error_code error;
+    const std::size_t size = net::read_until(
+        socket, net::dynamic_buffer(received), "\r\n\r\n", error);
+    if (error) {
+      return;
+    }
+    ++requests_;
+    const std::string head = received.substr(0, size);
+    const std::string_view length = HeaderOf(head, "Content-Length");
+    const std::size_t body =
+        length.empty() ? 0 : std::stoul(std::string(length));
+    while (received.size() < size + body && !error) {
+      char more[1024];
+      const std::size_t bytes = socket.read_some(net::buffer(more), error);
+      received.append(more, bytes);
+    }
+    received.erase(0, size + body);
+    const scripted_answer answer = script_(head);
+    net::write(socket, net::buffer(answer.bytes), error);
+    while (!answer.repeated.empty() && !error) {
+      net::write(socket, net::buffer(answer.repeated), error);
+    }
+    if (!answer.repeated.empty()) {
+      closed_by_peer_ += stopping_ ? 0 : 1;
+      return;
+    }
+    if (error) {
+      return;
+    }
+  }
+}
+
+std::string_view HeaderOf(std::string_view head, std::string_view name) {
+  const std::string line = "\r\n" + std::string(name) + ": ";
+  const std::size_t at = head.find(line);
+  if (at == std::string_view::npos) {
+    return {};
+  }
+  const std::string_view value = head.substr(at + line.size());
+  return value.substr(0, value.find("\r\n"));
+}
+
+}  // namespace anvilloom
--- /dev/null
+++ b/test/support/scripted_engine.h
@@ -0,0 +1,65 @@
+// Defines scripted_engine, an upstream that answers each request with bytes
+// chosen by the test, also with bytes that no HTTP server would send.
+#ifndef TEST_SUPPORT_SCRIPTED_ENGINE_H_
+#define TEST_SUPPORT_SCRIPTED_ENGINE_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+namespace anvilloom {
+
+// What an engine sends in answer to a request.
+struct scripted_answer {
+  std::string bytes;
+  // Sent again and again after `bytes` until the peer closes; empty for
+  // nothing.
+  std::string repeated;
+};
+
+// Serves connections on loopback, each on a thread of its own.
+class scripted_engine {
+ public:
+  // `script` maps the header of a request to its answer. It is called on
+  // several threads.
+  explicit scripted_engine(
+      std::function<scripted_answer(std::string_view)> script);
+  ~scripted_engine();
+  scripted_engine(const scripted_engine&) = delete;
+  scripted_engine& operator=(const scripted_engine&) = delete;
+
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  // Requests received so far, and repeated answers that the peer has closed.
+  std::size_t requests() const { return requests_.load(); }
+  std::size_t closed_by_peer() const { return closed_by_peer_.load(); }
+
+ private:
+  void Accept();
+  void Serve(boost::asio::ip::tcp::socket& socket);
+
+  std::function<scripted_answer(std::string_view)> script_;
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<std::size_t> requests_{0};
+  std::atomic<std::size_t> closed_by_peer_{0};
+  std::mutex mutex_;
+  // Connections stay in the list until the engine is destroyed.
+  std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> sockets_;
+  std::vector<std::jthread> connections_;
+  std::jthread accepting_;
+};
+
+// Returns the value of a header, or an empty view.
+std::string_view HeaderOf(std::string_view head, std::string_view name);
+
+}  // namespace anvilloom
+
+#endif  // TEST_SUPPORT_SCRIPTED_ENGINE_H_
