Examine only the new bytes of a stream for the end of an event

Cause: the splitter searched the whole incomplete event after each read, so an event without end cost time by the square of its length.

Change: Append() searches the new bytes and the three before them.

--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -397,7 +397,7 @@
 void peer_reporter::DivideRetryBudget() {
   const auto saved_retries = static_cast<std::uint32_t>(
       state_.settings.retry_extra / kSavedRetriesDivisor /
-      peer_reports_.Members());
+      static_cast<double>(peer_reports_.Members()));
   const auto view = state_.View();
   for (const auto& [service, pool] : view->pools) {
     pool.stats->retries.SetMaxBalance(saved_retries);
--- a/links/event_splitter.cc
+++ b/links/event_splitter.cc
@@ -35,8 +35,21 @@
 
 }  // namespace
 
+void event_splitter::Append(std::string_view bytes) {
+  // The end of an event may have begun in the bytes before.
+  constexpr std::size_t kLongestEnd = 4;
+  const std::size_t begin =
+      pending_.size() - std::min(pending_.size(), kLongestEnd - 1);
+  pending_.append(bytes);
+  const std::size_t end =
+      EndOfCompleteEvents(std::string_view(pending_).substr(begin));
+  if (end > 0) {
+    complete_bytes_ = begin + end;
+  }
+}
+
 std::string_view event_splitter::CompleteEvents() const {
-  return std::string_view(pending_).substr(0, EndOfCompleteEvents(pending_));
+  return std::string_view(pending_).substr(0, complete_bytes_);
 }
 
 void event_splitter::ConsumeEvents() {
@@ -46,6 +59,7 @@
     last_id_ = id;
   }
   pending_.erase(0, events.size());
+  complete_bytes_ = 0;
 }
 
 }  // namespace anvilloom
--- a/links/event_splitter.h
+++ b/links/event_splitter.h
@@ -3,6 +3,7 @@
 #ifndef LINKS_EVENT_SPLITTER_H_
 #define LINKS_EVENT_SPLITTER_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -13,7 +14,8 @@
 // one. Not thread-safe.
 class event_splitter {
  public:
-  void Append(std::string_view bytes) { pending_.append(bytes); }
+  // Examines only the new bytes: an upstream may send an event without end.
+  void Append(std::string_view bytes);
 
   // Returns the complete events that have arrived, or an empty view. The view
   // is valid until the next call of Append() or ConsumeEvents().
@@ -28,10 +30,15 @@
   // id.
   const std::string& last_id() const { return last_id_; }
   // Discards the incomplete event of an upstream that failed.
-  void DiscardIncompleteEvent() { pending_.clear(); }
+  void DiscardIncompleteEvent() {
+    pending_.clear();
+    complete_bytes_ = 0;
+  }
 
  private:
   std::string pending_;
+  // Size of the complete events at the front of pending_.
+  std::size_t complete_bytes_ = 0;
   std::string last_id_;
 };
 
