Keep the weight of running calls at plain upstreams

Cause: with the engine profile, a running call weighed as much as 20 prompt tokens at the prefill time, at plain services as well, whose calls compute no prompts.

Change: plain upstreams have a weight of their own, 600 us as before.

Measured: placement_test has the case of two failure domains, with a profile of very fast engines.

--- a/links/placement.cc
+++ b/links/placement.cc
@@ -299,7 +299,9 @@
             costs_.prefill_weight;
     cost += static_cast<double>(evaluated.transfer_time.count());
     cost += evaluated.fetched_tokens * per_token * costs_.fetch_share;
-    cost += each.total_running() * per_token * costs_.running_tokens;
+    cost +=
+        each.total_running() * (pool_.model ? per_token * costs_.running_tokens
+                                            : costs_.plain_running_us);
     cost += each.failed_permille() * costs_.failure_share *
             static_cast<double>(question_.latency_target.count()) / 1000;
     // Without a free slot, a call waits until another one ends.
--- a/links/placement.h
+++ b/links/placement.h
@@ -33,6 +33,9 @@
   // Time that a running request adds to the steps of one answer, as the number
   // of prompt tokens computed in that time.
   double running_tokens = 20.0;
+  // Same at an upstream of a plain service, in microseconds. Its calls compute
+  // no prompts, so the engine profile says nothing about it.
+  double plain_running_us = 600.0;
   // Cost of a call that fails and is retried or lost, as a share of its latency
   // target.
   double failure_share = 0.6;
--- a/test/correctness/placement_test.cc
+++ b/test/correctness/placement_test.cc
@@ -150,6 +150,27 @@
     }
   }
 
+  GIVEN("a plain service with upstreams in two failure domains") {
+    upstream_pool plain;
+    plain.service = "desk";
+    plain.members = {Upstream("p1", "a"), Upstream("p2", "b")};
+    const prompt_shape none;
+    request.prompt = &none;
+    placement_costs fast = costs;
+    fast.engine.mean_us_per_token = 1;
+
+    THEN("the own one is left once more than five calls run there") {
+      for (int i = 0; i < 5; ++i) {
+        REQUIRE(PlaceCall(plain, locations, fast, request).target ==
+                plain.members[0]);
+        plain.members[0]->Begin(0);
+      }
+      plain.members[0]->Begin(0);
+      REQUIRE(PlaceCall(plain, locations, fast, request).target ==
+              plain.members[1]);
+    }
+  }
+
   GIVEN("token counts that no prompt has") {
     const prompt_shape huge{{}, UINT32_MAX, UINT32_MAX};
     request.prompt = &huge;
