--- a/review/support/harness.cc
+++ b/review/support/harness.cc
@@ -129,6 +129,12 @@
     argv.push_back(const_cast<char*>(each.c_str()));
   }
   argv.push_back(nullptr);
+  // Emptied before the process starts, so that nobody reads what an earlier one
+  // has written.
+  constexpr mode_t kOwnerOnly = 0600;
+  const int output =
+      ::open(output_path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
+             kOwnerOnly);
   pid_ = ::fork();
   if (pid_ == 0) {
     for (const auto& [name, value] : environment) {
@@ -138,13 +144,12 @@
       const rlimit limit{max_files, max_files};
       ::setrlimit(RLIMIT_NOFILE, &limit);
     }
-    const int output =
-        ::open(output_path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
     ::dup2(output, STDOUT_FILENO);
     ::dup2(output, STDERR_FILENO);
     ::execv(argv[0], argv.data());
     ::_exit(127);
   }
+  ::close(output);
   running_ = pid_ > 0;
 }
 
