--- a/review/support/harness.cc
+++ b/review/support/harness.cc
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -137,6 +138,8 @@
              kOwnerOnly);
   pid_ = ::fork();
   if (pid_ == 0) {
+    // No process stays behind when the case itself is ended.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     for (const auto& [name, value] : environment) {
       ::setenv(name.c_str(), value.c_str(), 1);
     }
@@ -442,8 +445,7 @@
   }
   folder_ = folder;
   processes_["platform"] = std::make_unique<child>(
-      std::vector<std::string>{
-          "target/review/standins/platform/standin/standin_platform"},
+      std::vector<std::string>{"target/review/standin_platform"},
       folder_ + "/platform.log");
   Await(
       [this] {
