--- a/common/log.cc
+++ b/common/log.cc
@@ -137,6 +137,8 @@
       return "start_failed";
     case log_event::kHandlerFailed:
       return "handler_failed";
+    case log_event::kRequestRejected:
+      return "request_rejected";
     case log_event::kConfigurationInForce:
       return "configuration_in_force";
     case log_event::kConfigurationRefused:
--- a/common/log.h
+++ b/common/log.h
@@ -18,6 +18,7 @@
   kStopped = 103,
   kStartFailed = 104,
   kHandlerFailed = 105,
+  kRequestRejected = 106,
   kConfigurationInForce = 200,
   kConfigurationRefused = 201,
   kObjectApiUnavailable = 202,
--- /dev/null
+++ b/test/error/message_framing_test.cc
@@ -0,0 +1,277 @@
+// Guards against messages whose end the two sides of a connection may see at
+// different places: requests inside the body of another one, answers that are
+// taken for whole or for those of other calls, and trailers that act as header
+// fields.
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "test/support/platform_system.h"
+#include "test/support/raw_connection.h"
+#include "test/support/scripted_engine.h"
+
+namespace anvilloom {
+
+namespace {
+
+constexpr duration kReadTimeout = std::chrono::seconds(10);
+
+std::string Request(std::string_view first_line,
+                    std::string_view id,
+                    std::string_view framing,
+                    std::string_view body) {
+  std::string text(first_line);
+  text += "\r\nHost: a.example\r\nX-Request-Id: ";
+  text += id;
+  text += "\r\nX-Deadline-Ms: 6000\r\nAuthorization: Token key-1\r\n";
+  text += framing;
+  text += "\r\n";
+  text += body;
+  return text;
+}
+
+std::string Post(std::string_view id,
+                 std::string_view framing,
+                 std::string_view body) {
+  return Request("POST /once/1 HTTP/1.1", id, framing, body);
+}
+
+std::string Length(std::size_t bytes) {
+  return "Content-Length: " + std::to_string(bytes) + "\r\n";
+}
+
+std::string Chunk(std::string_view bytes) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string size;
+  for (std::size_t rest = bytes.size(); rest > 0; rest /= 16) {
+    size.insert(size.begin(), kDigits[rest % 16]);
+  }
+  return size + "\r\n" + std::string(bytes) + "\r\n";
+}
+
+std::string IdLine(std::string_view head) {
+  return "X-Request-Id: " + std::string(HeaderOf(head, "X-Request-Id")) +
+         "\r\n";
+}
+
+std::string SoundAnswer(std::string_view head) {
+  return "HTTP/1.1 200 OK\r\n" + IdLine(head) +
+         "X-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok";
+}
+
+// A gateway and an engine that records the headers of what it runs.
+class framing_system {
+ public:
+  // Maps the header of a request to the bytes that answer it.
+  using answer_script = std::function<std::string(std::string_view)>;
+
+  explicit framing_system(answer_script answer = SoundAnswer,
+                          bool closes = false,
+                          std::string_view service = "desk")
+      : engine_(scripted_engine::head_script(
+            [this, answer = std::move(answer), closes](std::string_view head) {
+              const std::lock_guard lock(mutex_);
+              heads_.emplace_back(head);
+              return scripted_answer{.bytes = answer(head), .close = closes};
+            })) {
+    system_.PutManifest();
+    port_ = system_.StartGateway("g1");
+    REQUIRE(system_.AwaitReady("g1"));
+    system_.Announce("e1", service, engine_.port());
+    REQUIRE(system_.AwaitUpstreams("g1", 1));
+  }
+
+  // The headers of the requests with this id that the engine has run.
+  std::vector<std::string> Runs(std::string_view id) {
+    const std::lock_guard lock(mutex_);
+    std::vector<std::string> runs;
+    for (const std::string& head : heads_) {
+      if (HeaderOf(head, "X-Request-Id") == id) {
+        runs.push_back(head);
+      }
+    }
+    return runs;
+  }
+
+  caller_answer CallOnce(std::string_view path = "/once/1") {
+    return system_.CallOnce(port_, path);
+  }
+  std::uint16_t port() const { return port_; }
+
+ private:
+  platform_system system_;
+  std::mutex mutex_;
+  std::vector<std::string> heads_;
+  scripted_engine engine_;
+  std::uint16_t port_ = 0;
+};
+
+struct framing_case {
+  std::string name;
+  std::string header;
+  unsigned status;
+  std::string version = "HTTP/1.1";
+};
+
+// Header fields after which the end of the body is unknown or in doubt.
+std::vector<framing_case> DoubtfulFramings() {
+  const std::string length = Length(5);
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  return {
+      {"a coding that is not chunked", "Transfer-Encoding: gzip\r\n", 400},
+      {"identity", "Transfer-Encoding: identity\r\n", 400},
+      {"a coding that nobody knows", "Transfer-Encoding: x-new\r\n", 400},
+      {"no coding", "Transfer-Encoding: \r\n", 400},
+      {"chunked before another coding", "Transfer-Encoding: chunked, gzip\r\n",
+       400},
+      {"chunked before identity", "Transfer-Encoding: chunked, identity\r\n",
+       400},
+      {"chunked twice", "Transfer-Encoding: chunked, chunked\r\n", 400},
+      {"chunked twice on two lines", chunked + chunked, 400},
+      {"chunked with a parameter", "Transfer-Encoding: chunked;q=1\r\n", 400},
+      {"a quoted coding", "Transfer-Encoding: \"chunked\"\r\n", 400},
+      {"two words", "Transfer-Encoding: chunked x\r\n", 400},
+      {"another coding on a second line",
+       chunked + "Transfer-Encoding: gzip\r\n", 400},
+      {"a coding under chunked", "Transfer-Encoding: gzip, chunked\r\n", 501},
+      {"a coding on the line before chunked",
+       "Transfer-Encoding: gzip\r\n" + chunked, 501},
+      {"chunked and then a length", chunked + length, 400},
+      {"a length and then chunked", length + chunked, 400},
+      {"another coding and then a length",
+       "Transfer-Encoding: identity\r\n" + length, 400},
+      {"a length and then another coding",
+       length + "Transfer-Encoding: gzip\r\n", 400},
+      {"chunked in a request of HTTP/1.0", chunked, 400, "HTTP/1.0"},
+      {"two lengths", length + Length(6), 400},
+      {"a length with a sign", "Content-Length: +5\r\n", 400},
+      {"a length with a fraction", "Content-Length: 5.0\r\n", 400},
+      {"an empty length", "Content-Length: \r\n", 400},
+      {"a length on two lines", "Content-Length: 1\r\n 5\r\n", 400},
+      {"a space before the colon", "Transfer-Encoding : chunked\r\n", 400},
+      {"a line that ends without a carriage return",
+       "Transfer-Encoding: gzip\nX: y\r\n", 400},
+  };
+}
+
+// Header fields with which the body ends at one place for all.
+std::vector<framing_case> SoundFramings(std::size_t bytes) {
+  return {
+      {"a length", Length(bytes), 200},
+      {"the same length twice", Length(bytes) + Length(bytes), 200},
+      {"chunks", "Transfer-Encoding: chunked\r\n", 200},
+      {"chunks in capitals", "TRANSFER-ENCODING: Chunked\r\n", 200},
+      {"chunks with white space", "Transfer-Encoding: \t chunked \t\r\n", 200},
+  };
+}
+
+}  // namespace
+
+// An engine would run a request that no caller sent.
+SCENARIO("A request in the body of another one is not run",
+         "[message_framing]") {
+  framing_system system;
+  const std::string inner = Post("inside", Length(0), "");
+
+  GIVEN("an outer request whose end is in doubt") {
+    for (const framing_case& each : DoubtfulFramings()) {
+      CAPTURE(each.name);
+      raw_connection connection(system.port());
+      connection.Send(Request("POST /once/1 " + each.version, "outside",
+                              each.header, inner));
+      const std::string answers = connection.ReadAll(kReadTimeout);
+      CAPTURE(answers);
+
+      CHECK(FirstStatus(answers) == each.status);
+      CHECK(answers.find("HTTP/1.", 1) == std::string::npos);
+      CHECK(connection.closed());
+      CHECK(system.Runs("inside").empty());
+      CHECK(system.Runs("outside").empty());
+    }
+  }
+
+  GIVEN("an outer request with a sound end") {
+    for (const framing_case& each : SoundFramings(inner.size())) {
+      CAPTURE(each.name);
+      const std::string id = "outside " + each.name;
+      const bool in_chunks = each.name.starts_with("chunks");
+      raw_connection connection(system.port());
+      connection.Send(Post(id, each.header,
+                           in_chunks ? Chunk(inner) + "0\r\n\r\n" : inner));
+      const std::string answers =
+          connection.ReadUntil("\r\n\r\nok", kReadTimeout);
+      CAPTURE(answers);
+
+      CHECK(FirstStatus(answers) == each.status);
+      const std::vector<std::string> runs = system.Runs(id);
+      CHECK(runs.size() == 1);
+      CHECK((!runs.empty() && HeaderOf(runs[0], "Content-Length") ==
+                                  std::to_string(inner.size())));
+      CHECK(system.Runs("inside").empty());
+
+      // A further request on the same connection is read from its first byte.
+      connection.Send(Post("next " + each.name, Length(0), ""));
+      CHECK(FirstStatus(connection.ReadUntil("\r\n\r\nok", kReadTimeout)) ==
+            200);
+      CHECK(system.Runs("next " + each.name).size() == 1);
+    }
+  }
+
+  THEN("the gateway still answers") {
+    REQUIRE(system.CallOnce().status == 200);
+  }
+}
+
+// A caller would get a body that is not the engine's, or a part of it, as a
+// whole answer.
+SCENARIO("An answer whose end is in doubt is not delivered",
+         "[message_framing]") {
+  struct answer_case {
+    std::string name;
+    std::string first_line;
+    std::string header;
+    std::string body;
+  };
+  const std::string ok = "HTTP/1.1 200 OK";
+  const std::string chunks = Chunk("ok") + "0\r\n\r\n";
+  const std::vector<answer_case> cases = {
+      {"a coding that is not chunked", ok, "Transfer-Encoding: gzip\r\n", "ok"},
+      {"identity", ok, "Transfer-Encoding: identity\r\n", "ok"},
+      {"a coding under chunked", ok, "Transfer-Encoding: gzip, chunked\r\n",
+       chunks},
+      {"chunked before another coding", ok,
+       "Transfer-Encoding: chunked, gzip\r\n", chunks},
+      {"chunked twice", ok, "Transfer-Encoding: chunked, chunked\r\n", chunks},
+      {"a length and chunks", ok,
+       "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n", chunks},
+      {"another coding and a length", ok,
+       "Transfer-Encoding: identity\r\nContent-Length: 2\r\n", "ok"},
+      {"chunks in an answer of HTTP/1.0", "HTTP/1.0 200 OK",
+       "Transfer-Encoding: chunked\r\n", chunks},
+      {"two lengths", ok, "Content-Length: 1\r\nContent-Length: 2\r\n", "ok"},
+  };
+  for (const answer_case& each : cases) {
+    GIVEN("an engine that frames its answers with " + each.name) {
+      framing_system system(
+          [&](std::string_view head) {
+            return each.first_line + "\r\n" + IdLine(head) +
+                   "X-Response-Signature: s\r\n" + each.header + "\r\n" +
+                   each.body;
+          },
+          true);
+
+      THEN("the caller is told that the call may have run") {
+        const caller_answer answer = system.CallOnce();
+        CAPTURE(answer.body);
+        REQUIRE(answer.status == 502);
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
--- a/wire/http_client.cc
+++ b/wire/http_client.cc
@@ -10,7 +10,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cerrno>
@@ -19,6 +18,7 @@
 #include <utility>
 
 #include "wire/endpoint.h"
+#include "wire/message_parser.h"
 #include "wire/steady_clock.h"
 
 namespace anvilloom {
@@ -108,6 +108,8 @@
 // A connection and the response being read from it.
 class http_connection {
  public:
+  using response_parser = message_parser<false, http::buffer_body>;
+
   http_connection(const net::any_io_executor& executor,
                   std::string_view address)
       : address_(address), stream_(executor) {}
@@ -115,10 +117,8 @@
   std::string_view address() const { return address_; }
   boost::beast::tcp_stream& stream() { return stream_; }
   boost::beast::flat_buffer& buffer() { return buffer_; }
-  http::response_parser<http::buffer_body>& parser() { return *parser_; }
-  const http::response_parser<http::buffer_body>& parser() const {
-    return *parser_;
-  }
+  response_parser& parser() { return *parser_; }
+  const response_parser& parser() const { return *parser_; }
   bool reused() const { return reused_; }
   void MarkReused() { reused_ = true; }
 
@@ -191,7 +191,7 @@
   // Holds at most a header and a part of the body. Without a limit it would
   // grow with a chunk header or a trailer that never ends.
   boost::beast::flat_buffer buffer_{kReceiveBufferBytes};
-  std::optional<http::response_parser<http::buffer_body>> parser_;
+  std::optional<response_parser> parser_;
   std::array<char, kReadBufferBytes> read_buffer_;
   bool reused_ = false;
   deadline reuse_deadline_ = deadline::Never();
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -10,8 +10,9 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/system/errc.hpp>
 #include <exception>
 #include <optional>
 #include <string>
@@ -19,6 +20,7 @@
 
 #include "common/log.h"
 #include "wire/endpoint.h"
+#include "wire/message_parser.h"
 #include "wire/pause.h"
 
 namespace anvilloom {
@@ -72,6 +74,9 @@
   if (error == boost::beast::error::timeout) {
     return http_status::request_timeout;
   }
+  if (error == boost::system::errc::not_supported) {
+    return http_status::not_implemented;
+  }
   const bool gone = error == http::error::end_of_stream ||
                     error == http::error::partial_message ||
                     error.category() == net::error::get_system_category();
@@ -106,6 +111,9 @@
   if (!status) {
     co_return;
   }
+  Log(log_level::kWarning, log_event::kRequestRejected,
+      {{"status", std::to_string(static_cast<unsigned>(*status))},
+       {"cause", error.message()}});
   http_exchange exchange(stream, http_request(http::verb::get, "/", 11),
                          limits);
   exchange.CloseAfterResponse();
@@ -292,7 +300,7 @@
   if (!co_await AwaitRequest(stream, buffer, thread)) {
     co_return false;
   }
-  http::request_parser<http::string_body> parser;
+  message_parser<true, http::string_body> parser;
   const http_server_limits limits = CurrentLimits();
   parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
   parser.body_limit(limits.body_bytes);
