Discard trailers of requests and answers

Engines saw headers that no caller had sent in its header (X-Prefix-Hash among them), callers a second X-Response-Signature.

Cause: Beast adds trailer fields to the header fields of the message, so that everything that reads the header after the body takes them for a part of it, and its fields hold at most 65,535 bytes each.

Change: message_parser drops trailers, as RFC 9110, section 6.5.1 allows, and refuses longer header fields with 431 instead of an exception.

--- a/test/error/message_framing_test.cc
+++ b/test/error/message_framing_test.cc
@@ -227,6 +227,61 @@
   }
 }
 
+// Trailers would set what the caller's header doesn't, after the call has been
+// admitted under it; an engine would get a header that no caller sent.
+SCENARIO("A trailer of a request is no header field", "[message_framing]") {
+  framing_system system;
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const auto send = [&](std::string_view id, std::string_view trailer) {
+    raw_connection connection(system.port());
+    connection.Send(Post(
+        id, chunked, Chunk("body") + "0\r\n" + std::string(trailer) + "\r\n"));
+    return FirstStatus(connection.ReadUntil("\r\n\r\nok", kReadTimeout));
+  };
+
+  WHEN("trailers name fields that decide or are forwarded") {
+    const std::vector<std::string> names = {
+        "X-Prefix-Hash", "X-Model",       "X-Token-Counts", "X-Custom",
+        "X-Request-Id",  "X-Deadline-Ms", "Last-Event-Id",
+    };
+    for (const std::string& name : names) {
+      CAPTURE(name);
+      CHECK(send("with " + name, name + ": trailed\r\n") == 200);
+      const std::vector<std::string> runs = system.Runs("with " + name);
+      REQUIRE(runs.size() == 1);
+      CHECK(runs[0].find("trailed") == std::string::npos);
+    }
+  }
+
+  WHEN("only a trailer has the caller's key") {
+    raw_connection connection(system.port());
+    connection.Send(
+        "POST /once/1 HTTP/1.1\r\nHost: a.example\r\n"
+        "X-Request-Id: keyless\r\n" +
+        chunked + "\r\n" + Chunk("body") +
+        "0\r\nAuthorization: Token key-1\r\n\r\n");
+    THEN("the call is refused") {
+      CHECK(FirstStatus(connection.ReadUntil("}", kReadTimeout)) == 401);
+      CHECK(system.Runs("keyless").empty());
+    }
+  }
+
+  WHEN("a trailer is longer than any field may be") {
+    // Once more than a header field can hold, and once more than is buffered.
+    for (const std::size_t bytes : {60'000, 70'000, 300'000}) {
+      CAPTURE(bytes);
+      raw_connection connection(system.port());
+      connection.Send(Post("long", chunked,
+                           Chunk("body") + "0\r\nX-Long: " +
+                               std::string(bytes, 'x') + "\r\n\r\n"));
+      connection.ReadUntil("\r\n\r\n", kReadTimeout);
+    }
+    THEN("the process goes on") {
+      REQUIRE(system.CallOnce().status == 200);
+    }
+  }
+}
+
 // A caller would get a body that is not the engine's, or a part of it, as a
 // whole answer.
 SCENARIO("An answer whose end is in doubt is not delivered",
@@ -274,4 +329,26 @@
   }
 }
 
+// A caller would get other fields than the engine put at the head of its
+// answer, among them a second signature.
+SCENARIO("A trailer of an answer is no header field", "[message_framing]") {
+  const auto answer = [](std::string_view head) {
+    return "HTTP/1.1 200 OK\r\n" + IdLine(head) +
+           "X-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n" +
+           Chunk("ok") +
+           "0\r\nX-Response-Signature: trailed\r\nX-Custom: trailed\r\n"
+           "Content-Type: trailed\r\n\r\n";
+  };
+  framing_system system(answer);
+  raw_connection connection(system.port());
+  connection.Send(Post("r1", Length(0) + "Connection: close\r\n", ""));
+  const std::string received = connection.ReadAll(kReadTimeout);
+  CAPTURE(received);
+
+  REQUIRE(FirstStatus(received) == 200);
+  REQUIRE(received.ends_with("\r\n\r\nok"));
+  REQUIRE(received.find("X-Response-Signature: s\r\n") != received.npos);
+  REQUIRE(received.find("trailed") == received.npos);
+}
+
 }  // namespace anvilloom
--- a/wire/message_parser.h
+++ b/wire/message_parser.h
@@ -3,9 +3,11 @@
 #ifndef WIRE_MESSAGE_PARSER_H_
 #define WIRE_MESSAGE_PARSER_H_
 
+#include <boost/beast/http/field.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/system/error_code.hpp>
+#include <cstddef>
 #include <cstdint>
 
 namespace anvilloom {
@@ -28,11 +30,30 @@
 // kAmbiguous and errc::not_supported for kUnsupportedCoding.
 boost::system::error_code FramingError(message_framing framing);
 
-// Beast's parser ignores transfer codings other than chunked. This one fails
-// with FramingError() at the end of the header.
+// Longest name or value of a header field, a limit of Beast's fields.
+inline constexpr std::size_t kMaxFieldBytes = 60'000;
+
+// Beast's parser ignores transfer codings other than chunked, and adds trailer
+// fields to the header. This one fails with FramingError() at the end of the
+// header, and discards trailers, as RFC 9110, section 6.5.1 allows.
 template <bool IsRequest, typename Body>
 class message_parser : public boost::beast::http::parser<IsRequest, Body> {
  private:
+  void on_field_impl(boost::beast::http::field field,
+                     boost::beast::string_view name,
+                     boost::beast::string_view value,
+                     boost::system::error_code& error) override {
+    error = {};
+    if (this->is_header_done()) {
+      return;  // A trailer.
+    }
+    if (name.size() > kMaxFieldBytes || value.size() > kMaxFieldBytes) {
+      error = boost::beast::http::error::header_limit;
+      return;
+    }
+    this->get().insert(field, name, value);
+  }
+
   void on_header_impl(boost::system::error_code& error) override {
     error = FramingError(CheckFraming(this->get(), this->get().version()));
   }
