Read no body after the answer to HEAD that follows a stale answer

Callers saw: HEAD timed out if the engine first sent the answer to an earlier call on the connection.

Cause: ReadNextResponse() read every further response as one to GET, so that the length that an answer to HEAD states was waited for as its body.

Change: the connection remembers the method of its request.

--- a/test/error/message_framing_test.cc
+++ b/test/error/message_framing_test.cc
@@ -351,4 +351,30 @@
   REQUIRE(received.find("trailed") == received.npos);
 }
 
+// The length that an answer to HEAD states would be waited for as its body.
+SCENARIO("An answer to HEAD has no body, also after the answer to another call",
+         "[message_framing]") {
+  const std::string first_id = "X-Request-Id: first\r\n";
+  framing_system system([&](std::string_view head) {
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\n" + IdLine(head) +
+        "X-Response-Signature: s\r\nContent-Length: 2\r\n\r\n";
+    if (!head.starts_with("HEAD")) {
+      return answer + "ok";
+    }
+    return "HTTP/1.1 200 OK\r\n" + first_id +
+           "X-Response-Signature: s\r\nContent-Length: 0\r\n\r\n" + answer;
+  });
+  raw_connection connection(system.port());
+  connection.Send(Post("first", Length(0), ""));
+  REQUIRE(FirstStatus(connection.ReadUntil("ok", kReadTimeout)) == 200);
+  const auto begin = std::chrono::steady_clock::now();
+  connection.Send(Request("HEAD /once/1 HTTP/1.1", "second", "", ""));
+  const std::string received = connection.ReadUntil("\r\n\r\n", kReadTimeout);
+  CAPTURE(received);
+
+  REQUIRE(FirstStatus(received) == 200);
+  REQUIRE(std::chrono::steady_clock::now() - begin < std::chrono::seconds(2));
+}
+
 }  // namespace anvilloom
--- a/wire/http_client.cc
+++ b/wire/http_client.cc
@@ -122,12 +122,17 @@
   bool reused() const { return reused_; }
   void MarkReused() { reused_ = true; }
 
-  void StartResponse(http::verb method, std::size_t body_limit) {
+  void SetRequest(http::verb method, std::size_t body_limit) {
+    is_head_ = method == http::verb::head;
+    body_limit_ = body_limit;
+  }
+
+  void StartResponse() {
     parser_.emplace();
     parser_->header_limit(kHeaderLimitBytes);
-    parser_->body_limit(body_limit);
+    parser_->body_limit(body_limit_);
     // A response to HEAD announces a body but does not send it.
-    parser_->skip(method == http::verb::head);
+    parser_->skip(is_head_);
   }
 
   bool ResponseEnded() const { return parser_ && parser_->is_done(); }
@@ -193,6 +198,9 @@
   boost::beast::flat_buffer buffer_{kReceiveBufferBytes};
   std::optional<response_parser> parser_;
   std::array<char, kReadBufferBytes> read_buffer_;
+  // About the request whose response is read.
+  bool is_head_ = false;
+  std::size_t body_limit_ = 0;
   bool reused_ = false;
   deadline reuse_deadline_ = deadline::Never();
 };
@@ -288,7 +296,7 @@
       break;
     }
   }
-  connection_->StartResponse(http::verb::get, body_limit_);
+  connection_->StartResponse();
   connection_->stream().expires_at(ToSteady(until));
   const auto [error, bytes] = co_await http::async_read_header(
       connection_->stream(), connection_->buffer(), connection_->parser(),
@@ -394,7 +402,8 @@
   if (handle != nullptr) {
     handle->connection_ = connection.get();
   }
-  connection->StartResponse(request.method(), limits_.max_response_bytes);
+  connection->SetRequest(request.method(), limits_.max_response_bytes);
+  connection->StartResponse();
   connection->stream().expires_at(ToSteady(until));
   auto [write_error, written] =
       co_await http::async_write(connection->stream(), request, kAwaitTuple);
@@ -438,7 +447,6 @@
   auto stream =
       std::make_unique<http_response_stream>(std::move(*connection), pool_);
   stream->handle_ = handle;
-  stream->body_limit_ = limits_.max_response_bytes;
   co_return stream;
 }
 
--- a/wire/http_client.h
+++ b/wire/http_client.h
@@ -115,7 +115,6 @@
   std::unique_ptr<internal::http_connection> connection_;
   std::shared_ptr<internal::connection_pool> pool_;
   http_call_handle* handle_ = nullptr;
-  std::size_t body_limit_ = 0;
   bool reuse_disabled_ = false;
 };
 
