Skip interim answers of engines

Callers saw: 502 for a call that had run, if the engine sent "100 Continue" or "103 Early Hints" before its answer; or, if the interim answer bore the request's id, that one as the final answer, and the rest lost.

Cause: the client took the first header on the connection for that of the response. RFC 9110, section 15.2 has clients skip any number of 1xx.

Change: http_connection::ReadHeader() skips up to eight interim responses; more, and a switch of protocols that nobody asked for, are malformed.

--- a/test/error/message_framing_test.cc
+++ b/test/error/message_framing_test.cc
@@ -351,6 +351,59 @@
   REQUIRE(received.find("trailed") == received.npos);
 }
 
+// A caller would take an interim answer for the final one, and the final one
+// for that to its next call; or a call that has run would fail.
+SCENARIO("Interim answers of an engine are skipped", "[message_framing]") {
+  const std::string id = "X-Request-Id: r1\r\n";
+  struct interim_case {
+    std::string name;
+    std::string bytes;
+    unsigned status;
+  };
+  const std::vector<interim_case> cases = {
+      {"100 Continue", "HTTP/1.1 100 Continue\r\n\r\n", 200},
+      {"hints", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 200},
+      {"hints with the id of the request",
+       "HTTP/1.1 103 Early Hints\r\n" + id + "\r\n", 200},
+      {"two of them",
+       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n", 200},
+      {"a switch of protocols",
+       "HTTP/1.1 101 Switching Protocols\r\n" + id + "Upgrade: x\r\n\r\n", 502},
+  };
+  for (const interim_case& each : cases) {
+    GIVEN("an engine that first sends " + each.name) {
+      framing_system system([&](std::string_view head) {
+        return each.bytes + SoundAnswer(head);
+      });
+      raw_connection connection(system.port());
+      connection.Send(Post("r1", Length(0) + "Connection: close\r\n", ""));
+      const std::string received = connection.ReadAll(kReadTimeout);
+      CAPTURE(received);
+
+      THEN("the caller gets one final answer") {
+        REQUIRE(FirstStatus(received) == each.status);
+        REQUIRE(received.find("HTTP/1.", 1) == received.npos);
+      }
+    }
+  }
+
+  GIVEN("an engine that sends interim answers without end") {
+    framing_system system([](std::string_view) {
+      std::string many;
+      for (int i = 0; i < 1000; ++i) {
+        many += "HTTP/1.1 100 Continue\r\n\r\n";
+      }
+      return many;
+    });
+    THEN("the call fails before its deadline") {
+      const auto begin = std::chrono::steady_clock::now();
+      REQUIRE(system.CallOnce().status == 502);
+      REQUIRE(std::chrono::steady_clock::now() - begin <
+              std::chrono::seconds(2));
+    }
+  }
+}
+
 // The length that an answer to HEAD states would be waited for as its body.
 SCENARIO("An answer to HEAD has no body, also after the answer to another call",
          "[message_framing]") {
--- a/wire/http_client.cc
+++ b/wire/http_client.cc
@@ -36,6 +36,11 @@
 // Model engines and plain services send small response headers.
 constexpr std::uint32_t kHeaderLimitBytes = 16 * 1024;
 constexpr std::size_t kReceiveBufferBytes = std::size_t{64} * 1024;
+constexpr unsigned kFirstInterimStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
+// Servers send one or two interim responses (1xx) before a response.
+constexpr int kMaxInterimResponses = 8;
 
 // TCP keep-alive: the first probe is sent after one idle second, then one per
 // second. The connection fails after three seconds without an acknowledgement.
@@ -127,12 +132,30 @@
     body_limit_ = body_limit;
   }
 
-  void StartResponse() {
-    parser_.emplace();
-    parser_->header_limit(kHeaderLimitBytes);
-    parser_->body_limit(body_limit_);
-    // A response to HEAD announces a body but does not send it.
-    parser_->skip(is_head_);
+  // Reads the header of the next final response, until the deadline of the
+  // stream. Adds the size of everything read to `received`.
+  awaitable<boost::system::error_code> ReadHeader(std::size_t& received) {
+    for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
+      parser_.emplace();
+      parser_->header_limit(kHeaderLimitBytes);
+      parser_->body_limit(body_limit_);
+      // A response to HEAD announces a body but does not send it.
+      parser_->skip(is_head_);
+      const auto [error, bytes] = co_await http::async_read_header(
+          stream_, buffer_, *parser_, kAwaitTuple);
+      received += bytes;
+      if (error) {
+        co_return error;
+      }
+      const unsigned status = parser_->get().result_int();
+      if (status < kFirstInterimStatus || status >= kFirstFinalStatus) {
+        co_return error;
+      }
+      if (status == kSwitchingProtocols) {
+        break;  // No request asks to switch protocols.
+      }
+    }
+    co_return http::error::bad_status;
   }
 
   bool ResponseEnded() const { return parser_ && parser_->is_done(); }
@@ -296,11 +319,9 @@
       break;
     }
   }
-  connection_->StartResponse();
   connection_->stream().expires_at(ToSteady(until));
-  const auto [error, bytes] = co_await http::async_read_header(
-      connection_->stream(), connection_->buffer(), connection_->parser(),
-      kAwaitTuple);
+  std::size_t received = 0;
+  const auto error = co_await connection_->ReadHeader(received);
   if (error) {
     co_return transfer_failure{ToTransferError(error), true};
   }
@@ -403,18 +424,13 @@
     handle->connection_ = connection.get();
   }
   connection->SetRequest(request.method(), limits_.max_response_bytes);
-  connection->StartResponse();
   connection->stream().expires_at(ToSteady(until));
   auto [write_error, written] =
       co_await http::async_write(connection->stream(), request, kAwaitTuple);
   boost::system::error_code error = write_error;
   std::size_t received = 0;
   if (!error) {
-    auto [read_error, bytes] = co_await http::async_read_header(
-        connection->stream(), connection->buffer(), connection->parser(),
-        kAwaitTuple);
-    error = read_error;
-    received = bytes;
+    error = co_await connection->ReadHeader(received);
   }
   if (!error) {
     co_return connection;
--- a/wire/http_client.h
+++ b/wire/http_client.h
@@ -137,8 +137,9 @@
       connection_use use = connection_use::kPooled,
       deadline send_by = deadline::Never());
 
-  // Sends `request` and returns once the response header has arrived. `handle`,
-  // if given, must outlive the stream.
+  // Sends `request` and returns once the response header has arrived, after any
+  // interim responses (1xx), which are skipped. `handle`, if given, must
+  // outlive the stream.
   awaitable<transfer_result<std::unique_ptr<http_response_stream>>> Open(
       std::string_view address,
       http_request request,
