Pass on statuses that the HTTP library has no name for

Callers saw: "HTTP/1.1 000 <unknown-status>" in place of a status such as 299 or 499 that an engine gave.

Cause: Beast's result() is 0 for each status without a name in its list, and this value was sent on. Found by the test on interim answers with status 103.

Change: the number is read; one outside 100 to 599 makes the answer malformed (RFC 9110, section 15).

--- a/test/error/message_framing_test.cc
+++ b/test/error/message_framing_test.cc
@@ -404,6 +404,31 @@
   }
 }
 
+// A caller would get status 0 for each status that the HTTP library has no name
+// for.
+SCENARIO("The status of an engine reaches the caller unchanged",
+         "[message_framing]") {
+  struct status_case {
+    std::string sent;
+    unsigned received;
+  };
+  const std::vector<status_case> cases = {
+      {"200", 200}, {"299", 299}, {"418", 418}, {"499", 499},
+      {"599", 599}, {"099", 502}, {"600", 502}, {"000", 502},
+  };
+  for (const status_case& each : cases) {
+    GIVEN("an engine that answers with status " + each.sent) {
+      framing_system system([&](std::string_view head) {
+        return "HTTP/1.1 " + each.sent + " X\r\n" + IdLine(head) +
+               "X-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok";
+      });
+      raw_connection connection(system.port());
+      connection.Send(Post("r1", Length(0) + "Connection: close\r\n", ""));
+      REQUIRE(FirstStatus(connection.ReadAll(kReadTimeout)) == each.received);
+    }
+  }
+}
+
 // The length that an answer to HEAD states would be waited for as its body.
 SCENARIO("An answer to HEAD has no body, also after the answer to another call",
          "[message_framing]") {
--- a/wire/http_client.cc
+++ b/wire/http_client.cc
@@ -36,9 +36,10 @@
 // Model engines and plain services send small response headers.
 constexpr std::uint32_t kHeaderLimitBytes = 16 * 1024;
 constexpr std::size_t kReceiveBufferBytes = std::size_t{64} * 1024;
-constexpr unsigned kFirstInterimStatus = 100;
+constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 // Servers send one or two interim responses (1xx) before a response.
 constexpr int kMaxInterimResponses = 8;
 
@@ -148,10 +149,11 @@
         co_return error;
       }
       const unsigned status = parser_->get().result_int();
-      if (status < kFirstInterimStatus || status >= kFirstFinalStatus) {
+      if (status >= kFirstFinalStatus && status <= kLastStatus) {
         co_return error;
       }
-      if (status == kSwitchingProtocols) {
+      if (status < kFirstStatus || status > kLastStatus ||
+          status == kSwitchingProtocols) {
         break;  // No request asks to switch protocols.
       }
     }
@@ -329,7 +331,8 @@
 }
 
 http_status http_response_stream::status() const {
-  return connection_->parser().get().result();
+  // result() would turn a status that Beast has no name for into 0.
+  return static_cast<http_status>(connection_->parser().get().result_int());
 }
 
 std::string_view http_response_stream::Header(std::string_view name) const {
