Stream without chunks to clients of HTTP/1.0

Callers saw: chunk headers between the events of a stream, and a stream that broke off as a whole one.

Cause: BeginStream() sent chunks whatever the version of the request; HTTP/1.0 has none, and its messages end with the connection.

Change: such a stream ends with its connection, and one that breaks off with a reset.

Measured: the scenario "A stream to a client of HTTP/1.0 has no chunks" of error.message_framing_test fails on the landed program and passes with this change.

--- a/test/error/message_framing_test.cc
+++ b/test/error/message_framing_test.cc
@@ -455,4 +455,31 @@
   REQUIRE(std::chrono::steady_clock::now() - begin < std::chrono::seconds(2));
 }
 
+// A client of HTTP/1.0 would take the chunk headers for a part of the body, and
+// a stream that broke off for a whole one.
+SCENARIO("A stream to a client of HTTP/1.0 has no chunks",
+         "[message_framing]") {
+  const std::string event = "id: 1\ndata: 1\n\n";
+  const bool whole = GENERATE(true, false);
+  CAPTURE(whole);
+  framing_system system(
+      [&](std::string_view head) {
+        return "HTTP/1.1 200 OK\r\n" + IdLine(head) +
+               "X-Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n" +
+               Chunk(event) + (whole ? "0\r\n\r\n" : "5\r\nid: 2");
+      },
+      true, "model");
+  raw_connection connection(system.port());
+  connection.Send(Request("POST /stream/1 HTTP/1.0", "r1", Length(0), ""));
+  const std::string received = connection.ReadAll(kReadTimeout);
+  CAPTURE(received);
+
+  REQUIRE(received.starts_with("HTTP/1.0 200"));
+  REQUIRE(received.find("Transfer-Encoding") == received.npos);
+  REQUIRE(received.find("\r\n\r\n" + event) != received.npos);
+  REQUIRE(connection.closed());
+  REQUIRE(connection.reset() == !whole);
+}
+
 }  // namespace anvilloom
--- a/test/support/raw_connection.cc
+++ b/test/support/raw_connection.cc
@@ -51,6 +51,7 @@
         [&](const boost::system::error_code& error, std::size_t bytes) {
           received.append(chunk.data(), bytes);
           closed_ = error && error != net::error::operation_aborted;
+          reset_ = error == net::error::connection_reset;
         });
     context_.restart();
     if (context_.run_for(left) == 0) {
--- a/test/support/raw_connection.h
+++ b/test/support/raw_connection.h
@@ -28,11 +28,15 @@
   std::string ReadUntil(std::string_view text, duration limit);
   // Whether a read has found the connection closed by the peer.
   bool closed() const { return closed_; }
+  // Whether the peer has reset the connection, so that what was received may
+  // not be all.
+  bool reset() const { return reset_; }
 
  private:
   boost::asio::io_context context_;
   boost::asio::ip::tcp::socket socket_;
   bool closed_ = false;
+  bool reset_ = false;
 };
 
 // The status of the first answer in `bytes`, or 0.
--- a/wire/http_exchange.cc
+++ b/wire/http_exchange.cc
@@ -18,6 +18,7 @@
 namespace http = boost::beast::http;
 
 constexpr auto kAwaitTuple = net::as_tuple(net::use_awaitable);
+constexpr unsigned kHttp11 = 11;
 
 std::string_view ToStd(boost::beast::string_view view) {
   return {view.data(), view.size()};
@@ -154,8 +155,11 @@
   streaming_ = true;
   http::response<http::empty_body> response(status, request_.version());
   SetHeaders(response, content_type, headers);
+  // HTTP/1.0 has no chunks; the end of the connection ends the body there.
+  unframed_ = request_.version() < kHttp11;
+  close_after_response_ = close_after_response_ || unframed_;
   response.keep_alive(request_.keep_alive() && !close_after_response_);
-  response.chunked(true);
+  response.chunked(!unframed_);
   http::response_serializer<http::empty_body> serializer(response);
   stream_.expires_after(limits_.write_timeout);
   const auto [error, bytes] =
@@ -167,6 +171,9 @@
   if (bytes.empty()) {
     co_return !broken_;  // An empty chunk would terminate the stream.
   }
+  if (unframed_) {
+    co_return co_await WriteRaw(bytes);
+  }
   stream_.expires_after(limits_.write_timeout);
   const auto [error, written] = co_await net::async_write(
       stream_, http::make_chunk(net::buffer(bytes)), kAwaitTuple);
@@ -174,6 +181,10 @@
 }
 
 awaitable<bool> http_exchange::EndStream() {
+  if (unframed_) {
+    streaming_ = false;
+    co_return !broken_;
+  }
   stream_.expires_after(limits_.write_timeout);
   const auto [error, written] =
       co_await net::async_write(stream_, http::make_chunk_last(), kAwaitTuple);
@@ -190,6 +201,11 @@
 }
 
 void http_exchange::Abort() {
+  if (streaming_ && unframed_) {
+    // A plain close would make the body look complete, a reset does not.
+    boost::system::error_code ignored;
+    stream_.socket().set_option(net::socket_base::linger(true, 0), ignored);
+  }
   responded_ = true;
   broken_ = true;
   stream_.close();
--- a/wire/http_exchange.h
+++ b/wire/http_exchange.h
@@ -74,7 +74,8 @@
                           std::string_view body,
                           std::span<const http_header> headers = {});
 
-  // Starts a response with a chunked body of unknown length.
+  // Starts a response with a body of unknown length: chunked, or up to the end
+  // of the connection for a client of HTTP/1.0.
   awaitable<bool> BeginStream(http_status status,
                               std::string_view content_type,
                               std::span<const http_header> headers = {});
@@ -114,6 +115,8 @@
   http_server_limits limits_;
   bool responded_ = false;
   bool streaming_ = false;
+  // Whether the body of the stream ends with the connection.
+  bool unframed_ = false;
   bool broken_ = false;
   bool close_after_response_ = false;
   std::shared_ptr<client_watch> watch_;
