Answer every request that a planned stop has taken

Callers saw, in a planned stop of one instance in calm: connections closed without an answer, for requests whose body was still arriving, for calls that came late in the grace, and for calls that an engine had not answered at its end, among them calls that may run once.

Cause: the stop waited for calls that were being handled, not for requests that were being read, and ended the process although a body was on its way. Requests that were complete late were forwarded whatever time was left, and at the end the process exited with them. With a grace below 2.5 s the wait for the load balancer alone outlasted it.

Change: stop_schedule plans a stop once, from the grace, as three deadlines. Until accept_until calls are forwarded; later ones only if their own deadline ends before the stop, else they are refused as not run at once (503, "stopping"). At answer_by, requests that have not arrived get 408, calls that were sent 504, others 503. The HTTP server counts a request from its first byte on, takes the connections that the kernel holds when the listener closes, and serves requests that arrive as idle connections are closed. The product's own interface waits for arriving requests in the same way.

--- a/entry/call_refusal.cc
+++ b/entry/call_refusal.cc
@@ -38,6 +38,8 @@
       return "Every upstream that was asked turned the request away.";
     case refusal_reason::kBlockedPart:
       return "A part of the prompt has crashed several upstreams.";
+    case refusal_reason::kStopping:
+      return "This instance is about to stop.";
   }
   return "";
 }
@@ -98,6 +100,8 @@
       return "turned_away";
     case refusal_reason::kBlockedPart:
       return "blocked_part";
+    case refusal_reason::kStopping:
+      return "stopping";
   }
   return "unknown";
 }
--- a/entry/call_refusal.h
+++ b/entry/call_refusal.h
@@ -24,6 +24,7 @@
   kOverload,     // The call would wait for longer than its latency target.
   kNotRun,       // Every upstream that was tried refused the call.
   kBlockedPart,  // A part of the prompt has crashed several upstreams.
+  kStopping,     // The call might not be answered before the process ends.
 };
 
 struct call_refusal {
@@ -38,6 +39,10 @@
 inline constexpr duration kNoUpstreamRetryDelay =
     std::chrono::milliseconds(250);
 
+// Another instance takes the call; the load balancer sends this one no more
+// connections by then.
+inline constexpr duration kStoppingRetryDelay = std::chrono::milliseconds(50);
+
 http_status Status(refusal_reason reason);
 std::string_view Name(refusal_reason reason);
 // Whether the caller is at fault, so that a retry does not help.
--- a/entry/entry_instance.cc
+++ b/entry/entry_instance.cc
@@ -135,6 +135,7 @@
     }
     const std::size_t running = HandOver(until);
     const bool idle = !accepting && running == 0 &&
+                      caller_server_->busy() == 0 &&
                       process_.unfinished.load(std::memory_order_acquire) == 0;
     if (idle || until.Expired(now)) {
       return;
--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <boost/intrusive/list.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,6 +20,7 @@
 #include "entry/call_refusal.h"
 #include "entry/gateway_state.h"
 #include "entry/inbound_call.h"
+#include "instances/stop_schedule.h"
 #include "links/attempt_policy.h"
 #include "links/crash_suspects.h"
 #include "links/event_splitter.h"
@@ -47,7 +49,9 @@
 inline constexpr duration kAnswerBeginning = std::chrono::milliseconds(200);
 
 template <call_codec Codec>
-class forwarded_call {
+class forwarded_call
+    : public boost::intrusive::list_base_hook<
+          boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
  public:
   forwarded_call(gateway_state& state,
                  http_client& client,
@@ -66,6 +70,15 @@
   forwarded_call(const forwarded_call&) = delete;
   forwarded_call& operator=(const forwarded_call&) = delete;
 
+  // Ends a call that is not answered when the process is about to exit: as not
+  // run if it wasn't sent, otherwise as timed out. A stream is broken off. Must
+  // be called on the thread of the call.
+  void End() {
+    ended_ = true;
+    answer_by_ = deadline(Now());
+    handle_.Cancel();
+  }
+
   awaitable<void> Run() {
     if (const auto refusal = Admit()) {
       co_await Refuse(*refusal);
@@ -123,6 +136,13 @@
         std::min(call_.caller_timeout.value_or(route_->answer_limit),
                  route_->answer_limit);
     answer_by_ = deadline::After(arrived_, timeout);
+    if (const stop_schedule* stop =
+            state_.stop.load(std::memory_order_acquire)) {
+      if (!MayForward(*stop, answer_by_, arrived_)) {
+        return call_refusal{refusal_reason::kStopping, kStoppingRetryDelay};
+      }
+      answer_by_ = answer_by_.Earlier(stop->answer_by);
+    }
     const auto* target = ChooseTarget(
         route_->targets, split_mix(thread_random().Next()).NextUnit());
     pool_ = target == nullptr ? nullptr : view_->FindPool(target->service);
@@ -393,6 +413,9 @@
     if (!failure.sent) {
       return attempt_end::kNotSent;
     }
+    if (ended_) {
+      return attempt_end::kTimedOut;
+    }
     return failure.error == transfer_error::kTimedOut ? attempt_end::kTimedOut
                                                       : attempt_end::kLost;
   }
@@ -816,6 +839,8 @@
   std::optional<time_point> first_event_at_;
   bool may_have_run_ = false;
   bool caller_gone_ = false;
+  // Whether End() was called.
+  bool ended_ = false;
   bool answer_reported_ = false;
   bool usage_counted_ = false;
 
@@ -829,25 +854,33 @@
   bool streaming_ = false;
 };
 
-// Handles the requests of callers. `clients` holds one client for each caller
-// thread.
+// Handles the requests of callers. `clients` holds one client for each of the
+// `threads` caller threads.
 template <call_codec Codec>
 class call_forwarder {
  public:
   call_forwarder(gateway_state& state,
-                 std::vector<std::unique_ptr<http_client>>& clients)
-      : state_(state), clients_(clients) {}
+                 std::vector<std::unique_ptr<http_client>>& clients,
+                 std::size_t threads)
+      : state_(state), clients_(clients), calls_(threads) {}
 
   awaitable<void> Handle(http_exchange& exchange, std::size_t thread) {
     const unfinished_call counted(state_.unfinished);
     state_.counters.calls.fetch_add(1, std::memory_order_relaxed);
     forwarded_call<Codec> call(state_, *clients_[thread], exchange);
+    calls_[thread].push_back(call);
     co_await call.Run();
   }
 
+  // Ends the unanswered calls of a caller thread. Must run on that thread.
+  void EndCalls(std::size_t thread) {
+    for (forwarded_call<Codec>& call : calls_[thread]) {
+      call.End();
+    }
+  }
+
  private:
-  // Counts a call until it ends, also by an exception: a planned stop waits for
-  // the counted ones.
+  // Counts a call until it ends, also by an exception.
   class unfinished_call {
    public:
     explicit unfinished_call(std::atomic<std::uint32_t>& count)
@@ -862,8 +895,15 @@
     std::atomic<std::uint32_t>& count_;
   };
 
+  // Calls leave the list when they are destroyed.
+  using call_list =
+      boost::intrusive::list<forwarded_call<Codec>,
+                             boost::intrusive::constant_time_size<false>>;
+
   gateway_state& state_;
   std::vector<std::unique_ptr<http_client>>& clients_;
+  // Indexed by thread.
+  std::vector<call_list> calls_;
 };
 
 }  // namespace anvilloom
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <concepts>
 #include <functional>
 #include <memory>
@@ -29,6 +30,7 @@
 #include "entry/supervised_task.h"
 #include "entry/suspect_checkpoint.h"
 #include "instances/digest_comparison.h"
+#include "instances/stop_schedule.h"
 #include "instances/watch_duty.h"
 #include "wire/announcement_check.h"
 #include "wire/http_client.h"
@@ -78,7 +80,7 @@
         upstreams_(builder_, [this] { PublishView(); }),
         manifests_(store_, Platform::kManifestKind, ManifestCallbacks()),
         announcements_(store_, Platform::kUpstreamKind, UpstreamCallbacks()),
-        forwarder_(state_, clients_),
+        forwarder_(state_, clients_, state_.settings.threads),
         admin_(state_),
         admin_server_(control_pool_, state_.settings.admin_listen, {}, admin_),
         ready_server_(control_pool_, state_.settings.ready_listen, {}, admin_),
@@ -138,30 +140,29 @@
   }
 
   // Withdraws readiness, serves calls that still arrive, and returns once all
-  // calls have completed or the stop limit is reached.
+  // calls are answered or the process has to exit. May be called once.
   void Drain() {
-    const deadline until = deadline::After(
-        state_.clock.Now(), state_.settings.stop_limit - kStopMargin);
+    stop_ = PlanStop(state_.settings.stop_limit, state_.clock.Now());
+    state_.stop.store(&*stop_, std::memory_order_release);
     state_.draining.store(true, std::memory_order_relaxed);
     Log(log_level::kInfo, log_event::kDraining,
-        {{"unfinished", std::to_string(state_.unfinished.load())}});
+        {{"unfinished", std::to_string(caller_server_.busy())}});
     caller_server_.BeginDrain();
-    std::this_thread::sleep_for(kReadinessPropagation);
+    std::this_thread::sleep_for(
+        stop_->accept_until.Remaining(state_.clock.Now()));
     caller_server_.Close();
-    while (state_.unfinished.load() > 0 && !until.Expired(state_.clock.Now())) {
-      std::this_thread::sleep_for(kDrainCheckInterval);
+    AwaitAnswers(stop_->answer_by);
+    if (caller_server_.busy() > 0) {
+      caller_server_.EndReads();
+      EndCalls();
+      AwaitAnswers(stop_->exit_by);
     }
     Log(log_level::kInfo, log_event::kStopped,
-        {{"unfinished", std::to_string(state_.unfinished.load())}});
+        {{"unfinished", std::to_string(caller_server_.busy())}});
   }
 
  private:
-  // The load balancer probes once a second and removes an instance after two
-  // failed probes.
-  static constexpr std::chrono::milliseconds kReadinessPropagation{2'500};
   static constexpr std::chrono::milliseconds kDrainCheckInterval{50};
-  // The drain ends this long before the platform kills the process.
-  static constexpr duration kStopMargin = std::chrono::milliseconds(500);
   // Connecting within a region takes a few milliseconds. A slower attempt has
   // lost its SYN packet, which is retransmitted after a second, so another
   // upstream responds sooner.
@@ -175,6 +176,19 @@
   // File descriptors reserved for listeners, upstreams and the store.
   static constexpr std::size_t kReservedDescriptors = 700;
 
+  void AwaitAnswers(deadline until) const {
+    while (caller_server_.busy() > 0 && !until.Expired(state_.clock.Now())) {
+      std::this_thread::sleep_for(kDrainCheckInterval);
+    }
+  }
+
+  void EndCalls() {
+    for (std::size_t thread = 0; thread < caller_pool_.size(); ++thread) {
+      boost::asio::post(caller_pool_.context(thread),
+                        [this, thread] { forwarder_.EndCalls(thread); });
+    }
+  }
+
   // Runs a task of the control thread. An unexpected error in one must end
   // neither the process nor the task.
   void Run(std::string_view name, std::function<awaitable<void>()> task) {
@@ -593,6 +607,7 @@
   object_watcher<typename Platform::store> manifests_;
   object_watcher<typename Platform::store> announcements_;
   std::vector<std::unique_ptr<http_client>> clients_;
+  std::optional<stop_schedule> stop_;
   call_forwarder<typename Platform::codec> forwarder_;
   gateway_admin admin_;
   http_server admin_server_;
--- a/entry/gateway_state.h
+++ b/entry/gateway_state.h
@@ -14,6 +14,7 @@
 #include "contracts/usage_ledger.h"
 #include "entry/gateway_settings.h"
 #include "entry/serving_view.h"
+#include "instances/stop_schedule.h"
 #include "links/crash_suspects.h"
 #include "links/prefix_locations.h"
 #include "wire/steady_clock.h"
@@ -150,10 +151,12 @@
   // because their actual grants are not known.
   std::atomic<std::uint32_t> unaccounted{0};
   std::atomic<bool> draining{false};
+  // Set once, when a planned stop begins; null before.
+  std::atomic<const stop_schedule*> stop{nullptr};
   // Whether the store is unreachable, so that the manifest in force may be
   // outdated.
   std::atomic<bool> manifest_in_doubt{false};
-  // Calls that are not completely answered. A planned stop waits for them.
+  // Calls that are not completely answered.
   std::atomic<std::uint32_t> unfinished{0};
 };
 
--- a/test/error/http_edges_test.cc
+++ b/test/error/http_edges_test.cc
@@ -6,6 +6,7 @@
 #include <boost/json/parse.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <thread>
 #include <vector>
 
 #include "test/support/local_system.h"
@@ -403,6 +404,23 @@
       }
     }
 
+    WHEN("it is told to stop while a body is arriving") {
+      raw_connection connection(fixture.port);
+      const std::string whole = Post(ChatBody("a plan", 3, false));
+      connection.Send(whole.substr(0, whole.size() - 5));
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      fixture.system.process("entry-a").Signal(SIGTERM);
+      std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+      connection.Send(whole.substr(whole.size() - 5));
+      const std::string answer = connection.ReadAll(kReadTimeout);
+
+      THEN("the request is answered before the process ends") {
+        CAPTURE(answer);
+        REQUIRE(FirstStatus(answer) == 200);
+        REQUIRE(fixture.system.process("entry-a").Wait() == 0);
+      }
+    }
+
     WHEN("it is told to stop while idle clients are connected") {
       raw_connection idle(fixture.port);
       idle.Send(RequestHead("GET /readyz HTTP/1.1"));
--- a/test/support/platform_system.cc
+++ b/test/support/platform_system.cc
@@ -86,7 +86,8 @@
 }
 
 std::uint16_t platform_system::StartGateway(std::string_view name,
-                                            std::uint16_t store_port) {
+                                            std::uint16_t store_port,
+                                            std::string_view more_settings) {
   const std::uint16_t store = store_port == 0 ? port("platform") : store_port;
   const std::string path =
       std::string(system_.folder()) + "/" + std::string(name) + ".json";
@@ -96,7 +97,7 @@
       << R"("ready_listen":"127.0.0.1:0","admin_listen":"127.0.0.1:0",)"
       << R"("report_listen":"127.0.0.1:0","store":"127.0.0.1:)" << store
       << R"(","cloud":"127.0.0.1:)" << port("platform")
-      << R"(","usage_window_s":2})";
+      << R"(","usage_window_s":2)" << more_settings << '}';
   return system_.StartProgram(
       name, "entry/anvilloom", {"--platform", "--settings", path},
       {{"", " port="}, {"/ready", " ready_port="}, {"/admin", " admin_port="}});
--- a/test/support/platform_system.h
+++ b/test/support/platform_system.h
@@ -57,9 +57,11 @@
   void Withdraw(std::string_view id);
 
   // Starts a gateway and returns its port without waiting until it is ready.
-  // `store_port`, unless 0, replaces the store port of the stand-in.
+  // `store_port`, unless 0, replaces the store port of the stand-in;
+  // `more_settings` is a list of further JSON members, each after a comma.
   std::uint16_t StartGateway(std::string_view name,
-                             std::uint16_t store_port = 0);
+                             std::uint16_t store_port = 0,
+                             std::string_view more_settings = {});
   bool AwaitReady(std::string_view name) const;
   // Waits until the gateway knows exactly `count` upstreams.
   bool AwaitUpstreams(std::string_view name, std::size_t count) const;
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -155,6 +155,28 @@
   co_return !error;
 }
 
+// Whether bytes have arrived that were not read.
+bool HasInput(boost::beast::tcp_stream& stream) {
+  boost::system::error_code error;
+  return stream.socket().available(error) > 0 && !error;
+}
+
+// Counts a request while it exists.
+class request_count {
+ public:
+  explicit request_count(std::atomic<std::size_t>& count) : count_(count) {
+    count_.fetch_add(1, std::memory_order_relaxed);
+  }
+  // The release pairs with busy(): whoever reads zero also sees the effects of
+  // the requests.
+  ~request_count() { count_.fetch_sub(1, std::memory_order_release); }
+  request_count(const request_count&) = delete;
+  request_count& operator=(const request_count&) = delete;
+
+ private:
+  std::atomic<std::size_t>& count_;
+};
+
 bool ExpectsContinue(const http::request_header<>& header) {
   return boost::beast::iequals(header[http::field::expect], "100-continue");
 }
@@ -170,7 +192,8 @@
       handler_(std::move(handler)),
       acceptor_(pool.context(0), EndpointOrThrow(address)),
       port_(acceptor_.local_endpoint().port()),
-      idle_(pool.size()) {
+      idle_(pool.size()),
+      reading_(pool.size()) {
   net::co_spawn(pool.context(0), AcceptConnections(), net::detached);
 }
 
@@ -187,6 +210,8 @@
   closing_.store(true, std::memory_order_relaxed);
   net::post(pool_.context(0), [this] {
     boost::system::error_code ignored;
+    acceptor_.cancel(ignored);
+    AcceptPending();
     acceptor_.close(ignored);
   });
   for (std::size_t thread = 0; thread < pool_.size(); ++thread) {
@@ -195,6 +220,13 @@
   }
 }
 
+void http_server::EndReads() {
+  for (std::size_t thread = 0; thread < pool_.size(); ++thread) {
+    net::post(pool_.context(thread),
+              [this, thread] { reading_[thread].CancelAll(); });
+  }
+}
+
 awaitable<bool> http_server::EvictLongestIdle(idle_connections& idle) {
   co_return idle.CancelLongest();
 }
@@ -249,12 +281,29 @@
         !co_await EvictIdleConnection()) {
       continue;  // The socket closes as it goes out of scope.
     }
-    open_connections_.fetch_add(1, std::memory_order_relaxed);
-    net::co_spawn(pool_.context(thread),
-                  ServeConnection(std::move(socket), thread), net::detached);
+    Serve(std::move(socket), thread);
   }
 }
 
+void http_server::AcceptPending() {
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    const std::size_t thread = pool_.NextIndex();
+    tcp::socket socket(pool_.context(thread));
+    acceptor_.accept(socket, error);
+    if (!error) {
+      Serve(std::move(socket), thread);
+    }
+  }
+}
+
+void http_server::Serve(tcp::socket socket, std::size_t thread) {
+  open_connections_.fetch_add(1, std::memory_order_relaxed);
+  net::co_spawn(pool_.context(thread),
+                ServeConnection(std::move(socket), thread), net::detached);
+}
+
 awaitable<void> http_server::ServeConnection(tcp::socket socket,
                                              std::size_t thread) {
   boost::system::error_code ignored;
@@ -266,8 +315,12 @@
   boost::beast::flat_buffer buffer(CurrentLimits().header_bytes +
                                    kBodyPartBytes);
   bool more = true;
-  while (more && !closing_.load(std::memory_order_relaxed)) {
-    more = co_await ServeRequest(stream, buffer, thread);
+  while (more) {
+    more = co_await ServeRequest(stream, buffer, thread) &&
+           !closing_.load(std::memory_order_relaxed);
+  }
+  if (buffer.size() > 0 || HasInput(stream)) {
+    co_await Linger(stream);
   }
   stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
   open_connections_.fetch_sub(1, std::memory_order_relaxed);
@@ -283,7 +336,7 @@
   const idle_connections::wait_id wait = idle.Add(stream, clock_.Now());
   if (closing_.load(std::memory_order_relaxed)) {
     idle.Remove(wait);
-    co_return false;
+    co_return HasInput(stream);
   }
   constexpr std::size_t kInitialReadBytes = 4096;
   stream.expires_after(CurrentLimits().idle_timeout);
@@ -291,7 +344,10 @@
       buffer.prepare(kInitialReadBytes), kAwaitTuple);
   idle.Remove(wait);
   buffer.commit(bytes);
-  co_return !error;
+  // A request may arrive at the moment at which Close() cancels the wait.
+  co_return !error ||
+      (error == net::error::operation_aborted &&
+       closing_.load(std::memory_order_relaxed) && HasInput(stream));
 }
 
 awaitable<bool> http_server::ServeRequest(boost::beast::tcp_stream& stream,
@@ -300,6 +356,7 @@
   if (!co_await AwaitRequest(stream, buffer, thread)) {
     co_return false;
   }
+  const request_count counted(busy_);
   message_parser<true, http::string_body> parser;
   const http_server_limits limits = CurrentLimits();
   parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
@@ -307,10 +364,13 @@
   // A single timeout covers header and body, so that a client cannot hold a
   // connection by sending one byte at a time.
   stream.expires_after(limits.read_timeout);
+  const idle_connections::wait_id read =
+      reading_[thread].Add(stream, clock_.Now());
   auto [error, header_bytes] =
       co_await http::async_read_header(stream, buffer, parser, kAwaitTuple);
   if (!error && ExpectsContinue(parser.get()) && !parser.is_done() &&
       !co_await SendContinue(stream)) {
+    reading_[thread].Remove(read);
     co_return false;
   }
   if (!error) {
@@ -318,6 +378,10 @@
         co_await http::async_read(stream, buffer, parser, kAwaitTuple);
     error = body_error;
   }
+  reading_[thread].Remove(read);
+  if (error == net::error::operation_aborted) {
+    error = boost::beast::error::timeout;  // Ended by EndReads().
+  }
   if (error) {
     co_await RefuseRequest(stream, error, limits);
     co_return false;
--- a/wire/http_server.h
+++ b/wire/http_server.h
@@ -39,8 +39,8 @@
 }  // namespace internal
 
 // Serves until Close(). The pool and the handler must outlive the server, and
-// the pool must be stopped before the server is destroyed. BeginDrain(), open()
-// and Close() are thread-safe.
+// the pool must be stopped before the server is destroyed. BeginDrain(),
+// open(), busy(), Close() and EndReads() are thread-safe.
 class http_server {
  public:
   // Throws boost::system::system_error if the address can't be bound.
@@ -75,10 +75,18 @@
     return open_connections_.load(std::memory_order_relaxed);
   }
 
+  // Requests of which at least one byte has arrived and that are not completely
+  // answered.
+  std::size_t busy() const { return busy_.load(std::memory_order_acquire); }
+
   // Stops accepting connections and closes idle ones; the others are closed
-  // after their current request.
+  // after their current request. Requests that have reached this host by then
+  // are still served.
   void Close();
 
+  // Rejects the requests that have not arrived completely, as timed out.
+  void EndReads();
+
  private:
   http_server(io_pool& pool,
               std::string_view address,
@@ -86,6 +94,9 @@
               internal::handler_function handler);
 
   awaitable<void> AcceptConnections();
+  // Accepts the connections that the kernel holds, without waiting.
+  void AcceptPending();
+  void Serve(boost::asio::ip::tcp::socket socket, std::size_t thread);
   awaitable<void> ServeConnection(boost::asio::ip::tcp::socket socket,
                                   std::size_t thread);
   awaitable<bool> ServeRequest(boost::beast::tcp_stream& stream,
@@ -113,11 +124,14 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   std::uint16_t port_;
   std::atomic<std::size_t> open_connections_{0};
+  std::atomic<std::size_t> busy_{0};
   std::atomic<bool> closing_{false};
   std::atomic<bool> draining_{false};
   steady_source clock_;
-  // Indexed by thread.
+  // Indexed by thread: connections that wait for a request, and those that wait
+  // for the rest of one.
   std::vector<idle_connections> idle_;
+  std::vector<idle_connections> reading_;
 };
 
 }  // namespace anvilloom
