Send requests with random framings in a seeded test

400 requests for each of three seeds, with random transfer codings, lengths, versions, chunks and trailers, sent in two parts; the body of each reads like a request, and a sound one follows on the connection.

--- a/test/error/message_framing_test.cc
+++ b/test/error/message_framing_test.cc
@@ -3,7 +3,9 @@
 // taken for whole or for those of other calls, and trailers that act as header
 // fields.
 
+#include <array>
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -11,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "test/support/mutators.h"
 #include "test/support/platform_system.h"
 #include "test/support/raw_connection.h"
 #include "test/support/scripted_engine.h"
@@ -170,6 +173,109 @@
   };
 }
 
+// Generates requests with random framings. The body of each reads like a
+// request of its own.
+class framing_generator {
+ public:
+  explicit framing_generator(std::uint64_t seed) : random_(seed) {}
+
+  struct request {
+    std::string bytes;
+    // Whether the end of the body is beyond doubt.
+    bool sound = false;
+  };
+
+  request Next(std::string_view id, std::string_view body) {
+    constexpr std::array<std::string_view, 8> kOddLengths = {
+        "+", "-", "0x", "0 ", "1,", "", "9,", "1e"};
+    constexpr std::array<std::string_view, 12> kCodings = {"gzip",
+                                                           "identity",
+                                                           "deflate",
+                                                           "x-new",
+                                                           "",
+                                                           "chunkedx",
+                                                           "xchunked",
+                                                           "chunked;q=1",
+                                                           "\"chunked\"",
+                                                           "chunked chunked",
+                                                           "\x0b"
+                                                           "chunked",
+                                                           "chunked\x7f"};
+    const std::string exact = std::to_string(body.size());
+    std::vector<std::string> lines;
+    std::size_t chunked = 0;
+    std::size_t others = 0;
+    std::size_t lengths = 0;
+    bool odd_length = false;
+    for (std::size_t i = random_.Below(3); i > 0; --i) {
+      std::string line;
+      for (std::size_t j = 1 + random_.Below(2); j > 0; --j) {
+        const bool known = random_.Below(2) == 0;
+        line += known ? random_.ElementOf(kChunkedForms)
+                      : random_.ElementOf(kCodings);
+        line += j > 1 ? ", " : "";
+        chunked += known ? 1 : 0;
+        others += known ? 0 : 1;
+      }
+      lines.push_back(std::string(random_.ElementOf(kCodingNames)) + ": " +
+                      line + "\r\n");
+    }
+    for (std::size_t i = random_.Below(3); i > 0; --i) {
+      const bool odd = random_.Below(4) == 0;
+      odd_length = odd_length || odd;
+      ++lengths;
+      lines.push_back("Content-Length: " +
+                      (odd ? std::string(random_.ElementOf(kOddLengths)) : "") +
+                      exact + "\r\n");
+    }
+    if (lines.empty()) {
+      lines.push_back(Length(body.size()));
+      lengths = 1;
+    }
+    std::string header;
+    while (!lines.empty()) {
+      const std::size_t at = random_.Below(lines.size());
+      header += lines[at];
+      lines.erase(lines.begin() + static_cast<std::ptrdiff_t>(at));
+    }
+    const bool old_version = random_.Below(8) == 0;
+    const bool has_codings = chunked + others > 0;
+    const bool in_chunks = has_codings && random_.Below(4) > 0;
+    return {
+        Request(old_version ? "POST /once/1 HTTP/1.0" : "POST /once/1 HTTP/1.1",
+                id, header, in_chunks ? InChunks(body) : std::string(body)),
+        has_codings ? in_chunks && chunked == 1 && others == 0 &&
+                          lengths == 0 && !old_version
+                    : !odd_length};
+  }
+
+  std::size_t Below(std::size_t bound) { return random_.Below(bound); }
+
+ private:
+  static constexpr std::array<std::string_view, 3> kChunkedForms = {
+      "chunked", "Chunked", "CHUNKED"};
+  static constexpr std::array<std::string_view, 3> kCodingNames = {
+      "Transfer-Encoding", "transfer-encoding", "TRANSFER-ENCODING"};
+
+  // Splits the body into chunks, some with extensions, and adds a trailer.
+  std::string InChunks(std::string_view body) {
+    std::string chunks;
+    while (!body.empty()) {
+      const std::size_t size = 1 + random_.Below(body.size());
+      std::string chunk = Chunk(body.substr(0, size));
+      if (random_.Below(3) == 0) {
+        chunk.insert(chunk.find('\r'), ";a=\"b\"");
+      }
+      chunks += chunk;
+      body.remove_prefix(size);
+    }
+    return chunks + "0\r\n" +
+           (random_.Below(2) == 0 ? "X-Request-Id: trailed\r\n" : "") + "\r\n";
+  }
+
+  mutation_source random_;
+};
+
 }  // namespace
 
 // An engine would run a request that no caller sent.
@@ -227,6 +333,52 @@
   }
 }
 
+// As above, for framings that nobody thought of.
+SCENARIO("Requests with random framings run as they were sent or not at all",
+         "[message_framing]") {
+  constexpr int kRequests = 400;
+  const std::uint64_t seed = GENERATE(1, 2, 3);
+  CAPTURE(seed);
+  framing_system system;
+  framing_generator generator(seed);
+  const std::string inner = Post("inside", Length(0), "");
+  int served = 0;
+  int refused = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string id = "outside" + std::to_string(i);
+    const std::string next_id = "next" + std::to_string(i);
+    framing_generator::request request = generator.Next(id, inner);
+    request.bytes += Post(next_id, Length(0) + "Connection: close\r\n", "");
+    CAPTURE(request.bytes);
+    raw_connection connection(system.port());
+    const std::size_t first = generator.Below(request.bytes.size());
+    connection.Send(request.bytes.substr(0, first));
+    connection.Send(request.bytes.substr(first));
+    std::string answers = connection.ReadAll(kReadTimeout);
+    CAPTURE(answers);
+    // Requests of HTTP/1.0 are answered with that version.
+    if (answers.starts_with("HTTP/1.0")) {
+      answers.replace(0, 8, "HTTP/1.1");
+    }
+
+    const std::vector<std::string> runs = system.Runs(id);
+    const unsigned status = FirstStatus(answers);
+    served += status == 200 ? 1 : 0;
+    refused += status == 200 ? 0 : 1;
+    CHECK(connection.closed());
+    CHECK(runs.size() == (status == 200 ? 1 : 0));
+    CHECK(system.Runs(next_id).size() <= runs.size());
+    CHECK((!request.sound || status == 200));
+    for (const std::string& head : runs) {
+      CHECK(HeaderOf(head, "Content-Length") == std::to_string(inner.size()));
+    }
+    CHECK(system.Runs("inside").empty());
+    CHECK(system.Runs("trailed").empty());
+  }
+  REQUIRE(served > kRequests / 8);
+  REQUIRE(refused > kRequests / 8);
+}
+
 // Trailers would set what the caller's header doesn't, after the call has been
 // admitted under it; an engine would get a header that no caller sent.
 SCENARIO("A trailer of a request is no header field", "[message_framing]") {
