Check for requests a moment after the listener has closed

A planned stop looked at the number of requests right after Close(), which takes effect on the caller threads later: with none in progress the process could end before connections that the kernel had accepted were looked at.

--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -176,10 +176,12 @@
   // File descriptors reserved for listeners, upstreams and the store.
   static constexpr std::size_t kReservedDescriptors = 700;
 
+  // Sleeps first: Close() and EndReads() take effect on the caller threads a
+  // moment later, and may let requests in that have just arrived.
   void AwaitAnswers(deadline until) const {
-    while (caller_server_.busy() > 0 && !until.Expired(state_.clock.Now())) {
+    do {
       std::this_thread::sleep_for(kDrainCheckInterval);
-    }
+    } while (caller_server_.busy() > 0 && !until.Expired(state_.clock.Now()));
   }
 
   void EndCalls() {
--- a/test/error/engine_answers_test.cc
+++ b/test/error/engine_answers_test.cc
@@ -18,11 +18,6 @@
 
 namespace {
 
-std::string IdLine(std::string_view head) {
-  return "X-Request-Id: " + std::string(HeaderOf(head, "X-Request-Id")) +
-         "\r\n";
-}
-
 std::string Refusal(std::string_view id_line) {
   return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" +
          std::string(id_line) + "Content-Length: 0\r\n\r\n";
@@ -44,15 +39,6 @@
   return "id: " + count + "\ndata: " + count + "\n\n";
 }
 
-std::string Chunk(std::string_view bytes) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string size;
-  for (std::size_t rest = bytes.size(); rest > 0; rest /= 16) {
-    size.insert(size.begin(), kDigits[rest % 16]);
-  }
-  return size + "\r\n" + std::string(bytes) + "\r\n";
-}
-
 constexpr std::string_view kChunked = "Transfer-Encoding: chunked\r\n";
 constexpr std::string_view kUnframed = "Connection: close\r\n";
 
--- a/test/error/message_framing_test.cc
+++ b/test/error/message_framing_test.cc
@@ -48,20 +48,6 @@
   return "Content-Length: " + std::to_string(bytes) + "\r\n";
 }
 
-std::string Chunk(std::string_view bytes) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string size;
-  for (std::size_t rest = bytes.size(); rest > 0; rest /= 16) {
-    size.insert(size.begin(), kDigits[rest % 16]);
-  }
-  return size + "\r\n" + std::string(bytes) + "\r\n";
-}
-
-std::string IdLine(std::string_view head) {
-  return "X-Request-Id: " + std::string(HeaderOf(head, "X-Request-Id")) +
-         "\r\n";
-}
-
 std::string SoundAnswer(std::string_view head) {
   return "HTTP/1.1 200 OK\r\n" + IdLine(head) +
          "X-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok";
--- a/test/support/scripted_engine.cc
+++ b/test/support/scripted_engine.cc
@@ -118,4 +118,18 @@
   return value.substr(0, value.find("\r\n"));
 }
 
+std::string IdLine(std::string_view head) {
+  return "X-Request-Id: " + std::string(HeaderOf(head, "X-Request-Id")) +
+         "\r\n";
+}
+
+std::string Chunk(std::string_view bytes) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string size;
+  for (std::size_t rest = bytes.size(); rest > 0; rest /= 16) {
+    size.insert(size.begin(), kDigits[rest % 16]);
+  }
+  return size + "\r\n" + std::string(bytes) + "\r\n";
+}
+
 }  // namespace anvilloom
--- a/test/support/scripted_engine.h
+++ b/test/support/scripted_engine.h
@@ -72,6 +72,12 @@
 // Returns the value of a header, or an empty view.
 std::string_view HeaderOf(std::string_view head, std::string_view name);
 
+// The header line of an answer that names the request with this header.
+std::string IdLine(std::string_view head);
+
+// A chunk of a message with the transfer coding `chunked`.
+std::string Chunk(std::string_view bytes);
+
 }  // namespace anvilloom
 
 #endif  // TEST_SUPPORT_SCRIPTED_ENGINE_H_
