Let requests own the counter that a planned stop waits for

Cause: the count of requests in progress lay in http_server, and suspended requests are destroyed with their io_context, after the server: a write to freed memory as the product's own interface ends.

Change: the counter is shared by the server and its requests.

--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -14,6 +14,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/system/errc.hpp>
 #include <exception>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -161,20 +162,22 @@
   return stream.socket().available(error) > 0 && !error;
 }
 
-// Counts a request while it exists.
+// Counts a request while it exists. Owns the counter jointly: a suspended
+// request is destroyed with its io_context, after the server.
 class request_count {
  public:
-  explicit request_count(std::atomic<std::size_t>& count) : count_(count) {
-    count_.fetch_add(1, std::memory_order_relaxed);
+  explicit request_count(std::shared_ptr<std::atomic<std::size_t>> count)
+      : count_(std::move(count)) {
+    count_->fetch_add(1, std::memory_order_relaxed);
   }
   // The release pairs with busy(): whoever reads zero also sees the effects of
   // the requests.
-  ~request_count() { count_.fetch_sub(1, std::memory_order_release); }
+  ~request_count() { count_->fetch_sub(1, std::memory_order_release); }
   request_count(const request_count&) = delete;
   request_count& operator=(const request_count&) = delete;
 
  private:
-  std::atomic<std::size_t>& count_;
+  std::shared_ptr<std::atomic<std::size_t>> count_;
 };
 
 bool ExpectsContinue(const http::request_header<>& header) {
--- a/wire/http_server.h
+++ b/wire/http_server.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -77,7 +78,7 @@
 
   // Requests of which at least one byte has arrived and that are not completely
   // answered.
-  std::size_t busy() const { return busy_.load(std::memory_order_acquire); }
+  std::size_t busy() const { return busy_->load(std::memory_order_acquire); }
 
   // Stops accepting connections and closes idle ones; the others are closed
   // after their current request. Requests that have reached this host by then
@@ -124,7 +125,8 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   std::uint16_t port_;
   std::atomic<std::size_t> open_connections_{0};
-  std::atomic<std::size_t> busy_{0};
+  std::shared_ptr<std::atomic<std::size_t>> busy_ =
+      std::make_shared<std::atomic<std::size_t>>(0);
   std::atomic<bool> closing_{false};
   std::atomic<bool> draining_{false};
   steady_source clock_;
