--- a/entry/answer_budget.h
+++ b/entry/answer_budget.h
@@ -46,9 +46,8 @@
   answer_share(const answer_share&) = delete;
   answer_share& operator=(const answer_share&) = delete;
 
-  // Changes the bytes of answers that the call holds. Their buffers may take up
-  // to twice as much. Returns false, without a change, if
-  // the budget does not have it.
+  // Changes the bytes of answers that the call holds; their buffers may take up
+  // to twice as much. Returns false, without a change, if the budget is used up.
   bool Resize(std::size_t bytes) {
     const std::size_t counted =
         bytes > kUncountedBytes ? bytes - kUncountedBytes : 0;
--- a/wire/message_parser.h
+++ b/wire/message_parser.h
@@ -30,7 +30,8 @@
 // kAmbiguous and errc::not_supported for kUnsupportedCoding.
 boost::system::error_code FramingError(message_framing framing);
 
-// Longest name or value of a header field, a limit of Beast's fields.
+// Longest name or value of a header field. Beast's fields throw above 65,535
+// bytes, separators included.
 inline constexpr std::size_t kMaxFieldBytes = 60'000;
 
 // Beast's parser ignores transfer codings other than chunked, and adds trailer
