--- a/entry/answer_budget.h
+++ b/entry/answer_budget.h
@@ -47,7 +47,8 @@
   answer_share& operator=(const answer_share&) = delete;
 
   // Changes the bytes of answers that the call holds; their buffers may take up
-  // to twice as much. Returns false, without a change, if the budget is used up.
+  // to twice as much. Returns false, without a change, if the budget has no
+  // room.
   bool Resize(std::size_t bytes) {
     const std::size_t counted =
         bytes > kUncountedBytes ? bytes - kUncountedBytes : 0;
