Show how long reports wait and how old the applied manifest is

The logs of the DENIED incident can't tell a wait in the queue of a relaying instance from a slow receiver: nothing says how long a message has waited before it is sent, from which call an instance has its manifest, and when it last knew that this one was the newest.

E834 reports_delayed and the metrics queued_reports, dropped_reports_total and report_wait_us show the first, source of E810 the second, manifest_age_us of E800, of the metrics and of the state dump the third. The logic is unchanged.

--- a/common/log.cc
+++ b/common/log.cc
@@ -265,6 +265,8 @@
       return "peer_entry_removed";
     case log_event::kReportsDropped:
       return "reports_dropped";
+    case log_event::kReportsDelayed:
+      return "reports_delayed";
     case log_event::kUsageCountsUnreadable:
       return "usage_counts_unreadable";
     case log_event::kUsageReported:
--- a/common/log.h
+++ b/common/log.h
@@ -83,6 +83,7 @@
   kPeerGone = 831,
   kReportsDropped = 832,
   kPeerEntryRemoved = 833,
+  kReportsDelayed = 834,
   kUsageReported = 840,
   kEnginesOrdered = 841,
   kUsageCountsUnreadable = 842,
--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -762,6 +762,10 @@
           std::to_string(pool_->stats->retries.balance_permille())}});
   }
 
+  static std::string FormatAge(const std::optional<duration>& age) {
+    return age ? std::to_string(age->count()) : "none";
+  }
+
   void LogEnd(std::string_view outcome, unsigned status) const {
     const bool placed = placement_.target != nullptr;
     Log(log_level::kInfo, log_event::kCallEnded,
@@ -773,6 +777,7 @@
          {"manifest", view_->manifest
                           ? std::to_string(view_->manifest->version())
                           : "none"},
+         {"manifest_age_us", FormatAge(state_.ManifestAge())},
          {"upstream", placed ? placement_.target->announced().id : "none"},
          {"attempts", std::to_string(attempts_)},
          {"unreached", std::to_string(unreached_)},
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -201,10 +201,12 @@
 
   watch_callbacks ManifestCallbacks() {
     return {
-        .on_list = [this](const object_list& list) { ApplyManifests(list); },
+        .on_list = [this](
+                       const object_list& list,
+                       time_point asked_at) { ApplyManifests(list, asked_at); },
         .on_event =
             [this](const object_event& event) {
-              ApplyManifest(event);
+              ApplyManifest(event, "watch");
               return true;
             },
         .on_watch_end = [] {},
@@ -215,7 +217,8 @@
 
   watch_callbacks UpstreamCallbacks() {
     return {
-        .on_list = [this](const object_list& list) { ApplyUpstreams(list); },
+        .on_list = [this](const object_list& list,
+                          time_point /*asked_at*/) { ApplyUpstreams(list); },
         .on_event =
             [this](const object_event& event) {
               ApplyUpstreamEvent(event);
@@ -358,13 +361,15 @@
   }
 
   awaitable<void> ReadManifest() {
+    const time_point asked_at = state_.clock.Now();
     const auto object = co_await store_.Get(
         Platform::kManifestKind, Platform::kManifestName, VerifyDeadline());
     if (!object) {
       co_return;  // The object watcher logs a store outage.
     }
     const object_event event{object_event_kind::kPut, *object};
-    ApplyManifest(event);
+    ApplyManifest(event, "read");
+    ConfirmManifest(asked_at);
   }
 
   awaitable<void> ReadUpstreams() {
@@ -386,13 +391,24 @@
     return deadline::After(state_.clock.Now(), kVerifyTimeout);
   }
 
-  void ApplyManifests(const object_list& list) {
+  void ApplyManifests(const object_list& list, time_point asked_at) {
     for (const stored_object& object : list.objects) {
-      ApplyManifest({object_event_kind::kPut, object});
+      ApplyManifest({object_event_kind::kPut, object}, "list");
     }
+    ConfirmManifest(asked_at);
   }
 
-  void ApplyManifest(const object_event& event) {
+  // Records that the store has no newer manifest than the one in force, or had
+  // none at `asked_at`.
+  void ConfirmManifest(time_point asked_at) {
+    if (builder_.manifest() != nullptr) {
+      state_.manifest_confirmed_us.store(asked_at.time_since_epoch().count(),
+                                         std::memory_order_relaxed);
+    }
+  }
+
+  // `source` names the call that returned the manifest.
+  void ApplyManifest(const object_event& event, std::string_view source) {
     if (event.object.name != Platform::kManifestName ||
         event.kind == object_event_kind::kDelete) {
       return;
@@ -418,6 +434,7 @@
     Log(log_level::kInfo, log_event::kManifestInForce,
         {{"version", std::to_string(index->version())},
          {"revision", std::to_string(event.object.version)},
+         {"source", std::string(source)},
          {"routes", std::to_string(index->source().routes.size())},
          {"workspaces", std::to_string(index->source().workspaces.size())}});
   }
--- a/entry/gateway_admin.cc
+++ b/entry/gateway_admin.cc
@@ -121,12 +121,19 @@
   AppendCounter(out, "blocked_calls_total", counters.blocked_calls.load());
   AppendCounter(out, "oversized_answers_total",
                 counters.oversized_answers.load());
+  AppendCounter(out, "queued_reports", counters.queued_reports.load());
+  AppendCounter(out, "dropped_reports_total", counters.dropped_reports.load());
+  AppendCounter(out, "report_wait_us", counters.report_wait_us.load());
   AppendCounter(out, "answer_memory_bytes", state_.answers.used());
   AppendSuspects(out, state_.suspects);
   AppendCounter(out, "unfinished", state_.unfinished.load());
   const auto view = state_.View();
   AppendCounter(out, "manifest_version",
                 view->manifest ? view->manifest->version() : 0);
+  if (const auto age = state_.ManifestAge()) {
+    AppendCounter(out, "manifest_age_us",
+                  static_cast<std::uint64_t>(age->count()));
+  }
   AppendHistogram(out, "first_byte", counters.first_byte);
   AppendHistogram(out, "whole_answer", counters.whole_answer);
   return out;
@@ -140,6 +147,9 @@
   dump["ready"] = Ready();
   dump["manifest_version"] = view->manifest ? view->manifest->version() : 0;
   dump["manifest_in_doubt"] = state_.manifest_in_doubt.load();
+  if (const auto age = state_.ManifestAge()) {
+    dump["manifest_age_us"] = age->count();
+  }
   json::array upstreams;
   for (const auto& [service, pool] : view->pools) {
     for (const auto& each : pool.members) {
--- a/entry/gateway_state.h
+++ b/entry/gateway_state.h
@@ -7,7 +7,9 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "common/rcu.h"
@@ -58,6 +60,11 @@
   // that were refused because a part of their prompt crashes upstreams.
   std::atomic<std::uint64_t> crashed_attempts{0};
   std::atomic<std::uint64_t> blocked_calls{0};
+  // Messages to other instances: those that wait to be sent, those that were
+  // dropped, and the longest wait of those sent since the last report.
+  std::atomic<std::uint64_t> queued_reports{0};
+  std::atomic<std::uint64_t> dropped_reports{0};
+  std::atomic<std::uint64_t> report_wait_us{0};
   latency_histogram first_byte;
   latency_histogram whole_answer;
 };
@@ -138,6 +145,19 @@
   // Whether the store is unreachable, so that the manifest in force may be
   // outdated.
   std::atomic<bool> manifest_in_doubt{false};
+  // When the manifest in force was last known to be the newest one, in
+  // microseconds of the clock; unset before the first manifest.
+  static constexpr std::int64_t kNeverConfirmed =
+      std::numeric_limits<std::int64_t>::min();
+  std::atomic<std::int64_t> manifest_confirmed_us{kNeverConfirmed};
+  // Time since then.
+  std::optional<duration> ManifestAge() const {
+    const std::int64_t at =
+        manifest_confirmed_us.load(std::memory_order_relaxed);
+    return at == kNeverConfirmed
+               ? std::nullopt
+               : std::optional(clock.Now().time_since_epoch() - duration(at));
+  }
   // Calls that are not completely answered.
   std::atomic<std::uint32_t> unfinished{0};
 };
--- a/entry/object_watcher.h
+++ b/entry/object_watcher.h
@@ -39,8 +39,9 @@
 
 // Callbacks of a follower, called on its thread.
 struct watch_callbacks {
-  // Receives all objects of the kind after a list call.
-  std::function<void(const object_list&)> on_list;
+  // Receives all objects of the kind after a list call that began at
+  // `asked_at`.
+  std::function<void(const object_list&, time_point asked_at)> on_list;
   object_event_sink on_event;
   // Called after all events of a watch have been delivered.
   std::function<void()> on_watch_end;
@@ -98,15 +99,16 @@
   }
 
   awaitable<void> ListOnce() {
+    const time_point asked_at = Now();
     const auto list = co_await store_.List(
-        kind_, deadline::After(Now(), options_.call_timeout));
+        kind_, deadline::After(asked_at, options_.call_timeout));
     if (!list) {
       co_await HandleFailure(list.error());
       co_return;
     }
     HandleSuccess();
     version_ = list->version;
-    callbacks_.on_list(*list);
+    callbacks_.on_list(*list, asked_at);
   }
 
   awaitable<void> WatchOnce() {
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -41,6 +41,9 @@
 constexpr duration kBurstInterval = std::chrono::milliseconds(20);
 // Reports may be lost, so grants are sent again at this interval.
 constexpr duration kSendAllInterval = std::chrono::seconds(2);
+// Queued messages that have waited for longer are logged. What they say is then
+// older than the interval between two reports of a small fleet.
+constexpr duration kLoggedWait = std::chrono::milliseconds(500);
 
 // Returns the units that a share of a limit allows in a time.
 std::uint64_t UnitsIn(duration time, std::uint64_t per_second, double share) {
@@ -178,13 +181,22 @@
     ApplyRemoteLoads(now);
     UpdateProfiles();
     Send();
-    LogDropped();
+    LogBacklog();
     co_await Pause(Interval());
   }
 }
 
-void peer_reporter::LogDropped() {
+void peer_reporter::LogBacklog() {
   const std::uint64_t total = socket_.dropped() + queue_.dropped();
+  state_.counters.dropped_reports.store(total, std::memory_order_relaxed);
+  const duration wait = queue_.TakeLongestWait();
+  state_.counters.report_wait_us.store(static_cast<std::uint64_t>(wait.count()),
+                                       std::memory_order_relaxed);
+  if (wait >= kLoggedWait) {
+    Log(log_level::kWarning, log_event::kReportsDelayed,
+        {{"waited_us", std::to_string(wait.count())},
+         {"queued", std::to_string(queue_.size())}});
+  }
   if (total != logged_dropped_) {
     Log(log_level::kWarning, log_event::kReportsDropped,
         {{"count", std::to_string(total - logged_dropped_)},
@@ -272,8 +284,9 @@
 void peer_reporter::SendToAll(const peer_report& report) {
   const auto message =
       std::make_shared<const std::string>(EncodePeerReport(report));
-  for (const auto& each : peer_reports_.Recipients(state_.clock.Now())) {
-    queue_.Push(each.address, message);
+  const time_point now = state_.clock.Now();
+  for (const auto& each : peer_reports_.Recipients(now)) {
+    queue_.Push(each.address, message, now);
   }
   BeginSending();
 }
@@ -288,9 +301,12 @@
 
 awaitable<void> peer_reporter::SendQueued() {
   for (;;) {
-    queue_.TakeBurst([this](std::string_view address, std::string_view text) {
-      socket_.Send(address, text);
-    });
+    queue_.TakeBurst(state_.clock.Now(),
+                     [this](std::string_view address, std::string_view text) {
+                       socket_.Send(address, text);
+                     });
+    state_.counters.queued_reports.store(queue_.size(),
+                                         std::memory_order_relaxed);
     if (queue_.empty()) {
       break;
     }
@@ -307,11 +323,12 @@
   report.begun = state_.usage.Counts();
   const auto with_usage =
       std::make_shared<const std::string>(EncodePeerReport(report));
-  for (const auto& each : peer_reports_.Recipients(state_.clock.Now())) {
+  const time_point now = state_.clock.Now();
+  for (const auto& each : peer_reports_.Recipients(now)) {
     // Any other instance may become the next holder of the duty lease, and a
     // leaving instance can't send its usage to that one later.
     const bool needs_usage = each.needs_usage || report.leaving;
-    queue_.Push(each.address, needs_usage ? with_usage : without_usage);
+    queue_.Push(each.address, needs_usage ? with_usage : without_usage, now);
   }
   BeginSending();
 }
--- a/entry/peer_reporter.h
+++ b/entry/peer_reporter.h
@@ -87,8 +87,9 @@
   // Starts to send the queued messages unless that is in progress.
   void BeginSending();
   awaitable<void> SendQueued();
-  // Logs the number of messages dropped since the last call.
-  void LogDropped();
+  // Logs the messages dropped since the last call, and how long the others have
+  // waited.
+  void LogBacklog();
   void SendLoad(const pooled_upstream& upstream);
   void UpdateFreshLoadFlags(time_point now);
   peer_report MakeHeader() const;
--- a/instances/paced_queue.h
+++ b/instances/paced_queue.h
@@ -3,6 +3,7 @@
 #ifndef INSTANCES_PACED_QUEUE_H_
 #define INSTANCES_PACED_QUEUE_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -11,6 +12,8 @@
 #include <string_view>
 #include <utility>
 
+#include "common/time.h"
+
 namespace anvilloom {
 
 // Not thread-safe.
@@ -20,21 +23,22 @@
   using message = std::shared_ptr<const std::string>;
 
   // Drops the message if the queue is full.
-  void Push(std::string_view address, message content) {
+  void Push(std::string_view address, message content, time_point now) {
     if (queued_.size() >= kMaxQueued) {
       ++dropped_;
       return;
     }
-    queued_.push_back({std::string(address), std::move(content)});
+    queued_.push_back({std::string(address), std::move(content), now});
   }
 
   // Removes the messages of one burst and passes each of them to `send` as
   // (address, content).
   template <typename Send>
-  void TakeBurst(Send send) {
+  void TakeBurst(time_point now, Send send) {
     std::size_t bytes = 0;
     while (!queued_.empty() && bytes < kBurstBytes) {
       const entry& first = queued_.front();
+      longest_wait_ = std::max(longest_wait_, now - first.queued_at);
       bytes += first.content->size() + kHeaderBytes;
       send(std::string_view(first.address), std::string_view(*first.content));
       queued_.pop_front();
@@ -42,6 +46,12 @@
   }
 
   bool empty() const { return queued_.empty(); }
+  std::size_t size() const { return queued_.size(); }
+  // Returns the longest time that a message sent since the last call had
+  // waited.
+  duration TakeLongestWait() {
+    return std::exchange(longest_wait_, duration::zero());
+  }
   std::uint64_t dropped() const { return dropped_; }
 
   // With one burst every 20 ms this is 0.8 MB/s, two thirds of a 10 Mbit/s
@@ -58,10 +68,12 @@
   struct entry {
     std::string address;
     message content;
+    time_point queued_at;
   };
 
   std::deque<entry> queued_;
   std::uint64_t dropped_ = 0;
+  duration longest_wait_ = duration::zero();
 };
 
 }  // namespace anvilloom
