Show that outdated manifests deny calls in a test that fails

Forty gateways whose reports are as far apart as in a fleet of hundreds; 900 upstreams join, then a manifest with a further key is written. 2 s after its acknowledgement 36 of 40 gateways deny calls with that key. E834 at the three that watch: their reports have waited for up to 2 s in queues of 6,200 to 7,900 messages, and no other gateway logs it. An upstream that leaves is known as late.

In a second scenario no gateway can read the store. They deny calls that only a newer manifest allows, although none knows whether its own one is current.

--- /dev/null
+++ b/test/error/manifest_spread_test.cc
@@ -0,0 +1,228 @@
+// Guards against proper calls that are ended with 401 or 404 because an
+// instance applies an outdated manifest: one whose successor waits behind other
+// messages at the instances that relay changes, or one that nobody has compared
+// with the store for longer than a change may take.
+
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "common/hash.h"
+#include "instances/watch_duty.h"
+#include "test/support/platform_system.h"
+
+namespace anvilloom {
+
+namespace {
+
+using boost::beast::http::verb;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using wall_clock = std::chrono::steady_clock;
+
+// Time from the acknowledgement of a manifest until it must be in force on
+// every instance, and from that of an upstream's leaving until it must get no
+// new call: the smallest ones of the user requirements.
+constexpr milliseconds kApplyTime{2000};
+constexpr milliseconds kDrainTime{2000};
+
+// Reports are as far apart as in a fleet of hundreds.
+constexpr std::string_view kLargeFleetSettings =
+    R"(,"report_interval_ms":1000)";
+
+constexpr unsigned kUnauthorized = 401;
+constexpr unsigned kUnavailable = 503;
+
+// A number of gateways that share one store.
+class gateway_fleet {
+ public:
+  explicit gateway_fleet(std::size_t size, std::string_view settings = {}) {
+    system_.PutManifest();
+    for (std::size_t i = 0; i < size; ++i) {
+      names_.push_back("gateway-" + std::to_string(i));
+    }
+    for (const std::string& name : names_) {
+      system_.StartGateway(name, 0, settings);
+    }
+    for (const std::string& name : names_) {
+      REQUIRE(system_.AwaitReady(name));
+    }
+    // All of them watch the store until they know each other.
+    REQUIRE(Eventually([&] { return Watching() <= watch_duty::kWatcherCount; },
+                       seconds(20)));
+  }
+
+  platform_system& system() { return system_; }
+  const std::vector<std::string>& names() const { return names_; }
+
+  // Announces upstreams at which nothing listens.
+  void AnnounceUpstreams(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+      system_.Announce(UpstreamName(i), "model", kUnusedPort);
+    }
+  }
+  void DrainUpstream(std::size_t number) {
+    system_.Announce(UpstreamName(number), "model", kUnusedPort, "draining");
+  }
+  static std::string UpstreamName(std::size_t number) {
+    return "upstream-" + std::to_string(number);
+  }
+
+  unsigned CallWithKey(std::string_view name, std::string_view key) {
+    return system_.CallOnce(system_.port(name), "/stream/1", key).status;
+  }
+
+  // Names of the gateways that end a call with the key with 401.
+  std::vector<std::string> Denying(std::string_view key) {
+    std::vector<std::string> denying;
+    for (const std::string& name : names_) {
+      if (CallWithKey(name, key) == kUnauthorized) {
+        denying.push_back(name);
+      }
+    }
+    return denying;
+  }
+
+  // Names of the gateways that would send calls to an upstream.
+  std::vector<std::string> Using(std::size_t upstream) {
+    const std::string id = "\"" + UpstreamName(upstream) + "\"";
+    std::vector<std::string> users;
+    for (const std::string& name : names_) {
+      const std::string dump =
+          Call(system_.port(name + "/admin"), verb::get, "/dump").body;
+      if (dump.find(id) != dump.npos) {
+        users.push_back(name);
+      }
+    }
+    return users;
+  }
+
+  // The gateways in the order in which they take on the watch of the store.
+  std::vector<std::string> ByRank() const {
+    std::vector<std::string> ranked = names_;
+    std::ranges::sort(ranked, {},
+                      [](const std::string& name) { return Hash64(name); });
+    return ranked;
+  }
+
+ private:
+  static constexpr std::uint16_t kUnusedPort = 9;
+
+  // Number of gateways that have not left the watch of the upstreams to others.
+  std::size_t Watching() {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(names_, [&](const std::string& name) {
+          const std::string output = system_.process(name).Output();
+          return output.find("watch_delegated kind=servers") == output.npos;
+        }));
+  }
+
+  platform_system system_;
+  std::vector<std::string> names_;
+};
+
+}  // namespace
+
+SCENARIO("Changes spread in a fleet while many upstreams join",
+         "[manifest_spread]") {
+  GIVEN("forty gateways and nine hundred upstreams that have just joined") {
+    gateway_fleet fleet(40, kLargeFleetSettings);
+    fleet.AnnounceUpstreams(900);
+
+    WHEN("a manifest with a further key is written") {
+      fleet.system().PutManifest({"key-1", "key-2"});
+      const auto in_force_by = wall_clock::now() + kApplyTime;
+
+      THEN("no gateway denies a call with that key once it must be in force") {
+        std::this_thread::sleep_until(in_force_by);
+        REQUIRE(fleet.Denying("key-2") == std::vector<std::string>{});
+      }
+    }
+
+    WHEN("an upstream announces that it leaves") {
+      REQUIRE(
+          Eventually([&] { return fleet.Using(0).size() == 40; }, seconds(60)));
+      fleet.DrainUpstream(0);
+      const auto unused_by = wall_clock::now() + kDrainTime;
+
+      THEN("no gateway has it among its upstreams after the time to drain") {
+        std::this_thread::sleep_until(unused_by);
+        REQUIRE(fleet.Using(0) == std::vector<std::string>{});
+      }
+    }
+  }
+}
+
+SCENARIO("The instances that watch the store stop", "[manifest_spread]") {
+  GIVEN("eight gateways, of which the watching ones are paused at once") {
+    gateway_fleet fleet(8);
+    std::vector<std::string> paused = fleet.ByRank();
+    paused.resize(watch_duty::kWatcherCount);
+    for (const std::string& name : paused) {
+      fleet.system().process(name).Pause();
+    }
+
+    WHEN("a manifest with a further key is written") {
+      fleet.system().PutManifest({"key-1", "key-2"});
+      const auto in_force_by = wall_clock::now() + kApplyTime;
+
+      THEN("no other gateway denies a call with that key after the bound") {
+        std::this_thread::sleep_until(in_force_by);
+        std::vector<std::string> denying;
+        for (const std::string& name : fleet.names()) {
+          const bool runs = std::ranges::find(paused, name) == paused.end();
+          if (runs && fleet.CallWithKey(name, "key-2") == kUnauthorized) {
+            denying.push_back(name);
+          }
+        }
+        REQUIRE(denying == std::vector<std::string>{});
+      }
+    }
+  }
+}
+
+SCENARIO("Nobody can read the store", "[manifest_spread]") {
+  GIVEN("four gateways whose reads of the store get no answer") {
+    gateway_fleet fleet(4);
+    fleet.system().AddFault(
+        "platform",
+        R"({"action":"hang","method":"GET","path":"/anvilloom/objects",)"
+        R"("delay_ms":60000,"count":1000000})");
+    // Ends the watches that had been waiting before.
+    fleet.system().PutManifest({"key-1"});
+    std::this_thread::sleep_for(milliseconds(300));
+
+    WHEN("a manifest with a further key is written") {
+      fleet.system().PutManifest({"key-1", "key-2"});
+      const auto in_force_by = wall_clock::now() + kApplyTime;
+
+      THEN("calls that only a newer manifest allows are refused as not run") {
+        std::this_thread::sleep_until(in_force_by);
+        for (const std::string& name : fleet.names()) {
+          CAPTURE(name);
+          REQUIRE(fleet.CallWithKey(name, "key-2") == kUnavailable);
+          REQUIRE(fleet.CallWithKey(name, "no such key") == kUnavailable);
+        }
+      }
+
+      AND_WHEN("the store answers again") {
+        Call(fleet.system().port("platform"), verb::delete_, "/faults");
+
+        THEN("the key is known and unknown keys are denied") {
+          REQUIRE(Eventually(
+              [&] {
+                return fleet.Denying("key-2").empty() &&
+                       fleet.Denying("no such key").size() == 4;
+              },
+              seconds(10)));
+        }
+      }
+    }
+  }
+}
+
+}  // namespace anvilloom
