Refuse no call for good by a manifest that may be outdated

An instance that could not know whether its manifest was current answered 404 and 401 from it: manifest_in_doubt followed the reachability of its own watch, and most instances don't watch.

The manifest now allows a final refusal only while its confirmation is younger than three quarters of the time within which a newer one must be in force, and no newer one is known of. Otherwise the caller gets 503, not run. A view is confirmed by a read of the store, here or at an instance that answers a question of this one, on a clock that goes on in a suspended machine.

error/manifest_spread_test, "Nobody can read the store": 401 in 6 of 6 runs before, 503 now, and 401 again once the store answers.

--- a/entry/forwarded_call.h
+++ b/entry/forwarded_call.h
@@ -161,7 +161,7 @@
   // temporary if the manifest may be outdated, since a newer one may contain
   // them.
   std::optional<call_refusal> RefuseUnknown(refusal_reason reason) const {
-    if (state_.manifest_in_doubt.load(std::memory_order_relaxed)) {
+    if (state_.IsManifestInDoubt()) {
       return call_refusal{refusal_reason::kManifestInDoubt,
                           kManifestRetryDelay};
     }
--- a/entry/gateway_admin.cc
+++ b/entry/gateway_admin.cc
@@ -160,7 +160,7 @@
   dump["failure_domain"] = state_.settings.failure_domain;
   dump["ready"] = Ready();
   dump["manifest_version"] = view->manifest ? view->manifest->version() : 0;
-  dump["manifest_in_doubt"] = state_.manifest_in_doubt.load();
+  dump["manifest_in_doubt"] = state_.IsManifestInDoubt();
   if (const auto age = state_.ManifestAge()) {
     dump["manifest_age_us"] = age->count();
   }
--- a/entry/gateway_state.h
+++ b/entry/gateway_state.h
@@ -150,11 +150,12 @@
   std::atomic<bool> draining{false};
   // Set once, when a planned stop begins; null before.
   std::atomic<const stop_schedule*> stop{nullptr};
-  // When the store held no newer manifest than the one in force, in
-  // microseconds of the boot clock.
+  // When the store held no newer manifest than the one in force, and until when
+  // that one may be taken to be in force, in microseconds of the boot clock.
   static constexpr std::int64_t kNever =
       std::numeric_limits<std::int64_t>::min();
   std::atomic<std::int64_t> manifest_confirmed_us{kNever};
+  std::atomic<std::int64_t> manifest_valid_until_us{kNever};
   // Time for which a newer manifest may have existed; unset before the first
   // one.
   std::optional<duration> ManifestAge() const {
@@ -164,9 +165,12 @@
                         : std::optional(boot_clock.Now().time_since_epoch() -
                                         duration(at));
   }
-  // Whether the store is unreachable, so that the manifest in force may be
-  // outdated.
-  std::atomic<bool> manifest_in_doubt{false};
+  // Whether a newer manifest may be in force, so that this one allows no final
+  // refusal.
+  bool IsManifestInDoubt() const {
+    return boot_clock.Now().time_since_epoch().count() >=
+           manifest_valid_until_us.load(std::memory_order_relaxed);
+  }
   // Calls that are not completely answered.
   std::atomic<std::uint32_t> unfinished{0};
 };
--- a/entry/store_tracker.h
+++ b/entry/store_tracker.h
@@ -165,11 +165,7 @@
                   return true;
                 },
             .on_watch_end = [](std::uint64_t, std::uint64_t) {},
-            .on_reachability =
-                [this](bool reachable) {
-                  state_.manifest_in_doubt.store(!reachable,
-                                                 std::memory_order_relaxed);
-                },
+            .on_reachability = [](bool) {},
             .must_watch = [this] { return ShouldWatch(); }};
   }
 
@@ -298,12 +294,16 @@
     HandleChange();
   }
 
-  // Publishes when the view was confirmed, and passes news on.
+  // Publishes until when the manifest is known to be in force, and passes news
+  // on.
   void HandleChange() {
     if (const auto confirmed_at = gossip_.confirmed_at()) {
       state_.manifest_confirmed_us.store(
           confirmed_at->time_since_epoch().count(), std::memory_order_relaxed);
     }
+    state_.manifest_valid_until_us.store(
+        gossip_.ManifestValidUntil().at().time_since_epoch().count(),
+        std::memory_order_relaxed);
     SpreadPending();
   }
 
