Take the store's word when it lacks what an instance claims to have

An instance that heard of a manifest version that the store doesn't hold stayed in doubt for good and read the store every 50 ms. A read that began after the claim now settles it. store_gossip_test: the scenario fails before.

--- a/instances/store_gossip.cc
+++ b/instances/store_gossip.cc
@@ -45,6 +45,11 @@
 
 void store_gossip::RecordRead(time_point asked_at, time_point now) {
   Confirm(asked_at);
+  if (lags_since_ && *lags_since_ <= asked_at) {
+    // What others were said to have is not in the store.
+    newest_manifest_ = manifest_version_;
+    newest_through_ = through_;
+  }
   UpdateLag(now);
 }
 
--- a/test/correctness/store_gossip_test.cc
+++ b/test/correctness/store_gossip_test.cc
@@ -184,6 +184,48 @@
   }
 }
 
+SCENARIO("An instance claims to have what the store doesn't",
+         "[store_gossip]") {
+  GIVEN("an instance that has read the store") {
+    store_gossip gossip(kApplyTime, 1);
+    const time_point start{seconds(1000)};
+    gossip.RecordManifest(3, start);
+    gossip.RecordList(10, {}, start);
+    gossip.RecordRead(start, start);
+    REQUIRE_FALSE(gossip.IsManifestOutdated());
+
+    WHEN("another one reports a newer manifest") {
+      const time_point claimed = start + milliseconds(100);
+      gossip.NoteManifest(9, claimed);
+
+      THEN(
+          "the manifest is in doubt, and the store is read within half of the "
+          "time") {
+        REQUIRE(gossip.ManifestValidUntil().Expired(claimed));
+        REQUIRE(gossip.MustRead({}, claimed + kApplyTime / 2));
+      }
+
+      AND_WHEN("the store turns out not to have it") {
+        const time_point asked_at = claimed + milliseconds(300);
+        gossip.RecordRead(asked_at, asked_at + milliseconds(5));
+
+        THEN("the manifest holds, and the store is not read again at once") {
+          REQUIRE_FALSE(gossip.IsManifestOutdated());
+          REQUIRE_FALSE(gossip.MustRead({}, asked_at + milliseconds(100)));
+        }
+      }
+
+      AND_WHEN("a read that began before the claim doesn't have it") {
+        gossip.RecordRead(claimed - milliseconds(1), claimed);
+
+        THEN("the manifest stays in doubt") {
+          REQUIRE(gossip.IsManifestOutdated());
+        }
+      }
+    }
+  }
+}
+
 SCENARIO("Instances don't hear each other", "[store_gossip]") {
   GIVEN("300 instances in five groups, and the watchers in the first") {
     gossip_fleet fleet(Options(300));
