Send the regular reports of a fleet at different times

Each instance now begins its regular interval at a random time within it. report_schedule_test: one tenth of a second had all 300 reports of an interval before, at most three times its share of ten now.

--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -9,6 +9,7 @@
 #include <memory>
 #include <utility>
 
+#include "common/hash.h"
 #include "common/log.h"
 #include "common/random.h"
 #include "instances/store_gossip.h"
@@ -63,7 +64,9 @@
       socket_(executor, state.settings.report_listen),
       address_(WithPort(state.settings.report_listen, socket_.port())),
       peer_reports_(state.settings.name),
-      started_at_(state.clock.Now()) {}
+      schedule_(state.settings.report_interval,
+                deadline::After(state.clock.Now(), kStartupPeriod),
+                Hash64(state.settings.name, state.epoch)) {}
 
 std::string peer_reporter::EncodeSelf() const {
   return json::serialize(
@@ -179,7 +182,7 @@
     UpdateProfiles();
     Send();
     LogBacklog();
-    co_await Pause(Interval());
+    co_await Pause(schedule_.NextPause(SteadyInterval(), state_.clock.Now()));
   }
 }
 
@@ -348,7 +351,7 @@
 }
 
 duration peer_reporter::Interval() const {
-  return state_.clock.Now() - started_at_ < kStartupPeriod
+  return schedule_.IsStartingUp(state_.clock.Now())
              ? state_.settings.report_interval
              : SteadyInterval();
 }
--- a/entry/peer_reporter.h
+++ b/entry/peer_reporter.h
@@ -12,6 +12,7 @@
 #include "entry/gateway_state.h"
 #include "instances/paced_queue.h"
 #include "instances/peer_report.h"
+#include "instances/report_schedule.h"
 #include "wire/datagram_socket.h"
 #include "wire/object_store.h"
 
@@ -118,7 +119,7 @@
   // The units of each workspace as last sent.
   std::map<std::string, granted_units> sent_units_;
   deadline send_all_at_ = deadline(time_point::min());
-  time_point started_at_;
+  report_schedule schedule_;
 };
 
 }  // namespace anvilloom
