Test the settings that bound the time of changes

The template has optional sections now, which the test of its numbers has to render: it failed in the run of all tests on. It checks both settings in each form, and a deployment that states neither.

--- a/test/error/gateway_settings_test.cc
+++ b/test/error/gateway_settings_test.cc
@@ -38,11 +38,33 @@
                                  {"bounds.usageDelayS", "10"},
                                  {"bounds.retryBudgetRatio", "0.2"},
                                  {"bounds.retryMinExtra", "52"},
-                                 {"bounds.retryWindowS", "10"}};
+                                 {"bounds.retryWindowS", "10"},
+                                 {"bounds.configApplyMs", "4000"},
+                                 {"bounds.drainMs", "3000"}};
+
+// Renders the sections of a template: {{#name}}text{{/name}} stands for its
+// text if the name has a value.
+std::string RenderSections(std::string text, const rendered_values& values) {
+  for (std::size_t at = text.find("{{#"); at != std::string::npos;
+       at = text.find("{{#", at)) {
+    const std::size_t name_at = at + 3;
+    const std::string name =
+        text.substr(name_at, text.find("}}", name_at) - name_at);
+    const std::size_t body_at = name_at + name.size() + 2;
+    const std::string close = "{{/" + name + "}}";
+    const std::size_t close_at = text.find(close, body_at);
+    REQUIRE(close_at != std::string::npos);
+    const std::string body =
+        values.contains(name) ? text.substr(body_at, close_at - body_at) : "";
+    text.replace(at, close_at + close.size() - at, body);
+  }
+  return text;
+}
 
 std::string Render(const rendered_values& values) {
   std::ifstream file(ANVILLOOM_SOURCE_FOLDER "/deploy/settings.json.tmpl");
-  std::string text(std::istreambuf_iterator<char>(file), {});
+  std::string text = RenderSections(
+      std::string(std::istreambuf_iterator<char>(file), {}), values);
   for (const auto& [name, value] : values) {
     const std::string placeholder = "{{" + name + "}}";
     for (std::size_t at = text.find(placeholder); at != std::string::npos;
@@ -80,6 +102,21 @@
       REQUIRE(settings->retry_extra == 52);
       REQUIRE(settings->threads == 1);
       REQUIRE(settings->memory_bytes == 260'000'000);
+      REQUIRE(settings->manifest_apply == std::chrono::seconds(4));
+      REQUIRE(settings->upstream_drain == std::chrono::seconds(3));
+    }
+  }
+
+  GIVEN("a deployment that states no bound for changes") {
+    rendered_values values = kValues;
+    values.erase("bounds.configApplyMs");
+    values.erase("bounds.drainMs");
+
+    THEN("the instance starts with the default") {
+      const auto settings = Load(Render(values));
+      REQUIRE(settings);
+      REQUIRE(settings->manifest_apply == gateway_settings{}.manifest_apply);
+      REQUIRE(settings->upstream_drain == gateway_settings{}.upstream_drain);
     }
   }
 
@@ -87,7 +124,7 @@
   for (const char* name :
        {"bounds.graceS", "bounds.leaseMs", "bounds.usageWindowS",
         "bounds.usageDelayS", "bounds.retryMinExtra", "bounds.retryWindowS",
-        "limits.memoryMb"}) {
+        "bounds.configApplyMs", "bounds.drainMs", "limits.memoryMb"}) {
     GIVEN(std::string("a fraction for ") + name) {
       rendered_values values = kValues;
       values[name] += ".4375";
