--- a/entry/announced_upstreams.cc
+++ b/entry/announced_upstreams.cc
@@ -1,6 +1,7 @@
 #include "entry/announced_upstreams.h"
 
-#include <algorithm>
+#include <set>
+#include <string_view>
 #include <vector>
 
 #include "common/log.h"
@@ -29,14 +30,13 @@
     std::uint64_t version,
     std::span<const upstream_change> announced,
     time_point now) {
+  std::set<std::string_view> ids;
+  for (const upstream_change& each : announced) {
+    ids.insert(each.announced.id);
+  }
   std::vector<upstream_change> listed;
   for (const auto& [id, entry] : entries_) {
-    const std::string& known = id;
-    const bool missing =
-        std::ranges::none_of(announced, [&known](const upstream_change& each) {
-          return each.announced.id == known;
-        });
-    if (entry.present && missing) {
+    if (entry.present && !ids.contains(id)) {
       upstream_change& change = listed.emplace_back();
       change.version = version;
       change.removed = true;
