Limit the reports of hundreds of instances that start together

The interval now grows with the instances from 160 on, so that no instance sends more than a few hundred a second; up to 159 nothing changes. report_schedule_test: 1,500 a second before for 300 instances.

--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -64,8 +64,7 @@
       socket_(executor, state.settings.report_listen),
       address_(WithPort(state.settings.report_listen, socket_.port())),
       peer_reports_(state.settings.name),
-      schedule_(state.settings.report_interval,
-                deadline::After(state.clock.Now(), kStartupPeriod),
+      schedule_(deadline::After(state.clock.Now(), kStartupPeriod),
                 Hash64(state.settings.name, state.epoch)) {}
 
 std::string peer_reporter::EncodeSelf() const {
@@ -182,7 +181,8 @@
     UpdateProfiles();
     Send();
     LogBacklog();
-    co_await Pause(schedule_.NextPause(SteadyInterval(), state_.clock.Now()));
+    co_await Pause(schedule_.NextPause(StartupInterval(), SteadyInterval(),
+                                       state_.clock.Now()));
   }
 }
 
@@ -351,9 +351,13 @@
 }
 
 duration peer_reporter::Interval() const {
-  return schedule_.IsStartingUp(state_.clock.Now())
-             ? state_.settings.report_interval
-             : SteadyInterval();
+  return schedule_.IsStartingUp(state_.clock.Now()) ? StartupInterval()
+                                                    : SteadyInterval();
+}
+
+duration peer_reporter::StartupInterval() const {
+  return state_.settings.report_interval *
+         peer_reports_.StartupIntervalFactor();
 }
 
 duration peer_reporter::SteadyInterval() const {
--- a/entry/peer_reporter.h
+++ b/entry/peer_reporter.h
@@ -102,8 +102,10 @@
   void UpdateFreshLoadFlags(time_point now);
   peer_report MakeHeader() const;
   void ComposeSent(const serving_view& view, peer_report& report) const;
-  // The interval until the next report, and its value after startup.
+  // The interval until the next report, and its values while starting up and
+  // afterwards.
   duration Interval() const;
+  duration StartupInterval() const;
   duration SteadyInterval() const;
 
   gateway_state& state_;
--- a/instances/peer_report.h
+++ b/instances/peer_report.h
@@ -188,6 +188,12 @@
     return static_cast<std::int64_t>(
         std::max<std::size_t>(Members() / kMembersPerInterval, 1));
   }
+  // The same for the reports of a process that has just started, which are more
+  // frequent.
+  std::int64_t StartupIntervalFactor() const {
+    return static_cast<std::int64_t>(
+        std::max<std::size_t>(Members() / kMembersPerStartupInterval, 1));
+  }
   // Number of known instances that are silent at `now`.
   std::size_t CountSilent(time_point now) const;
   // Number of known instances whose grants are unknown, because they are silent
@@ -310,6 +316,9 @@
   // number. With 60 instances and 500 bytes per report, each instance sends
   // 49 KB/s.
   static constexpr std::size_t kMembersPerInterval = 20;
+  // While all start at once, an instance sends and receives at most this many
+  // reports in an interval of a small fleet.
+  static constexpr std::size_t kMembersPerStartupInterval = 80;
 
   std::string own_name_;
   peer_report_table_options options_;
--- a/instances/report_schedule.h
+++ b/instances/report_schedule.h
@@ -15,23 +15,21 @@
 // same fraction of a second. Not thread-safe.
 class report_schedule {
  public:
-  report_schedule(duration startup_interval,
-                  deadline startup_ends,
-                  std::uint64_t seed)
-      : startup_interval_(startup_interval),
-        startup_ends_(startup_ends),
-        random_(seed) {}
+  report_schedule(deadline startup_ends, std::uint64_t seed)
+      : startup_ends_(startup_ends), random_(seed) {}
 
   // Whether reports are sent at the interval of the startup.
   bool IsStartingUp(time_point now) const {
     return !startup_ends_.Expired(now);
   }
 
-  // Returns the pause after a report; `regular_interval` depends on the number
-  // of instances.
-  duration NextPause(duration regular_interval, time_point now) {
+  // Returns the pause after a report; both intervals depend on the number of
+  // instances.
+  duration NextPause(duration startup_interval,
+                     duration regular_interval,
+                     time_point now) {
     if (IsStartingUp(now)) {
-      return startup_interval_;
+      return startup_interval;
     }
     if (!has_phase_) {
       has_phase_ = true;
@@ -42,7 +40,6 @@
   }
 
  private:
-  duration startup_interval_;
   deadline startup_ends_;
   split_mix random_;
   bool has_phase_ = false;
--- a/test/correctness/report_schedule_test.cc
+++ b/test/correctness/report_schedule_test.cc
@@ -6,6 +6,9 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <string>
+
+#include "instances/peer_report.h"
 
 namespace anvilloom {
 
@@ -26,13 +29,13 @@
     std::map<std::int64_t, std::size_t> by_tenth_of_second;
     std::size_t early = 0;
     for (std::size_t i = 0; i < kInstances; ++i) {
-      report_schedule schedule(milliseconds(200), startup_ends, i);
+      report_schedule schedule(startup_ends, i);
       for (time_point now = start; now < start + kRegular * 15;) {
         early += schedule.IsStartingUp(now) ? 1 : 0;
         if (!schedule.IsStartingUp(now)) {
           ++by_tenth_of_second[now.time_since_epoch() / milliseconds(100)];
         }
-        now += schedule.NextPause(kRegular, now);
+        now += schedule.NextPause(milliseconds(200), kRegular, now);
       }
     }
 
@@ -51,4 +54,33 @@
   }
 }
 
+SCENARIO("The intervals between reports follow the size of the fleet",
+         "[report_schedule]") {
+  GIVEN("an instance that knows some others") {
+    const auto members = GENERATE(as<std::size_t>(), 1, 7, 72, 300, 1000);
+    peer_report_table table("self");
+    for (std::size_t i = 1; i < members; ++i) {
+      table.Expect("instance-" + std::to_string(i), "10.0.0.1:1",
+                   time_point(seconds(1)));
+    }
+    constexpr duration kInterval = milliseconds(200);
+    const duration startup = kInterval * table.StartupIntervalFactor();
+    const duration regular = kInterval * table.IntervalFactor();
+
+    THEN("it sends a few hundred reports a second while it starts") {
+      CAPTURE(members);
+      REQUIRE(static_cast<double>(members) * 1e6 /
+                  static_cast<double>(startup.count()) <=
+              800);
+      REQUIRE(startup <= regular);
+    }
+
+    THEN("the startup of a small fleet stays as fast as it was") {
+      if (members <= 72) {
+        REQUIRE(startup == kInterval);
+      }
+    }
+  }
+}
+
 }  // namespace anvilloom
