Run the gossip and the reads of the store by one timer

Two loops woke the control thread 25 times a second, and each report of another instance read the boot clock, although most say nothing new of the store.

--- a/entry/store_tracker.h
+++ b/entry/store_tracker.h
@@ -70,28 +70,23 @@
   awaitable<void> FollowManifests() { return manifests_.Run(); }
   awaitable<void> FollowAnnouncements() { return announcements_.Run(); }
   awaitable<void> RemoveUpstreams() { return upstreams_.Run(); }
-  // Reads the store when the view has not been confirmed for too long.
-  awaitable<void> ConfirmView() {
-    for (;;) {
-      co_await Pause(kCheckInterval);
-      if (gossip_.MustRead(Self(), boot_clock_.Now())) {
-        co_await ReadStore();
-      }
-    }
-  }
-  // Passes on what could not be passed on at once.
-  awaitable<void> SpreadNews() {
+  // Passes on what could not be passed on at once, and reads the store when the
+  // view has not been confirmed for too long.
+  awaitable<void> KeepCurrent() {
     for (;;) {
       co_await Pause(gossip_.tell_interval());
       SpreadPending();
+      if (!reading_ && gossip_.MustRead(Self(), boot_clock_.Now())) {
+        reading_ = true;
+        boost::asio::co_spawn(executor_, ReadStore(), boost::asio::detached);
+      }
     }
   }
 
   // Applies what a report of another instance says of the store.
   void Take(const peer_report& report) {
-    const time_point now = boot_clock_.Now();
     if (report.content == report_content::kNewsQuestion) {
-      store_news news = gossip_.NewsAfter(gossip_.through(), now);
+      store_news news = gossip_.NewsAfter(gossip_.through(), boot_clock_.Now());
       news.asked_at = report.asked_at;
       news.fetch_address = fetch_address_;
       reporter_.SendNews(report.address, std::move(news));
@@ -101,6 +96,12 @@
       TakeNews(*report.news, report.address);
       return;
     }
+    // Most reports say nothing new.
+    if (report.changes.empty() &&
+        report.manifest_version <= gossip_.newest_manifest()) {
+      return;
+    }
+    const time_point now = boot_clock_.Now();
     gossip_.NoteManifest(report.manifest_version, now);
     for (const upstream_change& each :
          upstreams_.ApplyChanges(report.changes, state_.clock.Now())) {
@@ -131,8 +132,6 @@
   }
 
  private:
-  // Granularity of the times at which the store is read.
-  static constexpr duration kCheckInterval = std::chrono::milliseconds(50);
   // Instances of builds without news compare their upstreams with those that an
   // instance has verified for less than this.
   static constexpr duration kVerifiedLifetime = std::chrono::milliseconds(1200);
@@ -221,6 +220,7 @@
     if (object) {
       ApplyManifest(*object, "read");
     }
+    reading_ = false;
     const bool has_answer = object || object.error() == store_error::kNotFound;
     const auto list = co_await store_.List(Platform::kUpstreamKind, until);
     if (list) {
@@ -415,6 +415,7 @@
   http_client peers_;
   std::string fetch_address_;
   bool fetching_ = false;
+  bool reading_ = false;
   watch_duty watch_duty_;
   // The stored object of the manifest in force, for instances that lack it.
   std::optional<manifest_document> document_;
--- a/instances/store_gossip.h
+++ b/instances/store_gossip.h
@@ -100,6 +100,8 @@
   // --- What it knows ---
 
   std::uint64_t through() const { return through_; }
+  // The newest version of the manifest that is known to exist.
+  std::uint64_t newest_manifest() const { return newest_manifest_; }
   // When the store held nothing that this view lacks; unset before the first
   // confirmation.
   std::optional<time_point> confirmed_at() const { return confirmed_at_; }
--- a/test/support/gossip_fleet.cc
+++ b/test/support/gossip_fleet.cc
@@ -9,8 +9,7 @@
 
 namespace {
 
-// Intervals of the tasks of an instance; see store_tracker and object_watcher.
-constexpr duration kTick = std::chrono::milliseconds(50);
+// Delay between two watches; see object_watcher.
 constexpr duration kWatchPoll = std::chrono::milliseconds(60);
 constexpr duration kCheckInterval = std::chrono::milliseconds(10);
 constexpr duration kStoreDelay = std::chrono::milliseconds(5);
@@ -165,8 +164,9 @@
   self.upstreams = std::make_unique<announced_upstreams>(*self.builder, [] {});
   // Instances list the store when they start.
   ReadStore(instance);
-  const duration phase(
-      static_cast<std::int64_t>(random_.NextUnit() * kTick.count()));
+  const duration phase(static_cast<std::int64_t>(
+      random_.NextUnit() *
+      static_cast<double>(self.gossip->tell_interval().count())));
   OnNode(instance, now_ + phase, [this, instance] { Tick(instance); });
   if (instance < options_.watchers) {
     OnNode(instance, now_ + phase, [this, instance] { PollWatch(instance); });
@@ -205,7 +205,8 @@
     ReadStore(index);
   }
   Spread(index);
-  OnNode(index, now_ + kTick, [this, index] { Tick(index); });
+  OnNode(index, now_ + self.gossip->tell_interval(),
+         [this, index] { Tick(index); });
 }
 
 void gossip_fleet::PollWatch(std::size_t index) {
