Wake for the next read and the next news instead of polling

News that are held back are now sent at their own time, and the loop that reads the store sleeps until the next read is due, at most 100 ms.

--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -97,7 +97,7 @@
     Run("manifests", [this] { return FollowManifests(); });
     Run("announcements", [this] { return FollowAnnouncements(); });
     Run("upstreams", [this] { return tracker_.RemoveUpstreams(); });
-    Run("store", [this] { return tracker_.KeepCurrent(); });
+    Run("confirm", [this] { return tracker_.ConfirmView(); });
     Run("receive", [this] {
       return reporter_.Receive([this](const peer_report& report) {
         tracker_.Take(report);
--- a/entry/store_tracker.h
+++ b/entry/store_tracker.h
@@ -70,15 +70,15 @@
   awaitable<void> FollowManifests() { return manifests_.Run(); }
   awaitable<void> FollowAnnouncements() { return announcements_.Run(); }
   awaitable<void> RemoveUpstreams() { return upstreams_.Run(); }
-  // Passes on what could not be passed on at once, and reads the store when the
-  // view has not been confirmed for too long.
-  awaitable<void> KeepCurrent() {
+  // Reads the store when the view has not been confirmed for too long.
+  awaitable<void> ConfirmView() {
     for (;;) {
-      co_await Pause(gossip_.tell_interval());
-      SpreadPending();
-      if (!reading_ && gossip_.MustRead(Self(), boot_clock_.Now())) {
-        reading_ = true;
-        boost::asio::co_spawn(executor_, ReadStore(), boost::asio::detached);
+      const time_point now = boot_clock_.Now();
+      const deadline next = gossip_.NextRead(Self(), now);
+      if (next.Expired(now)) {
+        co_await ReadStore();
+      } else {
+        co_await Pause(std::min(next.Remaining(now), kMaxPause));
       }
     }
   }
@@ -132,6 +132,9 @@
   }
 
  private:
+  // Longest pause before the time of the next read is checked again, since it
+  // may come closer.
+  static constexpr duration kMaxPause = std::chrono::milliseconds(100);
   // Instances of builds without news compare their upstreams with those that an
   // instance has verified for less than this.
   static constexpr duration kVerifiedLifetime = std::chrono::milliseconds(1200);
@@ -220,7 +223,6 @@
     if (object) {
       ApplyManifest(*object, "read");
     }
-    reading_ = false;
     const bool has_answer = object || object.error() == store_error::kNotFound;
     const auto list = co_await store_.List(Platform::kUpstreamKind, until);
     if (list) {
@@ -312,6 +314,17 @@
       news->fetch_address = fetch_address_;
       reporter_.Spread(std::move(*news));
     }
+    if (!telling_later_ && gossip_.NextTell() != deadline::Never()) {
+      telling_later_ = true;
+      boost::asio::co_spawn(executor_, TellLater(), boost::asio::detached);
+    }
+  }
+
+  // Passes on what is held back because news were sent shortly before.
+  awaitable<void> TellLater() {
+    co_await Pause(gossip_.NextTell().Remaining(boot_clock_.Now()));
+    telling_later_ = false;
+    SpreadPending();
   }
 
   // `source` names what the manifest came from.
@@ -415,7 +428,8 @@
   http_client peers_;
   std::string fetch_address_;
   bool fetching_ = false;
-  bool reading_ = false;
+  // Whether TellLater() waits.
+  bool telling_later_ = false;
   watch_duty watch_duty_;
   // The stored object of the manifest in force, for instances that lack it.
   std::optional<manifest_document> document_;
--- a/instances/store_gossip.cc
+++ b/instances/store_gossip.cc
@@ -108,13 +108,17 @@
   UpdateLag(now);
 }
 
-std::optional<store_news> store_gossip::TakeNews(time_point now) {
+bool store_gossip::HasNews() const {
   const bool confirmed_anew =
       confirmed_at_ &&
       (!told_confirmed_at_ ||
        *confirmed_at_ >= *told_confirmed_at_ + confirm_interval() / 2);
-  const bool untold = untold_changes_ || manifest_version_ > told_manifest_;
-  if ((!untold && !confirmed_anew) || !tell_at_.Expired(now)) {
+  return untold_changes_ || manifest_version_ > told_manifest_ ||
+         confirmed_anew;
+}
+
+std::optional<store_news> store_gossip::TakeNews(time_point now) {
+  if (!HasNews() || !tell_at_.Expired(now)) {
     return std::nullopt;
   }
   log_.ForgetRemovals(now - kRemovalMemory);
@@ -147,21 +151,11 @@
   return news;
 }
 
-bool store_gossip::MustRead(const reader& self, time_point now) {
+deadline store_gossip::NextRead(const reader& self, time_point now) {
   if (!begun_at_) {
     begun_at_ = now;
   }
-  if (!retry_read_at_.Expired(now)) {
-    return false;
-  }
   const time_point confirmed_at = confirmed_at_.value_or(*begun_at_);
-  if (self.watches) {
-    // The next watcher steps in when the confirmation is half as late again.
-    const auto steps = static_cast<std::int64_t>(2 + self.position);
-    if (now >= confirmed_at + confirm_interval() * steps / 2) {
-      return true;
-    }
-  }
   if (!read_at_) {
     const duration spread = DrawDelay(apply_time_ / 4, self.members);
     read_at_ = deadline(confirmed_at + apply_time_ / 2 + spread);
@@ -170,7 +164,14 @@
           read_at_->Earlier(deadline(*lags_since_ + apply_time_ / 8 + spread));
     }
   }
-  return read_at_->Expired(now);
+  deadline next = *read_at_;
+  if (self.watches) {
+    // The next watcher steps in when the confirmation is half as late again.
+    const auto steps = static_cast<std::int64_t>(2 + self.position);
+    next =
+        next.Earlier(deadline(confirmed_at + confirm_interval() * steps / 2));
+  }
+  return std::max(next, retry_read_at_);
 }
 
 deadline store_gossip::ManifestValidUntil() const {
--- a/instances/store_gossip.h
+++ b/instances/store_gossip.h
@@ -83,6 +83,9 @@
   // Returns the news to pass on now, if there are any. They don't have a fetch
   // address.
   std::optional<store_news> TakeNews(time_point now);
+  // When TakeNews() returns news that it held back because others were sent
+  // shortly before; never if there are none.
+  deadline NextTell() const { return HasNews() ? tell_at_ : deadline::Never(); }
   // Returns what an instance lacks that knows the store up to revision `after`.
   store_news NewsAfter(std::uint64_t after, time_point now) const;
 
@@ -95,7 +98,11 @@
     // Number of instances.
     std::size_t members = 1;
   };
-  bool MustRead(const reader& self, time_point now);
+  bool MustRead(const reader& self, time_point now) {
+    return NextRead(self, now).Expired(now);
+  }
+  // When it must do so if it hears nothing more.
+  deadline NextRead(const reader& self, time_point now);
 
   // --- What it knows ---
 
@@ -139,6 +146,8 @@
   void Record(std::span<const upstream_change> changes,
               std::uint64_t through,
               time_point now);
+  // Whether there is something to pass on.
+  bool HasNews() const;
   void Confirm(time_point at);
   // Whether to ask an instance whose view seems to be confirmed until
   // `claimed`.
@@ -178,7 +187,7 @@
   // is drawn.
   std::optional<deadline> read_at_;
   deadline retry_read_at_ = deadline(time_point::min());
-  // When MustRead() was first called.
+  // When NextRead() was first called.
   std::optional<time_point> begun_at_;
 };
 
--- a/test/support/gossip_fleet.cc
+++ b/test/support/gossip_fleet.cc
@@ -11,6 +11,9 @@
 
 // Delay between two watches; see object_watcher.
 constexpr duration kWatchPoll = std::chrono::milliseconds(60);
+// Bounds of the pause between two checks; see store_tracker.
+constexpr duration kMinPause = std::chrono::milliseconds(1);
+constexpr duration kMaxPause = std::chrono::milliseconds(100);
 constexpr duration kCheckInterval = std::chrono::milliseconds(10);
 constexpr duration kStoreDelay = std::chrono::milliseconds(5);
 constexpr duration kReadBurst = std::chrono::milliseconds(100);
@@ -155,6 +158,7 @@
   self.running = true;
   self.reading = false;
   self.fetching = false;
+  self.telling_later = false;
   self.manifest_version = 0;
   self.watched_through = 0;
   self.waiting.clear();
@@ -201,11 +205,11 @@
   const bool watches = index < options_.watchers && self.store_reachable;
   const store_gossip::reader reader{watches, std::min(index, options_.watchers),
                                     nodes_.size()};
-  if (!self.reading && self.gossip->MustRead(reader, now_)) {
+  const deadline next = self.gossip->NextRead(reader, now_);
+  if (!self.reading && next.Expired(now_)) {
     ReadStore(index);
   }
-  Spread(index);
-  OnNode(index, now_ + self.gossip->tell_interval(),
+  OnNode(index, now_ + std::clamp(next.Remaining(now_), kMinPause, kMaxPause),
          [this, index] { Tick(index); });
 }
 
@@ -273,6 +277,13 @@
 void gossip_fleet::Spread(std::size_t index) {
   node& self = nodes_[index];
   auto news = self.gossip->TakeNews(now_);
+  if (!self.telling_later && self.gossip->NextTell() != deadline::Never()) {
+    self.telling_later = true;
+    OnNode(index, self.gossip->NextTell().at(), [this, index] {
+      nodes_[index].telling_later = false;
+      Spread(index);
+    });
+  }
   if (!news) {
     return;
   }
--- a/test/support/gossip_fleet.h
+++ b/test/support/gossip_fleet.h
@@ -108,6 +108,7 @@
     bool store_reachable = true;
     bool reading = false;
     bool fetching = false;
+    bool telling_later = false;
     std::uint64_t watched_through = 0;
     time_point paused_until;
     duration send_delay{0};
