Blame a prompt part only for most of the upstreams that end

Callers got 503 for sound prompts after many engines of a large fleet had ended within seconds: a popular part is found under many of them, so it looked like the part that crashes engines.

A part is now blocked only if at least a third of the upstreams that ended while its latest crashes occurred ended under it. A third instead of a half, because two parts may crash upstreams at the same time ("A call that can't try all of its parts tries none" has that case). The new case of "The evidence against a part is weighed" failed before: 1 part blocked, 0 expected.

--- a/links/crash_suspects.cc
+++ b/links/crash_suspects.cc
@@ -13,17 +13,24 @@
 // A caller may send any number of parts; sound prompts have a few.
 constexpr std::size_t kMaxParts = 16;
 
-// Number of upstreams that ended one after the other.
-std::size_t CountCrashes(std::span<const crash_record> crashes) {
+// Returns when each of the upstreams ended that ended one after the other.
+std::vector<time_point> SuccessiveCrashes(
+    std::span<const crash_record> crashes) {
   std::set<std::uint64_t> upstreams;
-  time_point counted_at = time_point::min();
+  std::vector<time_point> counted;
   for (const crash_record& each : crashes) {
-    if (each.at - crash_suspects::kCoincidence >= counted_at &&
-        upstreams.insert(each.upstream_hash).second) {
-      counted_at = each.at;
+    const bool coincides =
+        !counted.empty() &&
+        each.at - crash_suspects::kCoincidence < counted.back();
+    if (!coincides && upstreams.insert(each.upstream_hash).second) {
+      counted.push_back(each.at);
     }
   }
-  return upstreams.size();
+  return counted;
+}
+
+std::size_t CountCrashes(std::span<const crash_record> crashes) {
+  return SuccessiveCrashes(crashes).size();
 }
 
 std::size_t CountCalls(std::span<const crash_record> crashes) {
@@ -213,6 +220,9 @@
     return each.second.crashes.empty() &&
            each.second.answered_at + kAnswerLifetime < now;
   });
+  std::erase_if(ended_, [now](const auto& each) {
+    return each.second + kEndedLifetime < now;
+  });
 }
 
 std::unique_ptr<const suspect_view> crash_suspects::TakeView(std::size_t rank) {
@@ -254,6 +264,9 @@
 }
 
 bool crash_suspects::AddCrash(std::uint64_t part, const crash_record& crash) {
+  if (ended_.size() < kMaxSuspects) {
+    ended_.try_emplace(crash.upstream_hash, crash.at);
+  }
   if (!suspects_.contains(part) && suspects_.size() >= kMaxSuspects) {
     EvictOldest();
   }
@@ -309,9 +322,10 @@
   const std::size_t crashes = CountCrashes(known.crashes);
   const std::size_t calls = CountCalls(known.crashes);
   // Once blocked, only an answer unblocks it: old crashes are dropped.
-  const bool blocked = !known.crashes.empty() &&
-                       (known.blocked || (crashes >= kBlockingCrashes &&
-                                          calls >= kBlockingCalls));
+  const bool blocked =
+      !known.crashes.empty() &&
+      (known.blocked || (crashes >= kBlockingCrashes &&
+                         calls >= kBlockingCalls && ExplainsCrashes(known)));
   blocked_version_ += blocked || known.blocked ? 1 : 0;
   if (blocked != known.blocked) {
     known.blocked = blocked;
@@ -319,6 +333,21 @@
   }
 }
 
+bool crash_suspects::ExplainsCrashes(const suspect& known) const {
+  const std::vector<time_point> counted = SuccessiveCrashes(known.crashes);
+  const time_point since =
+      counted[counted.size() - kBlockingCrashes] - kCoincidence;
+  std::set<std::uint64_t> under_part;
+  for (const crash_record& each : known.crashes) {
+    if (each.at >= since) {
+      under_part.insert(each.upstream_hash);
+    }
+  }
+  const auto all = static_cast<std::size_t>(std::ranges::count_if(
+      ended_, [since](const auto& each) { return each.second >= since; }));
+  return under_part.size() * 3 >= all;
+}
+
 std::vector<std::uint64_t> crash_suspects::Alternatives(
     std::uint64_t part,
     const suspect& known) const {
--- a/links/crash_suspects.h
+++ b/links/crash_suspects.h
@@ -187,6 +187,9 @@
   // Ages in reports grow by the delay of the report. A trial or an answer that
   // is later by less than this is taken for one that is known.
   static constexpr duration kReportJitter = std::chrono::milliseconds(100);
+  // Time for which the end of an upstream is remembered, longer than it takes
+  // an ordinary load to show that a part crashes upstreams.
+  static constexpr duration kEndedLifetime = std::chrono::minutes(1);
   // Bounds the memory and the views. More than the parts of the calls that wait
   // at a few upstreams.
   static constexpr std::size_t kMaxSuspects = 512;
@@ -197,6 +200,10 @@
   void SetTried(suspect& known, time_point at);
   void SetAnswered(std::uint64_t part, suspect& known, time_point at);
   void UpdateVerdict(std::uint64_t part, suspect& known);
+  // Whether most of the upstreams that ended while the latest crashes of a part
+  // occurred ended under it. Otherwise the crashes have another cause, which
+  // finds popular parts at many upstreams.
+  bool ExplainsCrashes(const suspect& known) const;
   // Returns the other blocked parts that were present at each upstream that
   // ended under this one.
   std::vector<std::uint64_t> Alternatives(std::uint64_t part,
@@ -209,6 +216,8 @@
   static time_point TrialTime(const suspect& known);
 
   std::map<std::uint64_t, suspect> suspects_;
+  // When each upstream ended, by its hash, whatever the parts of its calls.
+  std::map<std::uint64_t, time_point> ended_;
   std::vector<verdict> verdicts_;
   bool changed_ = false;
   std::uint64_t blocked_version_ = 0;
--- a/test/correctness/crash_suspects_test.cc
+++ b/test/correctness/crash_suspects_test.cc
@@ -369,6 +369,28 @@
     }
   }
 
+  GIVEN("four upstreams that end under the part among many that end") {
+    for (std::uint64_t i = 1; i <= 4; ++i) {
+      for (std::uint64_t other = 1; other <= 6; ++other) {
+        suspects.RecordCrash(std::vector<std::uint64_t>{100 * i + other},
+                             Crash(100 * i + other, 100 * i + other,
+                                   seconds(i) - milliseconds(500)));
+      }
+      record(i, i, seconds(i));
+    }
+    THEN("the part is not blocked: the others have another cause") {
+      REQUIRE(suspects.blocked() == 0);
+    }
+    AND_WHEN("only upstreams under the part end after that") {
+      for (std::uint64_t i = 5; i <= 7; ++i) {
+        record(i, i, seconds(i));
+      }
+      THEN("it is") {
+        REQUIRE(suspects.blocked() == 1);
+      }
+    }
+  }
+
   GIVEN("a report of the same crash from another instance") {
     record(1, 1, seconds(1));
     record(2, 2, seconds(2));
