Pass reports of crashes on to a few instances instead of all

When many engines end at once, each instance sent each change of each suspected part to each other one, three times, through the queue of the regular reports. The messages grow with instances x instances x crashes, and each one that came while a part was blocked published the whole view again.

Each instance now sends one message of what matters most to a few others, drawn anew every 100 ms, and passes on what is new to it. A crash keeps the earliest time known for its upstream, and an answer that clears nothing is not passed on: delays add to ages, so it would go round for ever. Views are published when a verdict changes.

--- a/entry/crash_monitor.cc
+++ b/entry/crash_monitor.cc
@@ -55,9 +55,8 @@
 }
 
 void crash_monitor::HandleChange() {
-  LogVerdicts();
   // Suspicions may wait for the next round; what is refused may not.
-  if (suspects_.blocked() > 0) {
+  if (LogVerdicts()) {
     PublishView();
   }
   if (!running_) {
@@ -73,8 +72,9 @@
   }
 }
 
-void crash_monitor::LogVerdicts() {
-  for (const crash_suspects::verdict& each : suspects_.TakeVerdicts()) {
+bool crash_monitor::LogVerdicts() {
+  const auto verdicts = suspects_.TakeVerdicts();
+  for (const crash_suspects::verdict& each : verdicts) {
     if (each.blocked) {
       Log(log_level::kWarning, log_event::kPromptPartBlocked,
           {{"part", FormatHash(each.part)},
@@ -85,6 +85,7 @@
           {{"part", FormatHash(each.part)}});
     }
   }
+  return !verdicts.empty();
 }
 
 awaitable<void> crash_monitor::RunRounds() {
--- a/entry/crash_monitor.h
+++ b/entry/crash_monitor.h
@@ -48,7 +48,8 @@
   // Publishes changed verdicts and starts the rounds unless they are running.
   void HandleChange();
   void PublishView();
-  void LogVerdicts();
+  // Returns whether a verdict has changed.
+  bool LogVerdicts();
   // Sends reports and looks after the trials until nothing is left to do.
   awaitable<void> RunRounds();
 
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -260,7 +260,10 @@
 }
 
 void peer_reporter::Spread(store_news news) {
-  const std::string message = EncodeNews(std::move(news));
+  SendToSome(EncodeNews(std::move(news)));
+}
+
+void peer_reporter::SendToSome(std::string_view message) {
   split_mix random(thread_random().Next());
   for (const std::string& address : peer_reports_.DrawRecipients(
            store_gossip::Fanout(peer_reports_.Members()), random,
@@ -294,20 +297,10 @@
     peer_report report = MakeHeader();
     report.content = report_content::kSuspects;
     report.suspects.assign(part.begin(), part.end());
-    SendToAll(report);
+    SendToSome(EncodePeerReport(report));
   }
 }
 
-void peer_reporter::SendToAll(const peer_report& report) {
-  const auto message =
-      std::make_shared<const std::string>(EncodePeerReport(report));
-  const time_point now = state_.clock.Now();
-  for (const auto& each : peer_reports_.Recipients(now)) {
-    queue_.Push(each.address, message, now);
-  }
-  BeginSending();
-}
-
 void peer_reporter::BeginSending() {
   if (sending_ || queue_.empty()) {
     return;
--- a/entry/peer_reporter.h
+++ b/entry/peer_reporter.h
@@ -44,17 +44,18 @@
   // Sends this instance's load on an upstream to the other instances that use
   // it. Thread-safe.
   void RequestLoad(std::shared_ptr<const pooled_upstream> upstream);
-  // Passes news on to a few other instances. These and the next two calls send
-  // at once, before all messages that wait.
+  // Passes news on to a few other instances. These and the next three calls
+  // send at once, before all messages that wait.
   void Spread(store_news news);
   // Answers the question of another instance.
   void SendNews(std::string_view address, store_news news);
   // Asks another instance for its news.
   void AskForNews(std::string_view address, time_point asked_at);
+  // Passes on to a few other instances what is known of prompt parts that may
+  // crash upstreams.
+  void SendSuspects(std::span<const suspect_report> suspects);
   // Encodes news for an instance that asked for them.
   std::string EncodeNews(store_news news) const;
-  // Sends what this instance knows of prompt parts that may crash upstreams.
-  void SendSuspects(std::span<const suspect_report> suspects);
   // Sends reports; never returns. `complete` fills in the fields owned by other
   // components: the fencing number of the duty lease and the state of the
   // store. `on_removed` is called with the name of each instance considered
@@ -90,8 +91,8 @@
   // Omits workspaces without new grants, except every kSendAllInterval.
   void ComposeGranted(const serving_view& view, peer_report& report);
   void Send();
-  // Queues a report for all other instances.
-  void SendToAll(const peer_report& report);
+  // Sends a message to a few other instances, drawn anew each time.
+  void SendToSome(std::string_view message);
   // Starts to send the queued messages unless that is in progress.
   void BeginSending();
   awaitable<void> SendQueued();
--- a/links/crash_suspects.cc
+++ b/links/crash_suspects.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "common/hash.h"
@@ -165,36 +166,56 @@
 
 void crash_suspects::Merge(const suspect_report& report, time_point now) {
   for (const suspect_report::crash& each : report.crashes) {
-    AddCrash(report.part, {each.upstream_hash, each.call_hash, now - each.age});
+    if (AddCrash(report.part,
+                 {each.upstream_hash, each.call_hash, now - each.age})) {
+      Forward(suspects_[report.part]);
+    }
   }
   const auto found = suspects_.find(report.part);
   if (found != suspects_.end() && report.tried_age &&
       now - *report.tried_age > found->second.tried_at + kReportJitter) {
     SetTried(found->second, now - *report.tried_age);
+    Forward(found->second);
   }
   if (!report.answered_age || found == suspects_.end()) {
     return;
   }
   const time_point answered_at = now - *report.answered_age;
-  if (answered_at > found->second.answered_at + kReportJitter) {
-    SetAnswered(report.part, found->second, answered_at);
+  // An answer that clears nothing here is not passed on: its time moves by the
+  // delay of each report, so that it would go round for ever.
+  if (answered_at > found->second.answered_at + kReportJitter &&
+      SetAnswered(report.part, found->second, answered_at)) {
+    Forward(found->second);
   }
-  // The sender tells it to all others.
   found->second.answer_shared = true;
-  if (found->second.crashes.empty()) {
-    found->second.reports_left = 0;
-  }
 }
 
 std::vector<suspect_report> crash_suspects::TakeReports(time_point now) {
-  std::vector<suspect_report> reports;
-  for (auto& [part, known] : suspects_) {
-    if (known.reports_left > 0) {
-      --known.reports_left;
-      known.answer_shared = true;
-      reports.push_back(MakeReport(part, known, now));
+  using entry = std::pair<const std::uint64_t, suspect>;
+  std::vector<entry*> pending;
+  for (entry& each : suspects_) {
+    if (each.second.reports_left > 0) {
+      pending.push_back(&each);
     }
   }
+  // Parts that are refused, then answers, which clear a part, then the parts
+  // that are closest to being refused.
+  std::ranges::stable_sort(
+      pending, std::ranges::greater{}, [](const entry* each) {
+        const suspect& known = each->second;
+        return std::tuple(known.blocked, known.crashes.empty(),
+                          known.crashes.size());
+      });
+  std::vector<suspect_report> reports;
+  for (const entry* each :
+       std::span(pending).first(std::min(pending.size(), kSuspectsPerReport))) {
+    reports.push_back(MakeReport(each->first, each->second, now));
+  }
+  reports.resize(CountForOneReport(reports));
+  for (entry* each : std::span(pending).first(reports.size())) {
+    --each->second.reports_left;
+    each->second.answer_shared = true;
+  }
   return reports;
 }
 
@@ -263,9 +284,13 @@
       suspects_, [](const auto& each) { return each.second.blocked; }));
 }
 
-bool crash_suspects::AddCrash(std::uint64_t part, const crash_record& crash) {
-  if (ended_.size() < kMaxSuspects) {
-    ended_.try_emplace(crash.upstream_hash, crash.at);
+bool crash_suspects::AddCrash(std::uint64_t part, crash_record crash) {
+  if (ended_.size() < kMaxSuspects || ended_.contains(crash.upstream_hash)) {
+    // Each report that passed on a crash has added its delay to the time.
+    time_point& ended_at =
+        ended_.try_emplace(crash.upstream_hash, crash.at).first->second;
+    ended_at = std::min(ended_at, crash.at);
+    crash.at = ended_at;
   }
   if (!suspects_.contains(part) && suspects_.size() >= kMaxSuspects) {
     EvictOldest();
@@ -300,15 +325,17 @@
   return true;
 }
 
-void crash_suspects::SetAnswered(std::uint64_t part,
+bool crash_suspects::SetAnswered(std::uint64_t part,
                                  suspect& known,
                                  time_point at) {
   known.answered_at = std::max(known.answered_at, at);
-  std::erase_if(known.crashes, [&known](const crash_record& each) {
-    return each.at <= known.answered_at;
-  });
+  const std::size_t cleared =
+      std::erase_if(known.crashes, [&known](const crash_record& each) {
+        return each.at <= known.answered_at;
+      });
   changed_ = true;
   UpdateVerdict(part, known);
+  return cleared > 0;
 }
 
 void crash_suspects::SetTried(suspect& known, time_point at) {
--- a/links/crash_suspects.h
+++ b/links/crash_suspects.h
@@ -4,6 +4,7 @@
 #ifndef LINKS_CRASH_SUSPECTS_H_
 #define LINKS_CRASH_SUSPECTS_H_
 
+#include <algorithm>
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
@@ -96,8 +97,8 @@
 // call with some of them tells which it is. After a time that grows with the
 // time it has been crashing upstreams, one call tries a blocked part again.
 //
-// All instances exchange what they see and reach the same verdicts. Not
-// thread-safe.
+// Each instance passes what it sees, and what is new to it in the reports of
+// others, on to a few others, so all reach the same verdicts. Not thread-safe.
 class crash_suspects {
  public:
   // Upstreams that must have ended under a part before it is blocked, and the
@@ -128,8 +129,9 @@
   // Applies what another instance has reported.
   void Merge(const suspect_report& report, time_point now);
 
-  // Returns the reports that the other instances need now. Each is returned a
-  // few times, since datagrams may be lost. Call at intervals.
+  // Returns the reports to pass on to a few other instances now: no more than
+  // fit into one message, so that the traffic does not grow with the upstreams
+  // that end. The rest follows at the next calls. Call at intervals.
   std::vector<suspect_report> TakeReports(time_point now);
   // Returns the first blocked parts, for instances that have just started.
   std::vector<suspect_report> BlockedReports(time_point now) const;
@@ -171,7 +173,7 @@
     // Latest trial, here or at another instance, or the minimum.
     time_point tried_at = time_point::min();
     int reports_left = 0;
-    // Whether the other instances know of the latest answer.
+    // Whether the other instances are told of the latest answer.
     bool answer_shared = true;
     std::shared_ptr<std::atomic<bool>> trial_taken =
         std::make_shared<std::atomic<bool>>(false);
@@ -179,8 +181,10 @@
         std::make_shared<std::atomic<bool>>(false);
   };
 
-  // Number of times that each report is sent.
+  // Number of times that a report of an own observation is sent, since
+  // datagrams may be lost, and that one of another instance is passed on.
   static constexpr int kReportCopies = 3;
+  static constexpr int kForwardedCopies = 1;
   // Time for which an answer is remembered, so that a late report of an earlier
   // crash has no effect.
   static constexpr duration kAnswerLifetime = std::chrono::seconds(30);
@@ -196,14 +200,19 @@
 
   // Adds a crash unless it is known or older than the latest answer. Returns
   // whether it was added.
-  bool AddCrash(std::uint64_t part, const crash_record& crash);
+  bool AddCrash(std::uint64_t part, crash_record crash);
   void SetTried(suspect& known, time_point at);
-  void SetAnswered(std::uint64_t part, suspect& known, time_point at);
+  // Returns whether the answer came after a crash that had been known.
+  bool SetAnswered(std::uint64_t part, suspect& known, time_point at);
   void UpdateVerdict(std::uint64_t part, suspect& known);
   // Whether most of the upstreams that ended while the latest crashes of a part
   // occurred ended under it. Otherwise the crashes have another cause, which
   // finds popular parts at many upstreams.
   bool ExplainsCrashes(const suspect& known) const;
+  // Passes on what another instance has reported.
+  static void Forward(suspect& known) {
+    known.reports_left = std::max(known.reports_left, kForwardedCopies);
+  }
   // Returns the other blocked parts that were present at each upstream that
   // ended under this one.
   std::vector<std::uint64_t> Alternatives(std::uint64_t part,
--- a/test/correctness/crash_suspects_test.cc
+++ b/test/correctness/crash_suspects_test.cc
@@ -10,8 +10,11 @@
 #include <deque>
 #include <random>
 #include <set>
+#include <utility>
 #include <vector>
 
+#include "instances/store_gossip.h"
+
 namespace anvilloom {
 
 namespace {
@@ -41,6 +44,13 @@
     // Interval at which all upstreams of a third of the pool end at once; zero
     // for never.
     duration outage_interval{0};
+    // Time within which half of the upstreams end, each at a random moment, two
+    // seconds after the start; zero for never.
+    duration wave{0};
+    // Longest time from the start of a call to its answer.
+    duration longest_answer = milliseconds(260);
+    // Time that a report takes to arrive.
+    duration report_delay{0};
   };
 
   explicit crash_simulation(const options& chosen)
@@ -53,6 +63,15 @@
     for (auto& view : views_) {
       view = std::make_unique<const suspect_view>();
     }
+    if (chosen.wave > duration(0)) {
+      for (std::size_t i = 0; i < chosen.upstreams / 2; ++i) {
+        wave_.emplace_back(
+            time_point(kWaveStart) +
+                duration(static_cast<std::int64_t>(
+                    Unit() * static_cast<double>(chosen.wave.count()))),
+            i);
+      }
+    }
   }
 
   void Run(duration time) {
@@ -67,6 +86,14 @@
           Crash(i);
         }
       }
+      std::erase_if(wave_, [this](const auto& each) {
+        const bool due = each.first <= now_;
+        if (due) {
+          Crash(each.second);
+        }
+        return due;
+      });
+      DeliverReports();
       if ((now_ - time_point{}) % milliseconds(100) == duration(0)) {
         ExchangeReports();
       }
@@ -84,6 +111,8 @@
   std::size_t sound_calls() const { return sound_calls_; }
   std::size_t sound_refused() const { return sound_refused_; }
   std::size_t deadly_answered() const { return deadly_answered_; }
+  // Whether no instance had more to send at once than one message holds.
+  bool fits_one_message() const { return fits_one_message_; }
   time_point now() const { return now_; }
   const crash_suspects& suspects(std::size_t instance) const {
     return suspects_[instance];
@@ -91,6 +120,8 @@
 
  private:
   static constexpr duration kStep = milliseconds(5);
+  static constexpr duration kWaveStart = seconds(2);
+  static constexpr duration kShortestAnswer = milliseconds(60);
   static constexpr duration kRestartTime = milliseconds(3'400);
 
   struct call {
@@ -150,7 +181,11 @@
       sent.upstream = (sent.upstream + 1) % options_.upstreams;
     }
     ++sent.attempts;
-    sent.answers_at = now_ + milliseconds(60 + random_() % 200);
+    sent.answers_at =
+        now_ + kShortestAnswer +
+        duration(static_cast<std::int64_t>(
+            Unit() * static_cast<double>(
+                         (options_.longest_answer - kShortestAnswer).count())));
     if (sent.deadly) {
       deadly_sent_.push_back(now_);
     }
@@ -203,14 +238,19 @@
   void ExchangeReports() {
     for (std::size_t from = 0; from < suspects_.size(); ++from) {
       suspects_[from].Sweep(now_);
-      for (const suspect_report& report : suspects_[from].TakeReports(now_)) {
-        for (std::size_t to = 0; to < suspects_.size(); ++to) {
-          if (to != from && Unit() >= options_.lost_reports) {
-            suspects_[to].Merge(report, now_);
-          }
+      const auto reports = suspects_[from].TakeReports(now_);
+      fits_one_message_ =
+          fits_one_message_ && CountForOneReport(reports) == reports.size();
+      if (reports.empty()) {
+        continue;
+      }
+      for (const std::size_t to : DrawRecipients(from)) {
+        if (Unit() >= options_.lost_reports) {
+          under_way_.push_back({now_ + options_.report_delay, to, reports});
         }
       }
     }
+    DeliverReports();
     for (std::size_t i = 0; i < suspects_.size(); ++i) {
       if (auto view = suspects_[i].TakeView(i)) {
         views_[i] = std::move(view);
@@ -218,6 +258,36 @@
     }
   }
 
+  // The instances to which one instance sends a message, as in peer_reporter.
+  std::vector<std::size_t> DrawRecipients(std::size_t from) {
+    std::vector<std::size_t> others;
+    for (std::size_t i = 0; i < suspects_.size(); ++i) {
+      if (i != from) {
+        others.push_back(i);
+      }
+    }
+    std::ranges::shuffle(others, random_);
+    others.resize(
+        std::min(others.size(), store_gossip::Fanout(suspects_.size())));
+    return others;
+  }
+
+  void DeliverReports() {
+    while (!under_way_.empty() && under_way_.front().arrives_at <= now_) {
+      const message& first = under_way_.front();
+      for (const suspect_report& each : first.reports) {
+        suspects_[first.to].Merge(each, now_);
+      }
+      under_way_.pop_front();
+    }
+  }
+
+  struct message {
+    time_point arrives_at;
+    std::size_t to = 0;
+    std::vector<suspect_report> reports;
+  };
+
   options options_;
   std::mt19937 random_;
   time_point now_;
@@ -227,12 +297,17 @@
   std::vector<time_point> restarts_;
   std::vector<std::uint64_t> lifetimes_;
   std::deque<call> running_;
+  // When each upstream of the wave ends.
+  std::vector<std::pair<time_point, std::size_t>> wave_;
+  // In the order in which they arrive.
+  std::deque<message> under_way_;
   std::uint64_t next_id_ = 0;
   bool mended_ = false;
   std::size_t deadly_crashes_ = 0;
   std::size_t deadly_answered_ = 0;
   std::size_t sound_calls_ = 0;
   std::size_t sound_refused_ = 0;
+  bool fits_one_message_ = true;
   std::vector<time_point> deadly_sent_;
   time_point fifth_crash_ = time_point::max();
 };
@@ -314,6 +389,35 @@
   }
 }
 
+// Guards against refusing sound calls, and against exchanging ever more reports
+// of them, while many upstreams end one after the other and the others answer
+// late.
+SCENARIO("Half of the upstreams of a large fleet end within seconds",
+         "[crash_suspects]") {
+  crash_simulation::options options;
+  options.seed = GENERATE(range(1U, 11U));
+  options.deadly_share = 0;
+  options.instances = 100;
+  options.upstreams = 80;
+  options.calls_per_second = 180;
+  options.first_parts = 4;
+  options.middle_parts = 400;
+  options.longest_answer = seconds(2);
+  options.report_delay = milliseconds(100);
+  options.wave = seconds(3);
+  CAPTURE(options.seed);
+  crash_simulation simulation(options);
+  simulation.Run(seconds(20));
+
+  THEN("hardly any call is refused") {
+    CAPTURE(simulation.sound_refused(), simulation.sound_calls());
+    REQUIRE(simulation.sound_refused() * 100 <= simulation.sound_calls());
+  }
+  THEN("no instance sends more than one message to a few others at a time") {
+    REQUIRE(simulation.fits_one_message());
+  }
+}
+
 // Guards against a verdict that outlives its cause.
 SCENARIO("A blocked part is tried again and cleared by an answer",
          "[crash_suspects]") {
@@ -536,6 +640,48 @@
   }
 }
 
+// Guards against instances that don't learn of a crash because its observer
+// tells a few others only, and against reports that are passed on for ever.
+SCENARIO("What is new in a report is passed on once", "[crash_suspects]") {
+  crash_suspects observer;
+  crash_suspects receiver;
+  const std::vector<std::uint64_t> parts = {1};
+  time_point now(seconds(1));
+  observer.RecordCrash(parts, {5, 5, now});
+  const auto observed = observer.TakeReports(now);
+  REQUIRE(observed.size() == 1);
+
+  GIVEN("a report of a crash") {
+    receiver.Merge(observed[0], now);
+    THEN("its receiver passes it on") {
+      REQUIRE(receiver.TakeReports(now).size() == 1);
+      REQUIRE(receiver.TakeReports(now).empty());
+    }
+    AND_WHEN("it comes again, and late") {
+      receiver.TakeReports(now);
+      receiver.Merge(observed[0], now + seconds(1));
+      THEN("it is not passed on again") {
+        REQUIRE(receiver.TakeReports(now + seconds(1)).empty());
+      }
+    }
+    AND_WHEN("another instance reports an answer after it") {
+      receiver.TakeReports(now);
+      const suspect_report answered{1, duration(0), std::nullopt, {}};
+      receiver.Merge(answered, now + seconds(1));
+      THEN("it is passed on, and not again when it comes late") {
+        REQUIRE(receiver.TakeReports(now + seconds(1)).size() == 1);
+        receiver.Merge(answered, now + seconds(2));
+        REQUIRE(receiver.TakeReports(now + seconds(2)).empty());
+      }
+      THEN("a late report of the crash before it has no effect") {
+        receiver.TakeReports(now + seconds(1));
+        receiver.Merge(observed[0], now + seconds(3));
+        REQUIRE(receiver.TakeReports(now + seconds(3)).empty());
+      }
+    }
+  }
+}
+
 // Guards against verdicts that end, or trials that never come, because
 // instances repeat each other's reports and each delay adds to their times.
 SCENARIO("Reports that go round don't move their times", "[crash_suspects]") {
