--- a/links/crash_suspects.cc
+++ b/links/crash_suspects.cc
@@ -13,6 +13,9 @@
 
 // A caller may send any number of parts; sound prompts have a few.
 constexpr std::size_t kMaxParts = 16;
+// A part that crashes upstreams explains at least one in this many of the ends
+// that occur meanwhile, also while another part or a few failures cause others.
+constexpr std::size_t kMinShareDivisor = 3;
 
 // Returns when each of the upstreams ended that ended one after the other.
 std::vector<time_point> SuccessiveCrashes(
@@ -372,7 +375,7 @@
   }
   const auto all = static_cast<std::size_t>(std::ranges::count_if(
       ended_, [since](const auto& each) { return each.second >= since; }));
-  return under_part.size() * 3 >= all;
+  return under_part.size() * kMinShareDivisor >= all;
 }
 
 std::vector<std::uint64_t> crash_suspects::Alternatives(
--- a/links/crash_suspects.h
+++ b/links/crash_suspects.h
@@ -205,9 +205,10 @@
   // Returns whether the answer came after a crash that had been known.
   bool SetAnswered(std::uint64_t part, suspect& known, time_point at);
   void UpdateVerdict(std::uint64_t part, suspect& known);
-  // Whether most of the upstreams that ended while the latest crashes of a part
-  // occurred ended under it. Otherwise the crashes have another cause, which
-  // finds popular parts at many upstreams.
+  // Whether a considerable share of the upstreams that ended while the latest
+  // crashes of a part occurred ended under it. Otherwise the crashes have
+  // another cause, which finds popular parts at many upstreams. Not a majority,
+  // since two parts may crash upstreams at the same time.
   bool ExplainsCrashes(const suspect& known) const;
   // Passes on what another instance has reported.
   static void Forward(suspect& known) {
