Retry failed reads of the store at a constant rate

Callers get 503 instead of their answer, or the answer of an outdated manifest, for up to half a minute after the store is back: when it is away for a few seconds, the reads of all instances fail within a quarter of the apply time, and each waited between half and one and a half times the average pause, which grows with the instances (30 s for 295). Nobody tried in the first half of it. An instance whose read had failed also kept that pause after others had confirmed its view.

The pause has an exponential distribution now, so that the attempts of all have the same rate from the first moment on, and ends when the view is confirmed.

--- a/instances/store_gossip.cc
+++ b/instances/store_gossip.cc
@@ -56,10 +56,12 @@
 void store_gossip::RecordFailedRead(std::size_t members, time_point now) {
   const duration average = std::max(
       apply_time_ / 8, kProbeInterval * static_cast<std::int64_t>(members));
-  retry_read_at_ = deadline::After(
-      now,
-      duration(static_cast<std::int64_t>(static_cast<double>(average.count()) *
-                                         (0.5 + random_.NextUnit()))));
+  // An exponential distribution, so that the attempts of all have a constant
+  // rate also if their reads failed at the same time.
+  const double unit = std::max(random_.NextUnit(), 0x1p-53);
+  const duration drawn(static_cast<std::int64_t>(
+      static_cast<double>(average.count()) * -std::log(unit)));
+  retry_read_at_ = deadline::After(now, std::max(drawn, apply_time_ / 16));
 }
 
 store_gossip::next_action store_gossip::Take(
@@ -194,6 +196,8 @@
   if (!confirmed_at_ || at > *confirmed_at_) {
     confirmed_at_ = at;
     read_at_.reset();
+    // The store answers again.
+    retry_read_at_ = deadline(time_point::min());
   }
 }
 
