Keep what others claim while the store is read

An instance that reads the store because it lacks a manifest, and hears of a still newer one before the answer comes, took the manifest that it had read for the newest: the claim was dropped, since the instance had lagged before the read began. It then denied calls that the newer manifest allows, for up to three quarters of the apply time, and didn't read the store again for it.

A read refutes only claims that were known when it began. The new scenario failed before.

--- a/instances/store_gossip.cc
+++ b/instances/store_gossip.cc
@@ -39,13 +39,12 @@
 
 void store_gossip::RecordManifest(std::uint64_t version, time_point now) {
   manifest_version_ = std::max(manifest_version_, version);
-  newest_manifest_ = std::max(newest_manifest_, version);
-  UpdateLag(now);
+  NoteNewest(version, 0, now);
 }
 
 void store_gossip::RecordRead(time_point asked_at, time_point now) {
   Confirm(asked_at);
-  if (lags_since_ && *lags_since_ <= asked_at) {
+  if (lags_since_ && claimed_at_ <= asked_at) {
     // What others were said to have is not in the store.
     newest_manifest_ = manifest_version_;
     newest_through_ = through_;
@@ -75,9 +74,7 @@
   if (news.whole || news.from <= through_) {
     through_ = std::max(through_, news.through);
   }
-  newest_manifest_ = std::max(newest_manifest_, news.manifest_version);
-  newest_through_ = std::max(newest_through_, news.through);
-  UpdateLag(now);
+  NoteNewest(news.manifest_version, news.through, now);
   const bool lacks_some =
       manifest_version_ < news.manifest_version || through_ < news.through;
   if (lacks_some) {
@@ -106,7 +103,17 @@
 }
 
 void store_gossip::NoteManifest(std::uint64_t version, time_point now) {
-  newest_manifest_ = std::max(newest_manifest_, version);
+  NoteNewest(version, 0, now);
+}
+
+void store_gossip::NoteNewest(std::uint64_t manifest_version,
+                              std::uint64_t through,
+                              time_point now) {
+  if (manifest_version > newest_manifest_ || through > newest_through_) {
+    newest_manifest_ = std::max(newest_manifest_, manifest_version);
+    newest_through_ = std::max(newest_through_, through);
+    claimed_at_ = now;
+  }
   UpdateLag(now);
 }
 
--- a/instances/store_gossip.h
+++ b/instances/store_gossip.h
@@ -152,6 +152,10 @@
   // Whether to ask an instance whose view seems to be confirmed until
   // `claimed`.
   bool MayAsk(time_point claimed, time_point now);
+  // Notes what another instance has.
+  void NoteNewest(std::uint64_t manifest_version,
+                  std::uint64_t through,
+                  time_point now);
   // Notes since when this instance has known that it lacks something.
   void UpdateLag(time_point now);
   bool Lags() const {
@@ -168,10 +172,11 @@
   std::uint64_t through_ = 0;
   std::uint64_t manifest_version_ = 0;
   std::optional<time_point> confirmed_at_;
-  // The most that other instances are known to have, and since when this one
-  // has less.
+  // The most that other instances are known to have, when that became known,
+  // and since when this one has less.
   std::uint64_t newest_manifest_ = 0;
   std::uint64_t newest_through_ = 0;
+  time_point claimed_at_ = time_point::min();
   std::optional<time_point> lags_since_;
 
   // What was told last.
--- a/test/correctness/store_gossip_test.cc
+++ b/test/correctness/store_gossip_test.cc
@@ -269,6 +269,32 @@
   }
 }
 
+// Guards against a claim that is dropped since a read that began before it did
+// not find what it is about.
+SCENARIO("A claim arrives while the store is read", "[store_gossip]") {
+  GIVEN("an instance that reads the store because it lacks a manifest") {
+    store_gossip gossip(kApplyTime, 1);
+    const time_point start{seconds(1000)};
+    gossip.RecordManifest(3, start);
+    gossip.RecordList(10, {}, start);
+    gossip.RecordRead(start, start);
+    gossip.NoteManifest(4, start + milliseconds(100));
+    const time_point asked_at = start + milliseconds(300);
+
+    WHEN("a still newer one is reported before the read ends") {
+      gossip.NoteManifest(5, asked_at + milliseconds(2));
+      gossip.RecordManifest(4, asked_at + milliseconds(5));
+      gossip.RecordRead(asked_at, asked_at + milliseconds(5));
+
+      THEN("the manifest that was read is known to be outdated") {
+        REQUIRE(gossip.IsManifestOutdated());
+        REQUIRE(
+            gossip.ManifestValidUntil().Expired(asked_at + milliseconds(5)));
+      }
+    }
+  }
+}
+
 SCENARIO("Instances don't hear each other", "[store_gossip]") {
   GIVEN("300 instances in five groups, and the watchers in the first") {
     gossip_fleet fleet(Options(300));
