--- a/instances/store_gossip.cc
+++ b/instances/store_gossip.cc
@@ -84,6 +84,10 @@
     return next_action::kNone;
   }
   if (news.asked_at) {
+    if (*news.asked_at > now) {
+      // The boot clock has started anew since this address asked.
+      return next_action::kNone;
+    }
     Confirm(*news.asked_at - *news.confirmed_age);
     return next_action::kNone;
   }
--- a/test/correctness/store_gossip_test.cc
+++ b/test/correctness/store_gossip_test.cc
@@ -295,6 +295,32 @@
   }
 }
 
+// Guards against a manifest that is trusted for hours because an answer bears
+// the time of a clock that has started anew since.
+SCENARIO("An answer names a question of the future", "[store_gossip]") {
+  GIVEN("an instance that has not confirmed its view") {
+    store_gossip gossip(kApplyTime, 1);
+    const time_point now{seconds(1000)};
+    gossip.RecordManifest(3, now);
+    gossip.RecordList(10, {}, now);
+
+    WHEN("it gets an answer to a question that it has yet to ask") {
+      store_news news;
+      news.manifest_version = 3;
+      news.through = 10;
+      news.from = 10;
+      news.confirmed_age = milliseconds(100);
+      news.asked_at = now + std::chrono::hours(24);
+      gossip.Take(news, {}, now);
+
+      THEN("its view is not confirmed by it") {
+        REQUIRE_FALSE(gossip.confirmed_at().has_value());
+        REQUIRE(gossip.ManifestValidUntil().Expired(now));
+      }
+    }
+  }
+}
+
 SCENARIO("Instances don't hear each other", "[store_gossip]") {
   GIVEN("300 instances in five groups, and the watchers in the first") {
     gossip_fleet fleet(Options(300));
