Fetch all upstreams from an instance that was away

Calls were sent for good to an upstream that the store no longer has, on all instances. A watcher that had been paused or cut off read the list of upstreams; an upstream that had joined and left meanwhile is not in it, so the watcher didn't know of its removal, but told the others that its changes were complete. They confirmed their views by it and never read the store themselves.

A list that replaces a view that was not confirmed within the apply time doesn't vouch for removals before it any more; others then fetch all entries.

--- a/instances/store_gossip.cc
+++ b/instances/store_gossip.cc
@@ -25,7 +25,11 @@
 void store_gossip::RecordList(std::uint64_t through,
                               std::span<const upstream_change> changes,
                               time_point now) {
-  if (through_ == 0) {
+  // A list doesn't show the removal of an upstream that joined and left after
+  // this view was confirmed. Others may have it, so they must not take the
+  // changes known here for complete. An upstream lives longer than the apply
+  // time.
+  if (!confirmed_at_ || now - *confirmed_at_ > apply_time_) {
     log_.BeginAt(through);
   }
   Record(changes, through, now);
--- a/test/correctness/store_gossip_test.cc
+++ b/test/correctness/store_gossip_test.cc
@@ -321,6 +321,37 @@
   }
 }
 
+// Guards against a removed upstream that instances use for good because they
+// take news for complete whose sender doesn't know of it: it joined and left
+// while the sender was away.
+SCENARIO("A watcher returns that has missed the life of an upstream",
+         "[store_gossip]") {
+  const auto seed = GENERATE(as<std::uint64_t>(), 1, 2, 3);
+  GIVEN("sixty instances that use an upstream, and the watcher was away") {
+    gossip_fleet_options options = Options(61, seed);
+    options.watchers = 1;
+    gossip_fleet fleet(options);
+    Settle(fleet);
+    fleet.SetGroup(0, 1);
+    fleet.Pause(0, seconds(30));
+    fleet.Run(seconds(5));
+    fleet.PutUpstream(7);
+    fleet.Run(milliseconds(24'980));
+    REQUIRE(fleet.AllUse(7, true));
+
+    WHEN("the upstream is removed just before the watcher is back") {
+      fleet.RemoveUpstream(7);
+      fleet.SetGroup(0, 0);
+
+      THEN("no instance uses the upstream any more within the time") {
+        REQUIRE(
+            fleet.RunUntil([&] { return fleet.AllUse(7, false); }, kApplyTime)
+                .has_value());
+      }
+    }
+  }
+}
+
 SCENARIO("Instances don't hear each other", "[store_gossip]") {
   GIVEN("300 instances in five groups, and the watchers in the first") {
     gossip_fleet fleet(Options(300));
