Keep changes of a list under revisions that are not too old

Instances may use an upstream that leaves, or has left, for good. A change made between two pages was kept under that revision, older than its own; an instance that knew the store up to there got news that claimed to be complete without it.

Changes of a list are kept under the revision of its last page, which is not older than any of them. Lists of several pages from a store were not run.

--- a/entry/store_tracker.h
+++ b/entry/store_tracker.h
@@ -369,7 +369,7 @@
     }
     const std::vector<upstream_change> newer =
         upstreams_.ApplyList(list.version, announced, state_.clock.Now());
-    gossip_.RecordList(list.version, newer, boot_clock_.Now());
+    gossip_.RecordList(list.version, list.read_until, newer, boot_clock_.Now());
   }
 
   // An entry that can't be decoded counts as removed.
--- a/instances/store_gossip.cc
+++ b/instances/store_gossip.cc
@@ -23,6 +23,7 @@
 }
 
 void store_gossip::RecordList(std::uint64_t through,
+                              std::uint64_t read_until,
                               std::span<const upstream_change> changes,
                               time_point now) {
   // A list doesn't show the removal of an upstream that joined and left after
@@ -32,7 +33,7 @@
   if (!confirmed_at_ || now - *confirmed_at_ > apply_time_) {
     log_.BeginAt(through);
   }
-  Record(changes, through, now);
+  Record(changes, read_until, now);
   through_ = std::max(through_, through);
   UpdateLag(now);
 }
--- a/instances/store_gossip.h
+++ b/instances/store_gossip.h
@@ -48,9 +48,11 @@
                    std::uint64_t through,
                    std::span<const upstream_change> changes,
                    time_point now);
-  // The store has listed the upstreams at revision `through`; `changes` are
-  // those that were new.
+  // The store has listed the upstreams; `changes` are those that were new. The
+  // list has all changes up to revision `through`, and may have some up to
+  // `read_until`, since long lists are read in several pages.
   void RecordList(std::uint64_t through,
+                  std::uint64_t read_until,
                   std::span<const upstream_change> changes,
                   time_point now);
   // Another instance has reported a change, without saying up to which revision
--- a/test/correctness/store_gossip_test.cc
+++ b/test/correctness/store_gossip_test.cc
@@ -190,7 +190,7 @@
     store_gossip gossip(kApplyTime, 1);
     const time_point start{seconds(1000)};
     gossip.RecordManifest(3, start);
-    gossip.RecordList(10, {}, start);
+    gossip.RecordList(10, 10, {}, start);
     gossip.RecordRead(start, start);
     REQUIRE_FALSE(gossip.IsManifestOutdated());
 
@@ -276,7 +276,7 @@
     store_gossip gossip(kApplyTime, 1);
     const time_point start{seconds(1000)};
     gossip.RecordManifest(3, start);
-    gossip.RecordList(10, {}, start);
+    gossip.RecordList(10, 10, {}, start);
     gossip.RecordRead(start, start);
     gossip.NoteManifest(4, start + milliseconds(100));
     const time_point asked_at = start + milliseconds(300);
@@ -302,7 +302,7 @@
     store_gossip gossip(kApplyTime, 1);
     const time_point now{seconds(1000)};
     gossip.RecordManifest(3, now);
-    gossip.RecordList(10, {}, now);
+    gossip.RecordList(10, 10, {}, now);
 
     WHEN("it gets an answer to a question that it has yet to ask") {
       store_news news;
@@ -352,6 +352,39 @@
   }
 }
 
+// Guards against a change that no instance gets any more because it is kept
+// under an older revision than its own: the pages of a long list are read one
+// after another, and the list has the revision of the first one.
+SCENARIO("A list contains a change that is newer than its revision",
+         "[store_gossip]") {
+  GIVEN("a list from revision 100 on, read until 104, with a change of 103") {
+    const time_point now{seconds(1000)};
+    upstream_change change;
+    change.version = 103;
+    change.announced.id = "upstream-1";
+    change.announced.draining = true;
+    store_gossip gossip(kApplyTime, 1);
+    gossip.RecordList(100, 104, {&change, 1}, now);
+
+    WHEN("it has watched the store up to revision 105") {
+      gossip.RecordWatch(100, 105, {}, now);
+
+      THEN("an instance that knows the store up to revision 100 gets it") {
+        const store_news news = gossip.NewsAfter(100, now);
+        REQUIRE(news.through == 105);
+        REQUIRE_FALSE(news.whole);
+        REQUIRE(news.changes.size() == 1);
+      }
+
+      THEN("news don't claim to be complete without it") {
+        const auto news = gossip.TakeNews(now);
+        REQUIRE(news.has_value());
+        REQUIRE((news->from >= 103 || news->changes.size() == 1));
+      }
+    }
+  }
+}
+
 SCENARIO("Instances don't hear each other", "[store_gossip]") {
   GIVEN("300 instances in five groups, and the watchers in the first") {
     gossip_fleet fleet(Options(300));
--- a/test/support/gossip_fleet.cc
+++ b/test/support/gossip_fleet.cc
@@ -266,7 +266,7 @@
     listed.push_back(change);
   }
   const auto newer = self.upstreams->ApplyList(copy.revision, listed, now_);
-  self.gossip->RecordList(copy.revision, newer, now_);
+  self.gossip->RecordList(copy.revision, copy.revision, newer, now_);
   self.watched_through = std::max(self.watched_through, copy.revision);
   if (self.manifest_version < copy.manifest_version) {
     self.manifest_version = copy.manifest_version;
--- a/wire/http_object_store.cc
+++ b/wire/http_object_store.cc
@@ -78,6 +78,7 @@
   }
   object_list list;
   list.version = *version;
+  list.read_until = *version;
   for (const json::value& item : items->get_array()) {
     auto object = DecodeObject(item);
     if (!object) {
--- a/wire/object_store.h
+++ b/wire/object_store.h
@@ -25,9 +25,12 @@
   std::string value;
 };
 
-// All objects of a kind at one version of the store.
+// All objects of a kind as of one version of the store.
 struct object_list {
   std::uint64_t version = 0;
+  // Long lists are read in several calls, so the objects may have changes up to
+  // this version; at least `version`.
+  std::uint64_t read_until = 0;
   std::vector<stored_object> objects;
 };
 
