Answer questions of other instances without changes

An instance that lacks some changes and knows many later ones, as while hundreds of upstreams join, put all of these into each answer to another one's question. Such an answer has several packets, and over 64 KB it is not sent at all, so that the other's view is not confirmed by it and its callers may get 503.

The answer names the versions and the time of the confirmation only.

--- a/entry/store_tracker.h
+++ b/entry/store_tracker.h
@@ -86,8 +86,7 @@
   // Applies what a report of another instance says of the store.
   void Take(const peer_report& report) {
     if (report.content == report_content::kNewsQuestion) {
-      store_news news = gossip_.NewsAfter(gossip_.through(), boot_clock_.Now());
-      news.asked_at = report.asked_at;
+      store_news news = gossip_.AnswerTo(report.asked_at, boot_clock_.Now());
       news.fetch_address = fetch_address_;
       reporter_.SendNews(report.address, std::move(news));
       return;
--- a/instances/store_gossip.cc
+++ b/instances/store_gossip.cc
@@ -169,6 +169,16 @@
   return news;
 }
 
+store_news store_gossip::AnswerTo(time_point asked_at, time_point now) const {
+  store_news news;
+  news.manifest_version = manifest_version_;
+  news.through = through_;
+  news.from = through_;
+  news.confirmed_age = ConfirmedAge(now);
+  news.asked_at = asked_at;
+  return news;
+}
+
 deadline store_gossip::NextRead(const reader& self, time_point now) {
   if (!begun_at_) {
     begun_at_ = now;
--- a/instances/store_gossip.h
+++ b/instances/store_gossip.h
@@ -90,6 +90,10 @@
   deadline NextTell() const { return HasNews() ? tell_at_ : deadline::Never(); }
   // Returns what an instance lacks that knows the store up to revision `after`.
   store_news NewsAfter(std::uint64_t after, time_point now) const;
+  // Returns the answer to an instance that asked at `asked_at`, by its clock,
+  // until when this view is confirmed. It holds no changes, of which this
+  // instance may know many without all before them.
+  store_news AnswerTo(time_point asked_at, time_point now) const;
 
   // Whether this instance must read the store now. `watches` says whether it
   // watches the store and, if so, `position` how many others do that come
--- a/test/correctness/store_gossip_test.cc
+++ b/test/correctness/store_gossip_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "test/support/gossip_fleet.h"
+#include "wire/report_codec.h"
 
 namespace anvilloom {
 
@@ -385,6 +386,47 @@
   }
 }
 
+// Guards against answers that are too large for a datagram, so that the views
+// of others can't be confirmed by them.
+SCENARIO("An instance that lacks some changes knows many later ones",
+         "[store_gossip]") {
+  GIVEN("an instance that has got the last 900 of 1,000 changes") {
+    constexpr std::size_t kPacketBytes = 1400;
+    const time_point now{seconds(1000)};
+    store_gossip gossip(kApplyTime, 1);
+    gossip.RecordManifest(1, now);
+    gossip.RecordList(100, 100, {}, now);
+    gossip.RecordRead(now, now);
+    store_news later;
+    later.manifest_version = 1;
+    later.from = 200;
+    later.through = 1100;
+    for (std::uint64_t version = 201; version <= 1100; ++version) {
+      upstream_change change;
+      change.version = version;
+      change.announced.id = "upstream-" + std::to_string(version);
+      change.announced.service = "service";
+      change.announced.address = "10.0.0.1:80";
+      later.changes.push_back(change);
+    }
+    gossip.Take(later, later.changes, now);
+
+    WHEN("another one asks until when its view is confirmed") {
+      peer_report report;
+      report.name = "instance";
+      report.content = report_content::kNews;
+      report.news = gossip.AnswerTo(now, now);
+
+      THEN("the answer fits into one packet") {
+        REQUIRE(EncodePeerReport(report).size() <= kPacketBytes);
+        REQUIRE(report.news->through == 100);
+        REQUIRE(report.news->confirmed_age == duration(0));
+        REQUIRE(report.news->asked_at == now);
+      }
+    }
+  }
+}
+
 SCENARIO("Instances don't hear each other", "[store_gossip]") {
   GIVEN("300 instances in five groups, and the watchers in the first") {
     gossip_fleet fleet(Options(300));
--- a/test/support/gossip_fleet.cc
+++ b/test/support/gossip_fleet.cc
@@ -333,8 +333,7 @@
   if (report->content == report_content::kNewsQuestion) {
     peer_report answer;
     answer.content = report_content::kNews;
-    answer.news = self.gossip->NewsAfter(self.gossip->through(), now_);
-    answer.news->asked_at = report->asked_at;
+    answer.news = self.gossip->AnswerTo(report->asked_at, now_);
     answer.news->fetch_address = Name(index);
     Send(index, Index(report->address), answer);
     return;
