Refuse too large calls as not run while the manifest is in doubt

A call larger than the limits of the manifest in force was ended with 413 or 431, after which callers don't retry, also when nobody knew whether these limits were still in force: the server applied them without asking for the manifest's age, as 404 and 401 already do. Such a call now gets 503 with Retry-After.

error/outdated_limits_test, a gateway that can't read the store while a manifest with larger limits is written: on 413 instead of 503 after the time for a change; passes now, and 413 is still given once the store answers again.

--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -91,6 +91,8 @@
     state_.news_after = [this](std::uint64_t through, std::uint64_t version) {
       return tracker_.AnswerNews(through, version);
     };
+    caller_server_.SetLimitsInDoubt(
+        [this] { return state_.IsManifestInDoubt(); });
     tracker_.SetFetchAddress(
         WithPort(state_.settings.admin_listen, admin_server_.port()));
     Run("join", [this] { return Join(); });
--- a/test/support/platform_system.cc
+++ b/test/support/platform_system.cc
@@ -42,7 +42,8 @@
 }
 
 void platform_system::PutManifest(const std::vector<std::string>& keys,
-                                  std::uint32_t calls_per_second) {
+                                  std::uint32_t calls_per_second,
+                                  const call_size_limits& sizes) {
   std::string list;
   for (const std::string& key : keys) {
     list += (list.empty() ? "\"" : ",\"") + key + '"';
@@ -52,6 +53,10 @@
   text =
       Replace(std::move(text), "%VERSION%", std::to_string(manifest_version_));
   text = Replace(std::move(text), "%KEYS%", list);
+  text = Replace(std::move(text), "%HEADER_BYTES%",
+                 std::to_string(sizes.header_bytes));
+  text = Replace(std::move(text), "%BODY_BYTES%",
+                 std::to_string(sizes.body_bytes));
   const std::string rate = std::to_string(calls_per_second);
   text = Replace(std::move(text), "%LIMIT%",
                  R"("ratePerS":)" + rate + R"(,"burst":)" + rate);
--- a/test/support/platform_system.h
+++ b/test/support/platform_system.h
@@ -34,18 +34,25 @@
      "targetLatencyMs":1000,"service":"desk"}],
   "services":[{"name":"model","engine":{"batchSlots":8,"kvCapacity":100000}},
               {"name":"desk"}],
-  "limits":{"maxHeaderBytes":8192,"maxBodyBytes":65536,
+  "limits":{"maxHeaderBytes":%HEADER_BYTES%,"maxBodyBytes":%BODY_BYTES%,
             "headerTimeoutMs":3000,"idleTimeoutMs":15000},
   "tenants":[{"name":"studio","apiKeys":[%KEYS%],%LIMIT%}]})";
 
+// The largest call that a manifest allows.
+struct call_size_limits {
+  std::uint32_t header_bytes = 8192;
+  std::uint32_t body_bytes = 65536;
+};
+
 class platform_system {
  public:
   platform_system();
 
-  // Writes the next version of the manifest with these keys, and with a limit
-  // in calls per second; 0 means no limit.
+  // Writes the next version of the manifest with these keys, with a limit in
+  // calls per second (0 means no limit), and with limits of the size of a call.
   void PutManifest(const std::vector<std::string>& keys = {"key-1"},
-                   std::uint32_t calls_per_second = 0);
+                   std::uint32_t calls_per_second = 0,
+                   const call_size_limits& sizes = {});
   // Starts an upstream and announces it. Returns its port.
   std::uint16_t StartUpstream(std::string_view id,
                               std::string_view service,
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -49,6 +49,11 @@
 constexpr std::string_view kMalformedRequestBody =
     R"({"error":{"code":"malformed_request","outcome":"not_run",)"
     R"("message":"The request could not be read."}})";
+constexpr std::string_view kLimitsInDoubtBody =
+    R"({"error":{"code":"limits_in_doubt","outcome":"not_run",)"
+    R"("message":"This instance may have old limits."}})";
+// Limits that have changed are usually known after this time.
+constexpr std::string_view kLimitsInDoubtRetryAfter = "0.3";
 constexpr std::string_view kInternalErrorBody =
     R"({"error":{"code":"internal_error","outcome":"unknown",)"
     R"("message":"The request failed inside the instance."}})";
@@ -105,23 +110,6 @@
   }
 }
 
-awaitable<void> RefuseRequest(boost::beast::tcp_stream& stream,
-                              const boost::system::error_code& error,
-                              const http_server_limits& limits) {
-  const std::optional<http_status> status = StatusFor(error);
-  if (!status) {
-    co_return;
-  }
-  Log(log_level::kWarning, log_event::kRequestRejected,
-      {{"status", std::to_string(static_cast<unsigned>(*status))},
-       {"cause", error.message()}});
-  http_exchange exchange(stream, http_request(http::verb::get, "/", 11),
-                         limits);
-  exchange.CloseAfterResponse();
-  co_await exchange.Respond(*status, "application/json", kMalformedRequestBody);
-  co_await Linger(stream);
-}
-
 // Returns the error status for a well-formed request that no handler accepts,
 // or nullopt.
 std::optional<http_status> StatusFor(const http_request& request) {
@@ -353,6 +341,38 @@
        closing_.load(std::memory_order_relaxed) && HasInput(stream));
 }
 
+awaitable<void> http_server::RefuseRequest(
+    boost::beast::tcp_stream& stream,
+    const boost::system::error_code& error,
+    const http_server_limits& limits) const {
+  std::optional<http_status> status = StatusFor(error);
+  if (!status) {
+    co_return;
+  }
+  const bool in_doubt = (error == http::error::header_limit ||
+                         error == http::error::body_limit) &&
+                        limits_in_doubt_();
+  if (in_doubt) {
+    status = http_status::service_unavailable;
+  }
+  Log(log_level::kWarning, log_event::kRequestRejected,
+      {{"status", std::to_string(static_cast<unsigned>(*status))},
+       {"cause", error.message()}});
+  http_exchange exchange(stream, http_request(http::verb::get, "/", 11),
+                         limits);
+  exchange.CloseAfterResponse();
+  if (in_doubt) {
+    const std::array<http_header, 1> headers = {
+        {{"Retry-After", kLimitsInDoubtRetryAfter}}};
+    co_await exchange.Respond(*status, "application/json", kLimitsInDoubtBody,
+                              headers);
+  } else {
+    co_await exchange.Respond(*status, "application/json",
+                              kMalformedRequestBody);
+  }
+  co_await Linger(stream);
+}
+
 awaitable<bool> http_server::ServeRequest(boost::beast::tcp_stream& stream,
                                           boost::beast::flat_buffer& buffer,
                                           std::size_t thread) {
--- a/wire/http_server.h
+++ b/wire/http_server.h
@@ -67,6 +67,14 @@
   // period, so it must not be called on a thread that serves requests.
   void UpdateLimits(const http_server_limits& limits);
 
+  // While `in_doubt` returns true, larger limits may be in force elsewhere, so
+  // a request that exceeds the known ones is refused with 503 instead of 413 or
+  // 431, after which clients don't retry. `in_doubt` is called on the threads
+  // of the pool. Must be called before the pool starts.
+  void SetLimitsInDoubt(std::function<bool()> in_doubt) {
+    limits_in_doubt_ = std::move(in_doubt);
+  }
+
   // Closes each connection after its next response, while new connections and
   // requests are still served.
   void BeginDrain() { draining_.store(true, std::memory_order_relaxed); }
@@ -103,6 +111,10 @@
   awaitable<bool> ServeRequest(boost::beast::tcp_stream& stream,
                                boost::beast::flat_buffer& buffer,
                                std::size_t thread);
+  // Answers a request that could not be read.
+  awaitable<void> RefuseRequest(boost::beast::tcp_stream& stream,
+                                const boost::system::error_code& error,
+                                const http_server_limits& limits) const;
   // Waits for the first byte of a request; returns false if the connection was
   // closed, cancelled or timed out.
   awaitable<bool> AwaitRequest(boost::beast::tcp_stream& stream,
@@ -121,6 +133,7 @@
   http_server_limits CurrentLimits() const;
 
   rcu_cell<http_server_limits> limits_;
+  std::function<bool()> limits_in_doubt_ = [] { return false; };
   internal::handler_function handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::uint16_t port_;
