Apply larger limits to the headers of open connections

A call with a header that only a newer manifest allows got 400 on a connection that was opened before that manifest, although UpdateLimits() promises that the limits hold from the next request on: the buffer of a connection kept the size of the time at which it was opened, 64 KiB above the header limit. Its size is now set for each request.

error/outdated_limits_test, a header of 160 KB with an unknown key under a limit of 256 KiB, on a connection opened under 8 KiB: 400 on, 401 now, as on a new connection.

--- a/test/error/outdated_limits_test.cc
+++ b/test/error/outdated_limits_test.cc
@@ -105,4 +105,34 @@
   }
 }
 
+// Guards against a connection that keeps the limits of the time at which it was
+// opened.
+SCENARIO("A manifest with larger limits takes effect on an open connection",
+         "[outdated_limits]") {
+  GIVEN("a connection that was opened before") {
+    platform_system system;
+    system.PutManifest();
+    const std::uint16_t port = system.StartGateway("gateway");
+    system.StartUpstream("desk-1", "desk");
+    REQUIRE(system.AwaitReady("gateway"));
+    REQUIRE(system.AwaitUpstreams("gateway", 1));
+    raw_connection connection(port);
+    connection.Send(Head(0));
+    REQUIRE(FirstStatus(connection.ReadUntil("}", seconds(2))) == 200);
+
+    WHEN("the manifest is in force and a large header arrives on it") {
+      system.PutManifest({"key-1"}, 0, kLargerSizes);
+      std::this_thread::sleep_for(kApplyTime);
+      REQUIRE(StatusOf(port, CallWithLargeBody()) == 200);
+      // Ends at the gateway, since the stand-in takes no header of this size.
+      connection.Send(CallWithLargeHeader("unknown"));
+
+      THEN("the header is read") {
+        REQUIRE(FirstStatus(connection.ReadUntil("\r\n\r\n", kReadTimeout)) ==
+                401);
+      }
+    }
+  }
+}
+
 }  // namespace anvilloom
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -300,11 +300,7 @@
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   boost::beast::tcp_stream stream(std::move(socket));
-  // Holds a header, or a part of the body. Without a limit it would grow with a
-  // chunk header or a trailer that never ends.
-  constexpr std::size_t kBodyPartBytes = std::size_t{64} * 1024;
-  boost::beast::flat_buffer buffer(CurrentLimits().header_bytes +
-                                   kBodyPartBytes);
+  boost::beast::flat_buffer buffer;
   bool more = true;
   while (more) {
     more = co_await ServeRequest(stream, buffer, thread) &&
@@ -384,6 +380,13 @@
   const http_server_limits limits = CurrentLimits();
   parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
   parser.body_limit(limits.body_bytes);
+  // Holds a header, or a part of the body, beside what has arrived of further
+  // requests. Without a limit it would grow with a chunk header or a trailer
+  // that never ends. Set for each request, since the limits may have changed
+  // since the connection was opened.
+  constexpr std::size_t kBodyPartBytes = std::size_t{64} * 1024;
+  buffer.max_size(
+      std::max(limits.header_bytes + kBodyPartBytes, buffer.size()));
   // A single timeout covers header and body, so that a client cannot hold a
   // connection by sending one byte at a time.
   stream.expires_after(limits.read_timeout);
