Keep upstreams whose entries lapse in an outage on every instance

At the end of a store outage in which entries of live upstreams had lapsed, instances that don't watch the store stopped to use these upstreams until the entries were back, and callers got 503. announced_upstreams delays a removal after an outage, but only the follower of a watching instance told it of one; the others took the removal from news, or from their own read of the store, as definite. So did a watching one whose watch hung until its time limit of 10 s.

An instance now also counts the store as away when its own read has failed or takes long, until something read later is known.

--- a/entry/store_tracker.h
+++ b/entry/store_tracker.h
@@ -101,6 +101,7 @@
       return;
     }
     const time_point now = boot_clock_.Now();
+    NoteSlowRead();
     gossip_.NoteManifest(report.manifest_version, now);
     for (const upstream_change& each :
          upstreams_.ApplyChanges(report.changes, state_.clock.Now())) {
@@ -215,6 +216,7 @@
 
   awaitable<void> ReadStore() {
     const time_point asked_at = boot_clock_.Now();
+    reading_since_ = asked_at;
     const deadline until =
         deadline::After(state_.clock.Now(), gossip_.read_timeout());
     const auto object = co_await store_.Get(Platform::kManifestKind,
@@ -223,7 +225,11 @@
       ApplyManifest(*object, "read");
     }
     const bool has_answer = object || object.error() == store_error::kNotFound;
+    if (!has_answer) {
+      NoteOutage(asked_at);
+    }
     const auto list = co_await store_.List(Platform::kUpstreamKind, until);
+    NoteSlowRead();
     if (list) {
       ApplyUpstreams(*list);
     }
@@ -231,12 +237,39 @@
     if (has_answer && list) {
       gossip_.RecordRead(asked_at, boot_clock_.Now());
     } else {
+      NoteOutage(asked_at);
       gossip_.RecordFailedRead(reporter_.peer_reports().Members(),
                                boot_clock_.Now());
     }
+    reading_since_.reset();
     HandleChange();
   }
 
+  // Notes that a read of the store that began at `asked_at` has not been
+  // answered, so that entries which are missing from now on may have lapsed in
+  // an outage. A view that is merely late says nothing of the store.
+  void NoteOutage(time_point asked_at) {
+    outage_seen_at_ = asked_at;
+    upstreams_.SetStoreReachable(false, state_.clock.Now());
+  }
+
+  // The same for a read that takes long: others may have found out before it
+  // ends that the store answers again.
+  void NoteSlowRead() {
+    if (reading_since_ &&
+        boot_clock_.Now() - *reading_since_ >= gossip_.fetch_timeout()) {
+      NoteOutage(*reading_since_);
+    }
+  }
+
+  // Ends the outage once a view that was read after it began is known.
+  void NoteOutageEnd() {
+    if (outage_seen_at_ && gossip_.confirmed_at() > outage_seen_at_) {
+      outage_seen_at_.reset();
+      upstreams_.SetStoreReachable(true, state_.clock.Now());
+    }
+  }
+
   // Fetches what this instance lacks from one that has sent news.
   awaitable<void> Fetch(std::string address) {
     const time_point asked_at = boot_clock_.Now();
@@ -266,6 +299,7 @@
   // fetch has none, since it leaves nothing to ask for.
   void TakeNews(const store_news& news, std::string_view sender) {
     const time_point now = state_.clock.Now();
+    NoteSlowRead();
     if (news.document) {
       ApplyManifest({std::string(Platform::kManifestName),
                      news.document->revision, news.document->text},
@@ -298,6 +332,7 @@
   // Publishes until when the manifest is known to be in force, and passes news
   // on.
   void HandleChange() {
+    NoteOutageEnd();
     if (const auto confirmed_at = gossip_.confirmed_at()) {
       state_.manifest_confirmed_us.store(
           confirmed_at->time_since_epoch().count(), std::memory_order_relaxed);
@@ -432,6 +467,11 @@
   watch_duty watch_duty_;
   // The stored object of the manifest in force, for instances that lack it.
   std::optional<manifest_document> document_;
+  // When the read of the store began that is under way.
+  std::optional<time_point> reading_since_;
+  // When the last read began that was not answered, until the store is known to
+  // have answered a later one.
+  std::optional<time_point> outage_seen_at_;
   // When the calls began that listed the objects last.
   std::optional<time_point> manifest_listed_at_;
   std::optional<time_point> upstreams_listed_at_;
--- a/test/error/manifest_spread_test.cc
+++ b/test/error/manifest_spread_test.cc
@@ -1,7 +1,9 @@
 // Guards against proper calls that are ended with 401 or 404 because an
 // instance applies an outdated manifest: one whose successor waits behind other
 // messages at the instances that relay changes, or one that nobody has compared
-// with the store for longer than a change may take.
+// with the store for longer than a change may take. Also against live upstreams
+// that lose their work because their entries lapsed while nobody could read the
+// store.
 
 #include <algorithm>
 #include <boost/json/parse.hpp>
@@ -30,9 +32,18 @@
 constexpr milliseconds kApplyTime{2000};
 constexpr milliseconds kDrainTime{2000};
 
+// An entry lapses after three missed heartbeats, and the last one before an
+// outage was up to one earlier; with the shortest interval of the requirements.
+constexpr milliseconds kLapseTime{2400};
+// Entries of live upstreams are back this long after the store.
+constexpr milliseconds kReturnTime{1500};
+
 // Reports are as far apart as in a fleet of hundreds.
 constexpr std::string_view kLargeFleetSettings =
     R"(,"report_interval_ms":1000)";
+// Reports are further apart than a short outage of the store lasts.
+constexpr std::string_view kRareReportSettings =
+    R"(,"report_interval_ms":4000)";
 
 constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kUnavailable = 503;
@@ -68,6 +79,12 @@
   void DrainUpstream(std::size_t number) {
     system_.Announce(UpstreamName(number), "model", kUnusedPort, "draining");
   }
+  void AnnounceUpstream(std::size_t number) {
+    system_.Announce(UpstreamName(number), "model", kUnusedPort);
+  }
+  void WithdrawUpstream(std::size_t number) {
+    system_.Withdraw(UpstreamName(number));
+  }
   static std::string UpstreamName(std::size_t number) {
     return "upstream-" + std::to_string(number);
   }
@@ -89,9 +106,14 @@
 
   // Names of the gateways that would send calls to an upstream.
   std::vector<std::string> Using(std::size_t upstream) {
+    return Using(upstream, names_);
+  }
+  // The ones of `gateways` that would.
+  std::vector<std::string> Using(std::size_t upstream,
+                                 const std::vector<std::string>& gateways) {
     const std::string id = "\"" + UpstreamName(upstream) + "\"";
     std::vector<std::string> users;
-    for (const std::string& name : names_) {
+    for (const std::string& name : gateways) {
       const std::string dump =
           Call(system_.port(name + "/admin"), verb::get, "/dump").body;
       if (dump.find(id) != dump.npos) {
@@ -190,6 +212,87 @@
   }
 }
 
+// Guards against work that goes on to an upstream that is gone because a view
+// that is late is taken for a sign of a store outage.
+SCENARIO("An entry is removed while the watching instances are stopped",
+         "[manifest_spread]") {
+  GIVEN("eight gateways, of which the watching ones are paused at once") {
+    gateway_fleet fleet(8);
+    fleet.AnnounceUpstreams(1);
+    REQUIRE(
+        Eventually([&] { return fleet.Using(0).size() == 8; }, seconds(20)));
+    std::vector<std::string> running = fleet.ByRank();
+    const auto first_running = running.begin() + static_cast<std::ptrdiff_t>(
+                                                     watch_duty::kWatcherCount);
+    for (auto name = running.begin(); name != first_running; ++name) {
+      fleet.system().process(*name).Pause();
+    }
+    running.erase(running.begin(), first_running);
+
+    WHEN("the entry of an upstream is removed") {
+      fleet.WithdrawUpstream(0);
+      const auto unused_by = wall_clock::now() + kDrainTime;
+
+      THEN("no other gateway uses it after the time to drain") {
+        std::this_thread::sleep_until(unused_by);
+        const std::vector<std::string> users = fleet.Using(0, running);
+        CAPTURE(users);
+        REQUIRE(users.empty());
+      }
+    }
+  }
+}
+
+// Guards against instances that don't watch the store and drop live upstreams
+// at the end of an outage, since only the watching ones know of it.
+SCENARIO("Entries lapse while nobody can read the store", "[manifest_spread]") {
+  GIVEN("eight gateways whose reads of the store fail") {
+    const std::string action = GENERATE("refuse", "hang");
+    CAPTURE(action);
+    // Others begin to watch once they hear that the watching ones can't, which
+    // takes longer than the outage where reports are far apart.
+    gateway_fleet fleet(8, kRareReportSettings);
+    fleet.AnnounceUpstreams(2);
+    REQUIRE(
+        Eventually([&] { return fleet.Using(0).size() == 8; }, seconds(20)));
+    fleet.system().AddFault(
+        "platform", R"({"action":")" + action +
+                        R"(","method":"GET","path":"/anvilloom/objects")"
+                        R"(,"delay_ms":)" +
+                        (action == "hang" ? "60000" : "0") +
+                        R"(,"count":1000000})");
+    // Ends the watches that had been waiting before.
+    fleet.system().PutManifest();
+    fleet.DrainUpstream(1);
+    std::this_thread::sleep_for(milliseconds(300));
+
+    WHEN("an entry lapses and the store answers again") {
+      std::this_thread::sleep_for(kLapseTime);
+      fleet.WithdrawUpstream(0);
+      Call(fleet.system().port("platform"), verb::delete_, "/faults");
+      const auto back_at = wall_clock::now() + kReturnTime;
+
+      THEN("all use the upstream until the entry is back") {
+        while (wall_clock::now() < back_at) {
+          const std::vector<std::string> users = fleet.Using(0);
+          CAPTURE(users);
+          REQUIRE(users.size() == 8);
+        }
+        fleet.AnnounceUpstream(0);
+        std::this_thread::sleep_for(kApplyTime);
+        REQUIRE(fleet.Using(0).size() == 8);
+      }
+
+      AND_WHEN("the entry doesn't come back") {
+        THEN("none uses the upstream any more") {
+          REQUIRE(
+              Eventually([&] { return fleet.Using(0).empty(); }, seconds(10)));
+        }
+      }
+    }
+  }
+}
+
 SCENARIO("Nobody can read the store", "[manifest_spread]") {
   GIVEN("four gateways whose reads of the store get no answer") {
     gateway_fleet fleet(4);
