Pass on only changes that the own view contains

An instance that had missed a change passed later ones on, although its news vouched for less. Their receivers kept them under the revision of these news, older than their own, and left them out of what they later told others to be all changes. Now an instance passes on only what its view contains, and the rest once the gap is closed.

store_gossip_test, "An instance with a gap passes on what it knows": before, the third instance got one of two changes up to revision 30.

--- a/instances/store_gossip.cc
+++ b/instances/store_gossip.cc
@@ -17,7 +17,7 @@
                                time_point now) {
   Record(changes, through, now);
   if (from <= through_) {
-    through_ = std::max(through_, through);
+    AdvanceTo(through);
   }
   UpdateLag(now);
 }
@@ -34,7 +34,7 @@
     log_.BeginAt(through);
   }
   Record(changes, read_until, now);
-  through_ = std::max(through_, through);
+  AdvanceTo(through);
   UpdateLag(now);
 }
 
@@ -77,7 +77,7 @@
   }
   Record(new_changes, news.through, now);
   if (news.whole || news.from <= through_) {
-    through_ = std::max(through_, news.through);
+    AdvanceTo(news.through);
   }
   NoteNewest(news.manifest_version, news.through, now);
   const bool lacks_some =
@@ -147,7 +147,7 @@
   // Instances that earlier news have missed find the changes since the last two
   // confirmations in these, and need not fetch them.
   upstream_log::extract latest =
-      log_.Latest(now - confirm_interval() * 2, kMaxChangeBytes);
+      log_.Latest(now - confirm_interval() * 2, through_, kMaxChangeBytes);
   store_news news;
   news.manifest_version = manifest_version_;
   news.through = through_;
@@ -158,7 +158,7 @@
 }
 
 store_news store_gossip::NewsAfter(std::uint64_t after, time_point now) const {
-  upstream_log::extract missing = log_.After(after);
+  upstream_log::extract missing = log_.After(after, through_);
   store_news news;
   news.manifest_version = manifest_version_;
   news.through = through_;
@@ -218,6 +218,15 @@
   untold_changes_ = untold_changes_ || !changes.empty();
 }
 
+void store_gossip::AdvanceTo(std::uint64_t through) {
+  if (through <= through_) {
+    return;
+  }
+  // Changes beyond a gap have not been passed on yet.
+  untold_changes_ = untold_changes_ || log_.HasAfter(through_);
+  through_ = through;
+}
+
 void store_gossip::Confirm(time_point at) {
   if (!confirmed_at_ || at > *confirmed_at_) {
     confirmed_at_ = at;
--- a/instances/store_gossip.h
+++ b/instances/store_gossip.h
@@ -152,6 +152,8 @@
   void Record(std::span<const upstream_change> changes,
               std::uint64_t through,
               time_point now);
+  // The view contains all changes up to this revision from now on.
+  void AdvanceTo(std::uint64_t through);
   // Whether there is something to pass on.
   bool HasNews() const;
   void Confirm(time_point at);
--- a/instances/store_news.h
+++ b/instances/store_news.h
@@ -25,8 +25,10 @@
 struct store_news {
   std::uint64_t manifest_version = 0;
   std::uint64_t through = 0;
-  // `changes` holds all changes with revisions above `from`, up to `through`. A
-  // receiver that does not know all changes up to `from` has missed some.
+  // `changes` holds all changes with revisions above `from`, up to `through`,
+  // and none beyond: the receiver keeps them under `through` and vouches for
+  // them to others. A receiver that does not know all changes up to `from` has
+  // missed some.
   std::uint64_t from = 0;
   // Whether `changes` holds all entries that exist, and any other one is gone.
   bool whole = false;
--- a/instances/upstream_log.cc
+++ b/instances/upstream_log.cc
@@ -22,14 +22,16 @@
   forgotten_through_ = std::max(forgotten_through_, through);
 }
 
-upstream_log::extract upstream_log::After(std::uint64_t after) const {
+upstream_log::extract upstream_log::After(std::uint64_t after,
+                                          std::uint64_t through) const {
   extract found;
   found.from = after;
   found.whole = after < forgotten_through_;
   const auto begin = found.whole
                          ? changes_.begin()
                          : changes_.lower_bound({after + 1, std::string()});
-  for (auto at = begin; at != changes_.end(); ++at) {
+  for (auto at = begin; at != changes_.end() && at->first.first <= through;
+       ++at) {
     if (!found.whole || !at->second.change.removed) {
       found.changes.push_back(at->second.change);
     }
@@ -38,21 +40,25 @@
 }
 
 upstream_log::extract upstream_log::Latest(time_point since,
+                                           std::uint64_t through,
                                            std::size_t max_bytes) const {
   extract found;
   found.from = forgotten_through_;
   std::size_t bytes = 0;
-  for (auto group = changes_.rbegin(); group != changes_.rend();) {
+  const auto first = std::find_if(
+      changes_.rbegin(), changes_.rend(),
+      [through](const auto& each) { return each.first.first <= through; });
+  for (auto group = first; group != changes_.rend();) {
     // Changes that the same revision covers belong together.
-    const std::uint64_t through = group->first.first;
+    const std::uint64_t revision = group->first.first;
     auto end = group;
     bool recent = true;
-    for (; end != changes_.rend() && end->first.first == through; ++end) {
+    for (; end != changes_.rend() && end->first.first == revision; ++end) {
       recent = recent && end->second.learned_at >= since;
       bytes += MessageBytes(end->second.change);
     }
     if (!recent || bytes > max_bytes) {
-      found.from = std::max(found.from, through);
+      found.from = std::max(found.from, revision);
       break;
     }
     for (; group != end; ++group) {
--- a/instances/upstream_log.h
+++ b/instances/upstream_log.h
@@ -35,13 +35,20 @@
     bool whole = false;
     std::vector<upstream_change> changes;
   };
-  // The changes after a revision; all entries if some removals after it are not
-  // known.
-  extract After(std::uint64_t after) const;
+  // The changes after a revision, up to `through`; all entries if some removals
+  // after it are not known.
+  extract After(std::uint64_t after, std::uint64_t through) const;
 
-  // Returns the changes learned at `since` or later, as far as they fit into
-  // `max_bytes` of a message; later changes come first.
-  extract Latest(time_point since, std::size_t max_bytes) const;
+  // Returns the changes up to revision `through` learned at `since` or later,
+  // as far as they fit into `max_bytes` of a message; later changes come first.
+  extract Latest(time_point since,
+                 std::uint64_t through,
+                 std::size_t max_bytes) const;
+
+  // Whether there are changes after a revision.
+  bool HasAfter(std::uint64_t revision) const {
+    return !changes_.empty() && changes_.rbegin()->first.first > revision;
+  }
 
   // Forgets the removals learned before `before`.
   void ForgetRemovals(time_point before);
--- a/test/correctness/store_gossip_test.cc
+++ b/test/correctness/store_gossip_test.cc
@@ -6,7 +6,10 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <span>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "test/support/gossip_fleet.h"
 #include "wire/report_codec.h"
@@ -386,6 +389,85 @@
   }
 }
 
+// Guards against an upstream's leaving that some instances never learn of: one
+// that lacks earlier changes passed it on as if its own view contained it, so
+// that its receivers kept it under an older revision than its own, and left it
+// out of what they told others to be complete.
+SCENARIO("An instance with a gap passes on what it knows", "[store_gossip]") {
+  const time_point now{seconds(1000)};
+  const auto change_of = [](std::uint64_t version, std::string id) {
+    upstream_change change;
+    change.version = version;
+    change.announced.id = std::move(id);
+    change.announced.draining = true;
+    return change;
+  };
+  const upstream_change earlier = change_of(20, "upstream-1");
+  const upstream_change later = change_of(30, "upstream-2");
+
+  GIVEN("three instances that know the store up to revision 10") {
+    std::vector<store_gossip> fleet;
+    for (std::uint64_t i = 0; i < 3; ++i) {
+      fleet.emplace_back(kApplyTime, i);
+      fleet.back().RecordList(10, 10, {}, now);
+      fleet.back().RecordRead(now, now);
+      fleet.back().TakeNews(now);
+    }
+    store_gossip& with_gap = fleet[0];
+    store_gossip& between = fleet[1];
+    store_gossip& last = fleet[2];
+
+    WHEN("the first one gets the change of revision 30 without that of 20") {
+      store_news partial;
+      partial.from = 20;
+      partial.through = 30;
+      partial.changes = {later};
+      REQUIRE(with_gap.Take(partial, partial.changes, now) ==
+              store_gossip::next_action::kFetch);
+
+      THEN("it passes on nothing that its view doesn't contain") {
+        const auto news = with_gap.TakeNews(now + seconds(1));
+        REQUIRE((!news || news->changes.empty()));
+        REQUIRE(with_gap.NewsAfter(10, now).changes.empty());
+      }
+
+      AND_WHEN("the second one hears of both changes, one after the other") {
+        between.Take(with_gap.NewsAfter(10, now),
+                     with_gap.NewsAfter(10, now).changes, now);
+        store_news complete;
+        complete.from = 10;
+        complete.through = 30;
+        complete.changes = {earlier, later};
+        // Those that are new to its upstreams.
+        const auto known = with_gap.NewsAfter(10, now).changes.size();
+        between.Take(complete, std::span(complete.changes).first(2 - known),
+                     now);
+
+        THEN("the third one gets both from it") {
+          const store_news news = between.NewsAfter(last.through(), now);
+          REQUIRE(news.through == 30);
+          REQUIRE(news.changes.size() == 2);
+        }
+      }
+
+      AND_WHEN("it has got what it lacked") {
+        store_news missing;
+        missing.from = 10;
+        missing.through = 30;
+        missing.changes = {earlier, later};
+        with_gap.Take(missing, std::span(missing.changes).first(1), now);
+
+        THEN("it passes both on") {
+          const auto news = with_gap.TakeNews(now + seconds(1));
+          REQUIRE(news.has_value());
+          REQUIRE(news->through == 30);
+          REQUIRE(news->changes.size() == 2);
+        }
+      }
+    }
+  }
+}
+
 // Guards against answers that are too large for a datagram, so that the views
 // of others can't be confirmed by them.
 SCENARIO("An instance that lacks some changes knows many later ones",
