Show that calls to a store that is away grow with the instances

While no instance reaches the store, each one takes on the watch that nobody has and lists the upstreams again after at most 0.6 s, so the calls grow with the instances, against what docs/fleet_state.md says.

--- a/test/error/manifest_spread_test.cc
+++ b/test/error/manifest_spread_test.cc
@@ -333,4 +333,31 @@
   }
 }
 
+// Guards against calls to a store that is away whose number grows with the
+// instances, since each one takes on the watch that nobody else has.
+SCENARIO("The store refuses all calls for a while", "[manifest_spread]") {
+  GIVEN("forty gateways whose calls for the upstreams are refused") {
+    gateway_fleet fleet(40);
+    // Ten attempts a second of all instances, and those of the watchers.
+    constexpr int kMostCalls = 400;
+    fleet.system().AddFault(
+        "platform",
+        R"({"action":"refuse","method":"GET","path":"/anvilloom/objects/servers",)"
+        R"("count":)" +
+            std::to_string(kMostCalls) + "}");
+    // Ends the watches that had been waiting before.
+    fleet.system().Announce("upstream-1", "model", 9);
+
+    WHEN("twelve seconds have passed") {
+      std::this_thread::sleep_for(seconds(12));
+
+      THEN("they have called it a limited number of times") {
+        REQUIRE(Call(fleet.system().port("platform"), verb::get,
+                     "/anvilloom/objects/servers")
+                    .status == kUnavailable);
+      }
+    }
+  }
+}
+
 }  // namespace anvilloom
