Remember what an engine says after its entry has gone

An engine that says Server-Leaving in an answer gets no call any more in its lifetime, whatever its entry says. That was forgotten if the entry had gone before the answer came: only upstreams that had said so by then were remembered, so the engine got calls again once an older "ready" entry was listed. Upstreams whose entries are gone are now remembered themselves, with what they say later.

error/engine_trouble_test, the new case: false instead of true before, passes now.

--- a/entry/serving_view.cc
+++ b/entry/serving_view.cc
@@ -34,15 +34,14 @@
       return false;
     }
     // The same id belongs to a restarted upstream, or has another address.
-    RememberLeaving(*found->second);
+    Remember(found->second);
     found->second->Leave();
   }
   auto upstream = std::make_shared<pooled_upstream>(announced);
   if (announced.draining) {
     upstream->Leave();
   }
-  if (std::ranges::find(said_leaving_, upstream->hash()) !=
-      said_leaving_.end()) {
+  if (HasSaidLeaving(upstream->hash())) {
     upstream->LeaveByOwnWord();
   }
   upstreams_.insert_or_assign(announced.id, std::move(upstream));
@@ -54,20 +53,28 @@
   if (found == upstreams_.end()) {
     return false;
   }
-  RememberLeaving(*found->second);
+  Remember(found->second);
   found->second->Leave();
   upstreams_.erase(found);
   return true;
 }
 
-void serving_view_builder::RememberLeaving(const pooled_upstream& upstream) {
-  if (!upstream.said_leaving()) {
+void serving_view_builder::Remember(
+    std::shared_ptr<const pooled_upstream> upstream) {
+  remembered_.push_back(std::move(upstream));
+  if (remembered_.size() <= kRememberedLifetimes) {
     return;
   }
-  said_leaving_.push_back(upstream.hash());
-  if (said_leaving_.size() > kRememberedLifetimes) {
-    said_leaving_.pop_front();
-  }
+  // The oldest one that has said nothing.
+  const auto silent = std::ranges::find_if(
+      remembered_, [](const auto& each) { return !each->said_leaving(); });
+  remembered_.erase(silent == remembered_.end() ? remembered_.begin() : silent);
+}
+
+bool serving_view_builder::HasSaidLeaving(std::uint64_t lifetime) const {
+  return std::ranges::any_of(remembered_, [lifetime](const auto& each) {
+    return each->hash() == lifetime && each->said_leaving();
+  });
 }
 
 std::vector<std::string> serving_view_builder::UpstreamIds() const {
--- a/entry/serving_view.h
+++ b/entry/serving_view.h
@@ -59,14 +59,17 @@
   // was away brings entries back.
   static constexpr std::size_t kRememberedLifetimes = 1024;
 
-  // Remembers that the upstream has said that it is leaving.
-  void RememberLeaving(const pooled_upstream& upstream);
+  // Remembers an upstream whose entry has gone or changed. Calls to it may be
+  // under way, and their answers may say later that it is leaving.
+  void Remember(std::shared_ptr<const pooled_upstream> upstream);
+  // Whether a remembered upstream of this lifetime has said that it is leaving.
+  bool HasSaidLeaving(std::uint64_t lifetime) const;
 
   std::shared_ptr<const manifest_index> manifest_;
   std::map<std::string, std::shared_ptr<pooled_upstream>, std::less<>>
       upstreams_;
-  // Hashes of lifetimes that have said that they are leaving, oldest first.
-  std::deque<std::uint64_t> said_leaving_;
+  // Oldest first.
+  std::deque<std::shared_ptr<const pooled_upstream>> remembered_;
   std::map<std::string, std::shared_ptr<service_stats>, std::less<>> stats_;
   std::map<std::string, std::shared_ptr<distributed_rate_limiter>, std::less<>>
       rate_limiters_;
--- a/test/error/engine_trouble_test.cc
+++ b/test/error/engine_trouble_test.cc
@@ -144,6 +144,20 @@
       REQUIRE(builder.Find("e1")->leaving());
     }
   }
+  // Guards against calls to an engine that leaves, since it said so in answers
+  // to calls that were under way when its entry went.
+  WHEN("its entry goes before it says so, and comes back") {
+    announced.id = "e2";
+    builder.Announce(announced);
+    const auto asked = builder.Build()->FindPool("s")->members.at(0);
+    REQUIRE(asked->announced().id == "e2");
+    builder.Remove("e2");
+    asked->LeaveByOwnWord();
+    builder.Announce(announced);
+    THEN("it stays left") {
+      REQUIRE(builder.Find("e2")->leaving());
+    }
+  }
   WHEN("a new lifetime has the same id") {
     announced.born_ms = 6;
     builder.Announce(announced);
