Take a trial that is reported late for the known one

A blocked prompt part was never tried again, so that its callers got 503 for good, once reports took longer than 100 ms to arrive, as at instances that have no processor time left. Since reports are passed on, a trial came back to instances that know it; its age lacks the delay, so it seemed to be a later one, moved the next trial and was passed on again.

Trials are at least two seconds apart, so one that seems to be later by less than half of that is the known one. crash_suspects_test, "A trial that is reported late is the one that is known": two instances with a delay of 300 ms passed it on 100 times in half a minute, and would have gone on; 8 at most now.

--- a/links/crash_suspects.cc
+++ b/links/crash_suspects.cc
@@ -176,7 +176,7 @@
   }
   const auto found = suspects_.find(report.part);
   if (found != suspects_.end() && report.tried_age &&
-      now - *report.tried_age > found->second.tried_at + kReportJitter) {
+      now - *report.tried_age > found->second.tried_at + kTrialJitter) {
     SetTried(found->second, now - *report.tried_age);
     Forward(found->second);
   }
--- a/links/crash_suspects.h
+++ b/links/crash_suspects.h
@@ -188,9 +188,11 @@
   // Time for which an answer is remembered, so that a late report of an earlier
   // crash has no effect.
   static constexpr duration kAnswerLifetime = std::chrono::seconds(30);
-  // Ages in reports grow by the delay of the report. A trial or an answer that
-  // is later by less than this is taken for one that is known.
+  // Ages in reports lack the delay of the report. An answer, or a trial, that
+  // is later by less than this is taken for one that is known. Trials are
+  // passed on, and at least kTrialStagger apart.
   static constexpr duration kReportJitter = std::chrono::milliseconds(100);
+  static constexpr duration kTrialJitter = kTrialStagger / 2;
   // Time for which the end of an upstream is remembered, longer than it takes
   // an ordinary load to show that a part crashes upstreams.
   static constexpr duration kEndedLifetime = std::chrono::minutes(1);
--- a/test/correctness/crash_suspects_test.cc
+++ b/test/correctness/crash_suspects_test.cc
@@ -640,6 +640,46 @@
   }
 }
 
+// Guards against a blocked part that is never tried again, and against reports
+// of a trial that go round for ever, when messages take long to arrive.
+SCENARIO("A trial that is reported late is the one that is known",
+         "[crash_suspects]") {
+  GIVEN("two instances that know of a trial of a blocked part") {
+    crash_suspects one;
+    crash_suspects other;
+    const std::vector<std::uint64_t> parts = {1};
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+      one.RecordCrash(parts, Crash(i, i, seconds(i)));
+    }
+    time_point now(seconds(30));
+    const time_point due = now + crash_suspects::kMinTrialDelay;
+    one.RecordTrial(parts, now);
+
+    WHEN("they pass on what is new for half a minute with a long delay") {
+      constexpr duration kDelay = milliseconds(300);
+      int passed_on = 0;
+      const auto pass_on = [&](crash_suspects& from, crash_suspects& to) {
+        const auto reports = from.TakeReports(now);
+        now += kDelay;
+        for (const suspect_report& each : reports) {
+          to.Merge(each, now);
+          ++passed_on;
+        }
+      };
+      while (now < due + seconds(10)) {
+        pass_on(one, other);
+        pass_on(other, one);
+      }
+
+      THEN("they do so a few times only, and the next trial is due") {
+        REQUIRE(passed_on <= 8);
+        REQUIRE_FALSE(one.TakeView(0)->BlockedUntil(parts, now));
+        REQUIRE_FALSE(other.TakeView(0)->BlockedUntil(parts, now));
+      }
+    }
+  }
+}
+
 // Guards against instances that don't learn of a crash because its observer
 // tells a few others only, and against reports that are passed on for ever.
 SCENARIO("What is new in a report is passed on once", "[crash_suspects]") {
