--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -82,11 +82,17 @@
 
 cat "$work"/stylist-*.log | grep -v listening | sort -n >"$work/engines.txt"
 {
-  sort -n "$work/other.txt"
-  grep other "$work/engines.txt"
-  sed "s/.*status/status/; s/ bytes.*//" "$work/sound.txt" | sort | uniq -c
+  echo "Sent and answered, as seen by the consumers:"
+  cat "$work/other.txt" "$work/sound.txt" | sort -n
+  echo "Run, as seen by the engines:"
+  cat "$work/engines.txt"
   grep -h prompt_part "$work"/edge-*.log
 } >>"$record"
+sent=$(wc -l <"$work/other.txt")
+served=$(grep -c 'status=200 outcome=complete' "$work/sound.txt")
+if ((sent != rounds * 2 || served < 100)); then
+  give_up "$sent requests with the part were sent, $served sound ones served"
+fi
 fifth=$(awk '$2 == "crashed-by" && ++n == 5 {print $1}' "$work/engines.txt")
 crashes=$(grep -c crashed-by "$work/engines.txt")
 if [ -z "$fifth" ]; then
@@ -97,8 +103,23 @@
 # Sent by an entry instance later than contactMs after the fifth crash.
 late=$(awk -v from=$((fifth + 3000)) \
   '$2 == "ran" && $3 ~ /^other/ && $1 > from' "$work/engines.txt" | wc -l)
+# Sound requests that an engine was running when it crashed later than that.
+lost=$(awk -v from=$((fifth + 3000)) '
+  $2 == "ran" && $3 ~ /^sound/ { running[$4 " " $3] = 1 }
+  $2 == "answered" || $2 == "left-by-caller" { delete running[$4 " " $3] }
+  $2 == "crashed-by" {
+    for (each in running) {
+      split(each, part, " ")
+      if (part[1] == $4) {
+        if ($1 > from) ++lost
+        delete running[each]
+      }
+    }
+  }
+  END { print lost + 0 }' "$work/engines.txt")
 note "engines crashed: $crashes; requests with the part that reached engines" \
-  "later than 3 s after the fifth crash: $late (allowed 3)"
+  "later than 3 s after the fifth crash: $late (allowed 3); sound requests" \
+  "that ran on the engines that crashed then: $lost"
 tail -n 1 "$record"
 if ((late > 3)); then exit 1; fi
 exit 0
--- a/review/support-2/engine.cc
+++ b/review/support-2/engine.cc
@@ -132,30 +132,27 @@
 }
 
 // Creates or replaces the engine's entry in the store.
-void Enter(const options& given, const behaviour& self) {
+void Enter(const options& given,
+           const behaviour& self,
+           std::int64_t born,
+           int sequence) {
   const std::string store = given.Text("store", "");
-  if (store.empty()) {
-    return;
-  }
-  const auto born = std::chrono::duration_cast<std::chrono::milliseconds>(
-                        std::chrono::system_clock::now().time_since_epoch())
-                        .count();
-  const std::string body =
-      R"({"metadata":{"name":")" + self.id + R"("},"spec":{"service":")" +
-      given.Text("service", "") + R"(","address":")" +
-      given.Text("listen", "") + R"(","zone":"zone-a","version":"1",)" +
-      R"("batchSlots":)" + std::to_string(self.slots) +
-      R"(,"state":"ready","coldRemainingMs":0,"sequence":1,"born":)" +
-      std::to_string(born) + "}}";
+  std::ostringstream body;
+  body << R"({"metadata":{"name":")" << self.id << R"("},"spec":{"service":")"
+       << given.Text("service", "") << R"(","address":")"
+       << given.Text("listen", "")
+       << R"(","zone":"zone-a","version":"1","batchSlots":)" << self.slots
+       << R"(,"state":"ready","coldRemainingMs":0,"sequence":)" << sequence
+       << R"(,"born":)" << born << "}}";
   const std::string kind = "/anvilloom/objects/servers";
   for (const std::string& line :
-       {"POST " + kind, "PUT " + kind + "/" + self.id}) {
+       {"PUT " + kind + "/" + self.id, "POST " + kind}) {
     connection channel(Connect(store));
     std::ostringstream sent;
     sent << line
-         << " HTTP/1.1\r\nHost: store\r\nContent-Length: " << body.size()
+         << " HTTP/1.1\r\nHost: store\r\nContent-Length: " << body.str().size()
          << "\r\n\r\n"
-         << body;
+         << body.str();
     channel.Write(sent.str());
     const auto head = channel.ReadHead();
     if (head && head->first_line.find(" 200 ") != std::string::npos) {
@@ -164,12 +161,28 @@
   }
 }
 
+// Enters the engine into the store at each heartbeat.
+void Beat(const options& given, const behaviour& self) {
+  constexpr int kHeartbeatMs = 1200;
+  const auto born = std::chrono::duration_cast<std::chrono::milliseconds>(
+                        std::chrono::system_clock::now().time_since_epoch())
+                        .count();
+  for (int sequence = 1;; ++sequence) {
+    Enter(given, self, born, sequence);
+    Sleep(kHeartbeatMs);
+  }
+}
+
 // Starts the engine again whenever it has ended. Returns in the engine.
 void Supervise(int restart_ms) {
+  const pid_t parent = getpid();
   for (;;) {
     const pid_t child = fork();
     if (child == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);
+      if (getppid() != parent) {
+        _exit(1);  // The parent ended before.
+      }
       return;
     }
     waitpid(child, nullptr, 0);
@@ -194,7 +207,7 @@
   if (restart_ms > 0) {
     review::Supervise(restart_ms);
   }
-  review::Enter(given, self);
+  std::thread([&given, &self] { review::Beat(given, self); }).detach();
   review::Serve(given.Text("listen", "127.0.0.1:9100"),
                 [&self](review::connection& caller, const std::string&) {
                   constexpr int kIdleMs = 15'000;
--- a/review/support-2/platform.cc
+++ b/review/support-2/platform.cc
@@ -1,5 +1,6 @@
 // The platform of the users' pages: the store of objects, which never fails
-// here, and the cloud's calls, which it fences.
+// here, and the cloud's calls, which it fences. Entries of engines change when
+// more than `sequence` changes, and go after three heartbeats of silence.
 //
 // --listen ADDRESS
 
@@ -11,6 +12,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -28,8 +30,19 @@
   std::uint64_t revision = 0;
   std::uint64_t created = 0;
   json::value spec;
+  std::int64_t written_ms = 0;
 };
 
+// Whether two entries differ in more than their `sequence`.
+bool IsSame(json::value left, json::value right) {
+  for (json::value* each : {&left, &right}) {
+    if (each->is_object()) {
+      each->get_object().erase("sequence");
+    }
+  }
+  return left == right;
+}
+
 struct change {
   std::uint64_t revision = 0;
   std::string kind;
@@ -84,6 +97,21 @@
                  members, false);
   }
 
+  // Removes the entries of engines that have been silent for too long.
+  void Expire() {
+    constexpr std::int64_t kSilenceMs = std::int64_t{3} * 1200;
+    const std::scoped_lock lock(mutex_);
+    std::vector<std::string> silent;
+    for (const auto& [name, each] : kinds_["servers"]) {
+      if (SteadyMs() - each.written_ms > kSilenceMs) {
+        silent.push_back(name);
+      }
+    }
+    for (const std::string& name : silent) {
+      Delete("servers", name, 0);
+    }
+  }
+
   static constexpr std::string_view kPrefix = "/anvilloom/objects/";
 
  private:
@@ -161,7 +189,15 @@
     }
     stored& written = objects[name];
     const json::value* spec = members.if_contains("spec");
-    written.spec = spec == nullptr ? json::value() : *spec;
+    const json::value value = spec == nullptr ? json::value() : *spec;
+    written.written_ms = SteadyMs();
+    const bool same =
+        kind == "servers" ? IsSame(written.spec, value) : written.spec == value;
+    if (!create && same) {
+      written.spec = value;
+      return {"200 OK", Encode(name, written)};
+    }
+    written.spec = value;
     written.revision = ++revision_;
     written.created = create ? revision_ : written.created;
     Record(kind, Encode(name, written), false);
