Encode names in requests to the stores

Cause: object_store_client::List() put the name into the query of the next page as it is. The store then read another name, or no request. Both stores' clients did the same with the names in paths, so that a read, the write of a status or a removal could address another object.

Change: wire/http_text encodes names in queries and paths. Names that no path can hold ("", "." and "..") are refused without a call. http_exchange::Query() decodes, and the stand-ins of both stores decode what they are sent; they compared the raw text, so no test could see the fault.

--- a/standins/object_api.cc
+++ b/standins/object_api.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <utility>
 
+#include "wire/http_text.h"
 #include "wire/json_text.h"
 #include "wire/pause.h"
 
@@ -55,10 +56,10 @@
   }
   path.remove_prefix(kObjectsPath.size());
   const std::size_t slash = path.find('/');
-  const std::string_view kind = path.substr(0, slash);
-  const std::string_view name = slash == std::string_view::npos
-                                    ? std::string_view{}
-                                    : path.substr(slash + 1);
+  const std::string kind = PercentDecode(path.substr(0, slash));
+  const std::string name = slash == std::string_view::npos
+                               ? std::string()
+                               : PercentDecode(path.substr(slash + 1));
   const std::optional<fault_rule> fault = faults_.Take(exchange);
   if (co_await ApplyBeforeEffect(exchange, fault)) {
     co_return;
--- /dev/null
+++ b/test/correctness/odd_names_test.cc
@@ -0,0 +1,248 @@
+// Guards against names of store entries that another writer chose and that
+// change the request, the line or the message that they become a part of.
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/printable_text.h"
+#include "platform/object_store_client.h"
+#include "platform/standin/platform_api.h"
+#include "standins/object_api.h"
+#include "wire/http_object_store.h"
+#include "wire/http_server.h"
+#include "wire/http_text.h"
+#include "wire/io_pool.h"
+#include "wire/steady_clock.h"
+
+namespace anvilloom::platform {
+
+namespace {
+
+using namespace std::string_literals;
+
+constexpr std::string_view kKind = "servers";
+constexpr std::string_view kSound =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready"})";
+
+// What stands behind "e06" in the names of odd entries. Without encoding, most
+// of them end a query, a path or a request line.
+std::vector<std::string> OddEndings() {
+  std::vector<std::string> endings = {
+      "&b", "%",   "%2F",     "+b",   "#b",   "?b",      "/b",     "/../b",
+      " b", "\nb", "\r\nA:b", "\x7f", "=b&c", ";b",      "\"b",    "\\b",
+      "\t", "%00", ".",       "..",   "ü",    "\u2028b", "?x=1&y", " HTTP/1.1"};
+  endings.emplace_back(1, '\0');
+  endings.emplace_back(200, 'x');
+  return endings;
+}
+
+deadline Soon() {
+  return deadline::After(steady_source().Now(), std::chrono::seconds(20));
+}
+
+// Runs a coroutine that takes a store of type `Store`, served by `handler`.
+template <typename Store, typename Handler, typename Calls>
+void WithStore(Handler& handler, Calls calls) {
+  io_pool pool(1);
+  http_server server(pool, "127.0.0.1:0", {}, handler);
+  pool.Start();
+  boost::asio::io_context context;
+  Store store(context.get_executor(),
+              "127.0.0.1:" + std::to_string(server.port()));
+  boost::asio::co_spawn(
+      context, calls(store),
+      [](const std::exception_ptr& error) { REQUIRE(!error); });
+  context.run();
+  server.Close();
+  pool.Stop();
+}
+
+std::set<std::string> Names(const object_list& list) {
+  std::set<std::string> names;
+  for (const stored_object& each : list.objects) {
+    names.insert(each.name);
+  }
+  return names;
+}
+
+// The names "e00" to "e13"; a page of the stand-in ends between "e06" and
+// "e07" if an odd name lies there.
+std::vector<std::string> SoundNames() {
+  std::vector<std::string> names(14);
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    names[i] = (i < 10 ? "e0" : "e") + std::to_string(i);
+  }
+  return names;
+}
+
+// Answers each call with a page that depends on the decoded position.
+struct scripted_pages {
+  std::map<std::string, std::string> pages;
+  std::vector<std::string> asked;
+
+  awaitable<void> Handle(http_exchange& exchange, std::size_t /*thread*/) {
+    const std::string after = exchange.Query("after");
+    asked.push_back(after);
+    const auto found = pages.find(after);
+    if (found == pages.end()) {
+      co_await exchange.Respond(http_status::bad_request, "", "");
+      co_return;
+    }
+    co_await exchange.Respond(http_status::ok, "application/json",
+                              found->second);
+  }
+};
+
+}  // namespace
+
+SCENARIO("A list goes on behind an odd name at the end of a page",
+         "[odd_names]") {
+  std::vector<std::string> endings = OddEndings();
+  endings.emplace_back(2'000, 'x');
+  endings.emplace_back(600'000, 'x');
+  for (const std::string& ending : endings) {
+    CAPTURE(ToPrintable(ending.substr(0, 40)), ending.size());
+    platform_api handler;
+    WithStore<object_store_client>(
+        handler, [&](object_store_client& store) -> awaitable<void> {
+          for (const std::string& name : SoundNames()) {
+            const auto made =
+                co_await store.Create(kKind, name, kSound, Soon());
+            REQUIRE(made.has_value());
+          }
+          const auto made =
+              co_await store.Create(kKind, "e06" + ending, "null", Soon());
+          REQUIRE(made.has_value());
+          const auto list = co_await store.List(kKind, Soon());
+          CHECK(list.has_value());
+          if (list) {
+            CHECK(list->objects.size() == SoundNames().size() + 1);
+            const std::set<std::string> names = Names(*list);
+            for (const std::string& name : SoundNames()) {
+              CHECK(names.contains(name));
+            }
+          }
+        });
+  }
+}
+
+SCENARIO("A call for an object with an odd name reaches this object alone",
+         "[odd_names]") {
+  const auto check = [](auto& store, std::string name,
+                        std::string_view neighbour) -> awaitable<void> {
+    const auto created = co_await store.Create(kKind, name, "1", Soon());
+    REQUIRE(created.has_value());
+    const auto read = co_await store.Get(kKind, name, Soon());
+    CHECK((read && read->name == name && read->value == "1"));
+    const auto updated =
+        co_await store.Update(kKind, name, *created, "2", Soon());
+    CHECK(updated.has_value());
+    const auto deleted =
+        co_await store.Delete(kKind, name, updated ? *updated : 0, Soon());
+    CHECK(deleted.has_value());
+    const auto gone = co_await store.Get(kKind, name, Soon());
+    CHECK((!gone && gone.error() == store_error::kNotFound));
+    const auto kept = co_await store.Get(kKind, neighbour, Soon());
+    CHECK((kept && kept->value == "0"));
+  };
+  GIVEN("the platform's store") {
+    platform_api handler;
+    WithStore<object_store_client>(
+        handler, [&](object_store_client& store) -> awaitable<void> {
+          const auto made = co_await store.Create(kKind, "e06", "0", Soon());
+          REQUIRE(made.has_value());
+          for (const std::string& ending : OddEndings()) {
+            const std::string name = "e06" + ending;
+            CAPTURE(ToPrintable(name));
+            co_await check(store, name, "e06");
+            const auto created =
+                co_await store.Create(kKind, name, "1", Soon());
+            const auto noted = co_await store.UpdateStatus(
+                kKind, name, created ? *created : 0, R"({"step":1})", Soon());
+            CHECK(noted.has_value());
+            const auto read = co_await store.Get(kKind, name, Soon());
+            CHECK((read && read->status == R"({"step":1})"));
+          }
+        });
+  }
+  GIVEN("an object API") {
+    object_api handler;
+    WithStore<http_object_store>(
+        handler, [&](http_object_store& store) -> awaitable<void> {
+          const auto made = co_await store.Create(kKind, "e06", "0", Soon());
+          REQUIRE(made.has_value());
+          for (const std::string& ending : OddEndings()) {
+            CAPTURE(ToPrintable(ending));
+            co_await check(store, "e06" + ending, "e06");
+          }
+        });
+  }
+}
+
+SCENARIO("A name that no path can hold is refused without a call",
+         "[odd_names]") {
+  scripted_pages handler;
+  for (const std::string_view name : {"", ".", ".."}) {
+    WithStore<object_store_client>(
+        handler, [&](object_store_client& store) -> awaitable<void> {
+          const auto read = co_await store.Get(kKind, name, Soon());
+          CHECK((!read && read.error() == store_error::kRefused));
+          const auto removed = co_await store.Delete(kKind, name, 4, Soon());
+          CHECK((!removed && removed.error() == store_error::kRefused));
+        });
+    WithStore<http_object_store>(
+        handler, [&](http_object_store& store) -> awaitable<void> {
+          const auto read = co_await store.Get(kKind, name, Soon());
+          CHECK((!read && read.error() == store_error::kRefused));
+          const auto removed = co_await store.Delete(kKind, name, 4, Soon());
+          CHECK((!removed && removed.error() == store_error::kRefused));
+        });
+  }
+  REQUIRE(handler.asked.empty());
+}
+
+SCENARIO("Text of any content becomes a part of a request or a line",
+         "[odd_names]") {
+  std::string all;
+  for (int byte = 0; byte < 256; ++byte) {
+    all += static_cast<char>(byte);
+  }
+  GIVEN("all bytes in a request target") {
+    const std::string encoded = PercentEncode(all);
+    THEN("only unreserved characters and escapes are left, and none is lost") {
+      REQUIRE(encoded.find_first_not_of(
+                  "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+                  "0123456789-._~%") == encoded.npos);
+      REQUIRE(PercentDecode(encoded) == all);
+      REQUIRE(DecodeQueryText(encoded) == all);
+      REQUIRE(DecodeQueryText("a+b%2Bc") == "a b+c");
+      REQUIRE(PercentDecode("%%4%zz%4") == "%%4%zz%4");
+    }
+  }
+  GIVEN("all bytes in a line") {
+    const std::string printable = ToPrintable(all);
+    THEN("neither control characters nor invalid UTF-8 are left") {
+      for (const char each : printable) {
+        REQUIRE((each >= ' ' && each <= '~'));
+      }
+      REQUIRE(ToPrintable("e1 ü \u2028\U0001F600") == "e1 ü \u2028\U0001F600");
+      REQUIRE(ToPrintable("\u0085\x1b[2J\xed\xa0\x80") ==
+              "\\xc2\\x85\\x1b[2J\\xed\\xa0\\x80");
+    }
+  }
+  GIVEN("a text that is cut") {
+    THEN("no character is cut in two") {
+      REQUIRE(CutText("aü", 2) == "a");
+      REQUIRE(CutText("aü", 3) == "aü");
+      REQUIRE(CutText("\U0001F600b", 3).empty());
+    }
+  }
+}
+
+}  // namespace anvilloom::platform
--- a/test/support/platform_system.cc
+++ b/test/support/platform_system.cc
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <fstream>
 #include <utility>
 
+#include "wire/http_text.h"
+
 namespace anvilloom {
 
 namespace {
@@ -19,7 +22,7 @@
 }
 
 std::string ObjectPath(std::string_view kind, std::string_view name) {
-  return "/anvilloom/objects/" + std::string(kind) + "/" + std::string(name);
+  return "/anvilloom/objects/" + std::string(kind) + "/" + PercentEncode(name);
 }
 
 // Creates or replaces an object.
@@ -27,8 +30,9 @@
          std::string_view kind,
          std::string_view name,
          std::string_view spec) {
-  const std::string body = R"({"metadata":{"name":")" + std::string(name) +
-                           R"("},"spec":)" + std::string(spec) + "}";
+  const std::string body = R"({"metadata":{"name":)" +
+                           boost::json::serialize(boost::json::string(name)) +
+                           R"(},"spec":)" + std::string(spec) + "}";
   const auto created = Call(store, http_verb::post,
                             "/anvilloom/objects/" + std::string(kind), body);
   if (created.status == 409) {
--- a/wire/http_exchange.cc
+++ b/wire/http_exchange.cc
@@ -11,6 +11,8 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
+#include "wire/http_text.h"
+
 namespace anvilloom {
 
 namespace {
@@ -91,7 +93,7 @@
   return target().substr(0, target().find('?'));
 }
 
-std::string_view http_exchange::Query(std::string_view name) const {
+std::string http_exchange::Query(std::string_view name) const {
   const std::size_t query_start = target().find('?');
   if (query_start == std::string_view::npos) {
     return {};
@@ -102,7 +104,7 @@
     const std::string_view pair = rest.substr(0, end);
     const std::size_t equals = pair.find('=');
     if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
-      return pair.substr(equals + 1);
+      return DecodeQueryText(pair.substr(equals + 1));
     }
     if (end == std::string_view::npos) {
       break;
--- a/wire/http_exchange.h
+++ b/wire/http_exchange.h
@@ -59,9 +59,8 @@
   std::string_view target() const;
   // The target without the query.
   std::string_view path() const;
-  // Returns the value of a query parameter, not percent-decoded, or an empty
-  // view.
-  std::string_view Query(std::string_view name) const;
+  // Returns the decoded value of a query parameter, or an empty text.
+  std::string Query(std::string_view name) const;
   // Returns the value of a request header, or an empty view.
   std::string_view Header(std::string_view name) const;
   // Returns the token of an Authorization header with the scheme "Bearer", or
--- a/wire/http_object_store.cc
+++ b/wire/http_object_store.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "wire/http_text.h"
 #include "wire/json_text.h"
 #include "wire/line_splitter.h"
 #include "wire/steady_clock.h"
@@ -23,7 +24,7 @@
 }
 
 std::string ObjectPath(std::string_view kind, std::string_view name) {
-  return KindPath(kind) + "/" + std::string(name);
+  return KindPath(kind) + "/" + PercentEncode(name);
 }
 
 // Maps a failed transfer to a store error. Once any byte was sent, a write may
@@ -161,6 +162,9 @@
     std::string_view kind,
     std::string_view name,
     deadline until) {
+  if (!IsPathSegment(name)) {
+    co_return store_error::kRefused;
+  }
   const auto answer = co_await client_.Exchange(
       address_, MakeRequest(http_verb::get, ObjectPath(kind, name)), until);
   if (!answer) {
@@ -178,8 +182,12 @@
 }
 
 awaitable<store_result<std::uint64_t>> http_object_store::Write(
+    std::string_view name,
     http_request request,
     deadline until) {
+  if (!IsPathSegment(name)) {
+    co_return store_error::kRefused;
+  }
   // Uses a new connection, because a request on a pooled one may be retried and
   // write twice.
   const auto answer = co_await client_.Exchange(address_, std::move(request),
@@ -205,6 +213,7 @@
     std::string_view value,
     deadline until) {
   return Write(
+      name,
       MakeRequest(http_verb::post, KindPath(kind), ObjectBody(name, value)),
       until);
 }
@@ -215,7 +224,8 @@
     std::uint64_t version,
     std::string_view value,
     deadline until) {
-  return Write(MakeRequest(http_verb::put,
+  return Write(name,
+               MakeRequest(http_verb::put,
                            ObjectPath(kind, name) +
                                "?version=" + std::to_string(version),
                            ObjectBody(name, value)),
@@ -227,7 +237,8 @@
     std::string_view name,
     std::uint64_t version,
     deadline until) {
-  return Write(MakeRequest(http_verb::delete_,
+  return Write(name,
+               MakeRequest(http_verb::delete_,
                            ObjectPath(kind, name) +
                                "?version=" + std::to_string(version)),
                until);
--- a/wire/http_object_store.h
+++ b/wire/http_object_store.h
@@ -43,7 +43,9 @@
                                                deadline until);
 
  private:
-  awaitable<store_result<std::uint64_t>> Write(http_request request,
+  // Sends a write of the object with this name.
+  awaitable<store_result<std::uint64_t>> Write(std::string_view name,
+                                               http_request request,
                                                deadline until);
 
   std::string address_;
