Read the sound entries of an object API beside an odd one

Seen in the code: one item of a list that could not be decoded, nested deeper than 32 levels or with a number or a name of another type, made the whole list unreadable. One such change ended the watch with kRefused, again at each new try, since it stays in the history: configurations, claims and leases of all instances were then read no more.

Change: http_object_store cuts lists and changes into their elements without parsing them, as the client of the platform's store does, and leaves out those that can't be decoded. A watch goes on behind such a change.

--- a/test/correctness/odd_names_test.cc
+++ b/test/correctness/odd_names_test.cc
@@ -207,6 +207,52 @@
   REQUIRE(handler.asked.empty());
 }
 
+SCENARIO("One odd entry of an object API leaves the others in force",
+         "[odd_names]") {
+  const std::string deep = std::string(60, '[') + std::string(60, ']');
+  for (const std::string& odd :
+       {R"({"name":7,"version":3,"value":1})"s, "null"s,
+        R"({"name":"o","version":-3,"value":1})"s,
+        R"({"name":"\ud800","version":3,"value":1})"s,
+        R"({"name":"o","version":3,"value":)" + deep + "}"}) {
+    CAPTURE(odd);
+    struct fixed_store {
+      std::string list;
+      std::string changes;
+
+      awaitable<void> Handle(http_exchange& exchange, std::size_t /*thread*/) {
+        const std::string& body =
+            exchange.Query("watch").empty() ? list : changes;
+        co_await exchange.Respond(http_status::ok, "application/json", body);
+      }
+    };
+    const auto replace = [&](std::string text) {
+      text.replace(text.find("ODD"), 3, odd);
+      return text;
+    };
+    fixed_store handler{replace(R"({"version":9,"items":[ODD,
+                          {"name":"e1","version":4,"value":1}]})"),
+                        replace(R"({"type":"put","version":10,"object":ODD}
+{"type":"put","version":11,"object":{"name":"e1","version":4,"value":1}}
+)")};
+    WithStore<http_object_store>(
+        handler, [&](http_object_store& store) -> awaitable<void> {
+          const auto list = co_await store.List(kKind, Soon());
+          CHECK((list && Names(*list).contains("e1")));
+          std::set<std::string> seen;
+          const auto reached = co_await store.Watch(
+              kKind, 9,
+              [&](const object_event& event) {
+                seen.insert(event.object.name);
+                return true;
+              },
+              Soon());
+          CHECK((reached && *reached == 11));
+          CHECK(seen.contains("e1"));
+        });
+  }
+}
+
 SCENARIO("Text of any content becomes a part of a request or a line",
          "[odd_names]") {
   std::string all;
--- a/wire/http_object_store.cc
+++ b/wire/http_object_store.cc
@@ -1,6 +1,7 @@
 #include "wire/http_object_store.h"
 
 #include <boost/json/serialize.hpp>
+#include <boost/json/value_to.hpp>
 #include <optional>
 #include <utility>
 
@@ -56,41 +57,59 @@
                                      : store_error::kRefused;
 }
 
-std::optional<stored_object> DecodeObject(const json::value& encoded) {
-  const auto name = StringMember(encoded, "name");
-  const auto version = UnsignedMember(encoded, "version");
-  if (!name || !version) {
+std::optional<std::uint64_t> DecodeVersion(const json_members& members) {
+  const auto parsed = ParseJson(FindValue(members, "version"));
+  if (!parsed) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  const auto version = parsed->to_number<std::uint64_t>(error);
+  return error ? std::nullopt : std::optional(version);
+}
+
+// Decodes an object whose value may be of any content, since other programs
+// write objects, too: a value that can't be parsed stays as it is, so that its
+// reader refuses this one object only.
+std::optional<stored_object> DecodeObject(std::string_view text) {
+  const auto members = SplitObject(text);
+  if (!members) {
+    return std::nullopt;
+  }
+  const auto name = ParseJson(FindValue(*members, "name"));
+  const auto version = DecodeVersion(*members);
+  if (!name || !name->is_string() || !version) {
     return std::nullopt;
   }
-  const json::value* value = FindMember(encoded, "value");
-  return stored_object{std::string(*name), *version,
-                       value == nullptr ? "null" : json::serialize(*value)};
+  const std::string_view value = FindValue(*members, "value");
+  const auto parsed = value.empty() ? json::value() : ParseJson(value);
+  return stored_object{json::value_to<std::string>(*name), *version,
+                       parsed ? json::serialize(*parsed) : std::string(value)};
 }
 
+// Objects that can't be decoded are left out, so that the others hold.
 std::optional<object_list> DecodeList(std::string_view text) {
-  const auto parsed = ParseJson(text);
-  if (!parsed) {
+  const auto members = SplitObject(text);
+  if (!members) {
     return std::nullopt;
   }
-  const auto version = UnsignedMember(*parsed, "version");
-  const json::value* items = FindMember(*parsed, "items");
-  if (!version || items == nullptr || !items->is_array()) {
+  const auto version = DecodeVersion(*members);
+  const auto items = SplitArray(FindValue(*members, "items"));
+  if (!version || !items) {
     return std::nullopt;
   }
   object_list list;
   list.version = *version;
   list.read_until = *version;
-  for (const json::value& item : items->get_array()) {
-    auto object = DecodeObject(item);
-    if (!object) {
-      return std::nullopt;
+  for (const std::string_view item : *items) {
+    if (auto object = DecodeObject(item)) {
+      list.objects.push_back(std::move(*object));
     }
-    list.objects.push_back(std::move(*object));
   }
   return list;
 }
 
-// A decoded line of a watch response.
+// A decoded line of a watch response. It has no event if its object can't be
+// decoded: the watch goes on behind it.
 struct watch_line {
   std::optional<object_event> event;
   std::uint64_t version = 0;
@@ -98,33 +117,26 @@
 };
 
 std::optional<watch_line> DecodeWatchLine(std::string_view text) {
-  const auto parsed = ParseJson(text);
-  if (!parsed) {
+  const auto members = SplitObject(text);
+  if (!members) {
     return std::nullopt;
   }
-  const auto type = StringMember(*parsed, "type");
-  const auto version = UnsignedMember(*parsed, "version");
-  if (!type || !version) {
+  const std::string_view type = FindValue(*members, "type");
+  const auto version = DecodeVersion(*members);
+  if (type.empty() || !version) {
     return std::nullopt;
   }
   watch_line line;
   line.version = *version;
-  if (*type == "error") {
-    line.gone = true;
+  line.gone = type == R"("error")";
+  if (line.gone || type == R"("bookmark")") {
     return line;
   }
-  if (*type == "bookmark") {
-    return line;
+  if (auto object = DecodeObject(FindValue(*members, "object"))) {
+    line.event = object_event{type == R"("delete")" ? object_event_kind::kDelete
+                                                    : object_event_kind::kPut,
+                              std::move(*object)};
   }
-  const json::value* encoded = FindMember(*parsed, "object");
-  auto object = encoded == nullptr ? std::nullopt : DecodeObject(*encoded);
-  if (!object) {
-    return std::nullopt;
-  }
-  const bool deleted = *type == "delete";
-  line.event = object_event{
-      deleted ? object_event_kind::kDelete : object_event_kind::kPut,
-      std::move(*object)};
   return line;
 }
 
@@ -173,8 +185,7 @@
   if (const auto error = StatusToStoreError(answer->result_int())) {
     co_return *error;
   }
-  const auto parsed = ParseJson(answer->body());
-  auto object = parsed ? DecodeObject(*parsed) : std::nullopt;
+  auto object = DecodeObject(answer->body());
   if (!object) {
     co_return store_error::kRefused;
   }
