Use no upstream whose id changes the header that it is sent in

Seen in the code: the id of an entry becomes the value of a header in each call to its upstream, and the name of a workspace does, too. A line break in one of them ended the header, so that what follows it reached the upstream as further headers. An entry without a name was announced, and the changes that the other instances were told were refused as a whole because of it.

Change: an entry whose id can't be the value of a header names no upstream. A workspace of such a name is left out; the others hold. Entries without a name are neither passed on nor taken for instances.

--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -67,8 +67,7 @@
     const auto address =
         parsed ? StringMember(*parsed, "address") : std::nullopt;
     // Another program may have left an entry here; it is no instance.
-    if (address && ParseEndpoint(*address) &&
-        entry.name.size() <= kMaxNameBytes) {
+    if (address && ParseEndpoint(*address) && IsEntryName(entry.name)) {
       peer_reports_.Expect(entry.name, *address, state_.clock.Now());
     }
   }
--- a/entry/store_tracker.h
+++ b/entry/store_tracker.h
@@ -456,9 +456,9 @@
   }
 
   void ApplyWatched(std::uint64_t from, std::uint64_t through) {
-    // No upstream has a longer id, so no instance needs to know of it.
+    // No upstream has another id, so no instance needs to know of it.
     std::erase_if(watched_, [](const upstream_change& each) {
-      return each.announced.id.size() > kMaxNameBytes;
+      return !IsEntryName(each.announced.id);
     });
     const std::vector<upstream_change> newer =
         upstreams_.ApplyChanges(watched_, state_.clock.Now());
--- a/test/correctness/odd_names_test.cc
+++ b/test/correctness/odd_names_test.cc
@@ -12,6 +12,7 @@
 
 #include "common/printable_text.h"
 #include "platform/object_store_client.h"
+#include "platform/platform.h"
 #include "platform/standin/platform_api.h"
 #include "standins/object_api.h"
 #include "wire/http_object_store.h"
@@ -253,6 +254,27 @@
   }
 }
 
+SCENARIO("An id that can't be the value of a header names no upstream",
+         "[odd_names]") {
+  REQUIRE(DecodeUpstream("e1", kSound));
+  REQUIRE(DecodeUpstream("e 1", kSound));
+  for (const std::string_view id : {"", " e1", "e1 ", "e1\r\nA: b", "e1\x7f"}) {
+    CAPTURE(ToPrintable(id));
+    CHECK(!DecodeUpstream(id, kSound));
+  }
+  GIVEN("a workspace of this name in a manifest") {
+    const auto decoded =
+        DecodeManifest(R"({"version":3,"routes":[],"services":[],"tenants":[)"
+                       R"({"name":"a\r\nA: b","apiKeys":["k1"]},)"
+                       R"({"name":"sound","apiKeys":["k2"]}]})");
+    THEN("it is left out, and the others hold") {
+      REQUIRE(decoded);
+      REQUIRE(decoded->workspaces.size() == 1);
+      REQUIRE(decoded->workspaces.front().name == "sound");
+    }
+  }
+}
+
 SCENARIO("Text of any content becomes a part of a request or a line",
          "[odd_names]") {
   std::string all;
--- a/wire/announcement_check.cc
+++ b/wire/announcement_check.cc
@@ -5,9 +5,14 @@
 #include <string_view>
 
 #include "wire/endpoint.h"
+#include "wire/http_text.h"
 
 namespace anvilloom {
 
+bool IsEntryName(std::string_view name) {
+  return !name.empty() && name.size() <= kMaxNameBytes;
+}
+
 bool HasShortNames(const upstream_announcement& announced) {
   return std::ranges::all_of(
       std::array<std::string_view, 5>{announced.id, announced.service,
@@ -18,8 +23,8 @@
 
 bool IsUsable(const upstream_announcement& announced) {
   const auto endpoint = ParseEndpoint(announced.address);
-  return endpoint && endpoint->port() != 0 && !announced.service.empty() &&
-         HasShortNames(announced);
+  return endpoint && endpoint->port() != 0 && IsHeaderValue(announced.id) &&
+         !announced.service.empty() && HasShortNames(announced);
 }
 
 }  // namespace anvilloom
--- a/wire/announcement_check.h
+++ b/wire/announcement_check.h
@@ -4,6 +4,7 @@
 #define WIRE_ANNOUNCEMENT_CHECK_H_
 
 #include <cstddef>
+#include <string_view>
 
 #include "instances/upstream_announcement.h"
 
@@ -14,10 +15,15 @@
 // logged.
 inline constexpr std::size_t kMaxNameBytes = 128;
 
+// Whether an entry of the store, or the object that it stands for, may have
+// this name: it is neither empty nor longer than kMaxNameBytes.
+bool IsEntryName(std::string_view name);
+
 // Whether no name or address is longer than kMaxNameBytes.
 bool HasShortNames(const upstream_announcement& announced);
 
-// Whether the announcement names an upstream that can be called.
+// Whether the announcement names an upstream that can be called. Its id is sent
+// in a header of each call.
 bool IsUsable(const upstream_announcement& announced);
 
 }  // namespace anvilloom
--- a/wire/http_text.cc
+++ b/wire/http_text.cc
@@ -13,6 +13,7 @@
 constexpr std::string_view kHexDigits = "0123456789ABCDEF";
 constexpr std::size_t kEscapeDigits = 2;
 constexpr int kHexBase = 16;
+constexpr unsigned char kDelete = 0x7f;
 
 }  // namespace
 
@@ -60,4 +61,12 @@
   return !name.empty() && name != "." && name != "..";
 }
 
+bool IsHeaderValue(std::string_view text) {
+  return !text.empty() && text.front() != ' ' && text.back() != ' ' &&
+         std::ranges::none_of(text, [](char each) {
+           const auto byte = static_cast<unsigned char>(each);
+           return byte < ' ' || byte == kDelete;
+         });
+}
+
 }  // namespace anvilloom
--- a/wire/http_text.h
+++ b/wire/http_text.h
@@ -25,6 +25,10 @@
 // take a path without a name for that of the folder.
 bool IsPathSegment(std::string_view name);
 
+// Whether the text can be the value of a header without change: it is not
+// empty, has no space at an end, and no control characters.
+bool IsHeaderValue(std::string_view text);
+
 }  // namespace anvilloom
 
 #endif  // WIRE_PERCENT_ENCODING_H_
