Go on behind entries that can't be decoded, and tell incomplete lists

Seen in the code: a list went on behind the last entry that could be decoded, and ended as if it were complete when a page had none, or when the store sent the same page again. So one page of odd entries also took away the engines behind it, from running processes, too.

Change: a list goes on behind the last name on the page that can be read, also if its entry can't, as with a revision out of range or a name that is not valid Unicode (StringBytes). If the store still does not continue the list, object_list::complete is false and E816 is logged: upstreams that are missing don't count as removed, the view is not confirmed, and orders of rollouts are read again.

--- a/common/log.cc
+++ b/common/log.cc
@@ -249,6 +249,8 @@
       return "store_era_outdated";
     case log_event::kStoreEraUnreadable:
       return "store_era_unreadable";
+    case log_event::kStoreListIncomplete:
+      return "store_list_incomplete";
     case log_event::kNewsNotFetched:
       return "news_not_fetched";
     case log_event::kUpstreamJoined:
--- a/common/log.h
+++ b/common/log.h
@@ -72,6 +72,7 @@
   kStoreRegained = 813,
   kStoreRelisted = 814,
   kWatchDelegated = 815,
+  kStoreListIncomplete = 816,
   kNewsNotFetched = 817,
   kStoreEraRaised = 818,
   kStoreEraOutdated = 819,
--- a/entry/rollout_runner.h
+++ b/entry/rollout_runner.h
@@ -242,7 +242,7 @@
     settled_versions announced = Announced();
     const auto list =
         co_await store_.List(Platform::kRolloutKind, CallDeadline());
-    if (!list) {
+    if (!list || !list->complete) {
       co_await Pause(kRetryDelay);
       co_return;
     }
--- a/entry/store_tracker.h
+++ b/entry/store_tracker.h
@@ -183,6 +183,10 @@
     return {.on_list =
                 [this](const object_list& list, time_point asked_at) {
                   ApplyUpstreams(list);
+                  if (!list.complete) {
+                    HandleChange();
+                    return;
+                  }
                   upstreams_listed_at_ = asked_at;
                   upstreams_listed_era_ = state_.era.seen();
                   RecordLists();
@@ -245,9 +249,13 @@
     }
     // The watchers log a store outage.
     if (has_answer && list) {
-      // Two reads in different eras confirm none of them.
-      if (era == state_.era.seen()) {
+      // Neither two reads in different eras nor a part of a list confirm the
+      // view.
+      if (era == state_.era.seen() && list->complete) {
         gossip_.RecordRead(asked_at, boot_clock_.Now());
+      } else if (!list->complete) {
+        gossip_.RecordFailedRead(reporter_.peer_reports().Members(),
+                                 boot_clock_.Now());
       }
     } else {
       NoteOutage(asked_at);
@@ -432,6 +440,14 @@
         ReportIgnored(object);
       }
     }
+    if (!list.complete) {
+      // Upstreams that are missing here may exist.
+      for (const upstream_change& each :
+           upstreams_.ApplyChanges(announced, state_.clock.Now())) {
+        gossip_.RecordChange(each, boot_clock_.Now());
+      }
+      return;
+    }
     const std::vector<upstream_change> newer =
         upstreams_.ApplyList(list.version, announced, state_.clock.Now());
     gossip_.RecordList(list.version, list.read_until, newer, boot_clock_.Now());
--- a/test/correctness/odd_names_test.cc
+++ b/test/correctness/odd_names_test.cc
@@ -15,10 +15,12 @@
 #include "platform/platform.h"
 #include "platform/standin/platform_api.h"
 #include "standins/object_api.h"
+#include "wire/announcement_check.h"
 #include "wire/http_object_store.h"
 #include "wire/http_server.h"
 #include "wire/http_text.h"
 #include "wire/io_pool.h"
+#include "wire/json_text.h"
 #include "wire/steady_clock.h"
 
 namespace anvilloom::platform {
@@ -100,6 +102,18 @@
   }
 };
 
+// `name` is JSON text.
+std::string Entry(std::string_view name) {
+  return R"({"metadata":{"name":)" + std::string(name) +
+         R"(,"revision":4},"spec":)" + std::string(kSound) +
+         R"(,"status":null})";
+}
+
+std::string Page(std::string_view entries, bool truncated) {
+  return R"({"entries":[)" + std::string(entries) + R"(],"truncated":)" +
+         (truncated ? "true" : "false") + R"(,"at":9})";
+}
+
 }  // namespace
 
 SCENARIO("A list goes on behind an odd name at the end of a page",
@@ -123,6 +137,7 @@
           const auto list = co_await store.List(kKind, Soon());
           CHECK(list.has_value());
           if (list) {
+            CHECK(list->complete);
             CHECK(list->objects.size() == SoundNames().size() + 1);
             const std::set<std::string> names = Names(*list);
             for (const std::string& name : SoundNames()) {
@@ -208,6 +223,71 @@
   REQUIRE(handler.asked.empty());
 }
 
+SCENARIO("A list goes on behind an entry that can't be decoded",
+         "[odd_names]") {
+  struct odd_entry {
+    std::string text;
+    // The position that continues the list.
+    std::string position;
+  };
+  const std::vector<odd_entry> entries = {
+      {Entry(R"("e1\ud800")"), "e1\xed\xa0\x80"},
+      {Entry("\"e1\xff\""), "e1\xff"},
+      {R"({"metadata":{"name":"e1x","revision":-4},"spec":null})", "e1x"},
+      {R"({"metadata":{"name":"e1x","revision":1e300},"spec":null})", "e1x"},
+      {R"({"metadata":{"name":"e1\ud83d\ude00","finalizers":)" +
+           std::string(40, '[') + std::string(40, ']') + "}}",
+       "e1\xf0\x9f\x98\x80"},
+      {R"({"metadata":{"name":7,"revision":4},"spec":null})", "e1"},
+      {R"({"metadata":"e1x"})", "e1"},
+      {"null", "e1"},
+  };
+  for (const odd_entry& odd : entries) {
+    CAPTURE(odd.text.substr(0, 80));
+    scripted_pages handler;
+    handler.pages[""] = Page(Entry(R"("e1")") + "," + odd.text, true);
+    handler.pages[odd.position] =
+        Page(odd.text + "," + Entry(R"("e2")") + "," + odd.text, false);
+    WithStore<object_store_client>(
+        handler, [&](object_store_client& store) -> awaitable<void> {
+          const auto list = co_await store.List(kKind, Soon());
+          CHECK(list.has_value());
+          if (list) {
+            CHECK(list->complete);
+            CHECK(Names(*list) == std::set<std::string>{"e1", "e2"});
+          }
+        });
+  }
+}
+
+SCENARIO("A list that the store does not continue is not a complete one",
+         "[odd_names]") {
+  scripted_pages handler;
+  std::set<std::string> read;
+  GIVEN("a store that sends the same page again") {
+    handler.pages[""] = Page(Entry(R"("e1")"), true);
+    handler.pages["e1"] = handler.pages[""];
+    read = {"e1"};
+  }
+  GIVEN("a first page without a name that can be read") {
+    handler.pages[""] = Page(R"({"metadata":null})", true);
+  }
+  GIVEN("an empty page behind others") {
+    handler.pages[""] = Page(Entry(R"("e1")"), true);
+    handler.pages["e1"] = Page("", true);
+    read = {"e1"};
+  }
+  WithStore<object_store_client>(
+      handler, [&](object_store_client& store) -> awaitable<void> {
+        const auto list = co_await store.List(kKind, Soon());
+        CHECK(list.has_value());
+        if (list) {
+          CHECK(!list->complete);
+          CHECK(Names(*list) == read);
+        }
+      });
+}
+
 SCENARIO("One odd entry of an object API leaves the others in force",
          "[odd_names]") {
   const std::string deep = std::string(60, '[') + std::string(60, ']');
@@ -311,6 +391,19 @@
       REQUIRE(CutText("\U0001F600b", 3).empty());
     }
   }
+  GIVEN("strings in JSON") {
+    THEN("their bytes are found, also if they are not Unicode") {
+      REQUIRE(StringBytes(R"("a\"\\\/\b\f\n\r\t\u00fc\u20ac")") ==
+              "a\"\\/\b\f\n\r\tü€");
+      REQUIRE(StringBytes(R"("\ud83d\ude00\ud83dx")") ==
+              "\U0001F600\xed\xa0\xbdx");
+      for (const char* odd : {"", "\"", "7", "\"\\\"", "\"\\x\"", "\"\\u12\"",
+                              "\"\\u12g4\"", "null"}) {
+        CAPTURE(odd);
+        CHECK(!StringBytes(odd));
+      }
+    }
+  }
 }
 
 }  // namespace anvilloom::platform
--- a/wire/json_text.cc
+++ b/wire/json_text.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json/parse.hpp>
+#include <charconv>
 #include <utility>
 
 namespace anvilloom {
@@ -106,6 +107,77 @@
   return text.size() < 2 ? std::string_view{} : text.substr(1, text.size() - 2);
 }
 
+// Appends a code point as UTF-8; a surrogate as if it were a character.
+void AppendUtf8(std::string& bytes, std::uint32_t code) {
+  const auto append = [&](std::uint32_t byte) {
+    bytes += static_cast<char>(byte);
+  };
+  const auto continuation = [&](std::uint32_t shift) {
+    append(0x80U | ((code >> shift) & 0x3fU));
+  };
+  if (code < 0x80U) {
+    append(code);
+  } else if (code < 0x800U) {
+    append(0xc0U | (code >> 6U));
+    continuation(0);
+  } else if (code < 0x10000U) {
+    append(0xe0U | (code >> 12U));
+    continuation(6);
+    continuation(0);
+  } else {
+    append(0xf0U | (code >> 18U));
+    continuation(12);
+    continuation(6);
+    continuation(0);
+  }
+}
+
+// Removes \uXXXX from the front of the text and returns its number, or nothing
+// if the text does not begin with one.
+std::optional<std::uint32_t> TakeUnicodeEscape(std::string_view& text) {
+  constexpr std::size_t kDigits = 4;
+  constexpr int kHexBase = 16;
+  const std::string_view digits =
+      text.starts_with("\\u") ? text.substr(2, kDigits) : "";
+  std::uint32_t code = 0;
+  const auto [end, error] = std::from_chars(
+      digits.data(), digits.data() + digits.size(), code, kHexBase);
+  if (error != std::errc{} || digits.size() != kDigits ||
+      end != digits.data() + digits.size()) {
+    return std::nullopt;
+  }
+  text.remove_prefix(2 + kDigits);
+  return code;
+}
+
+// Removes an escape sequence from the front of the text and appends what it
+// stands for. Returns false if it is not valid.
+bool TakeEscape(std::string_view& text, std::string& bytes) {
+  constexpr std::string_view kLetters = "\"\\/bfnrt";
+  constexpr std::string_view kMeanings = "\"\\/\b\f\n\r\t";
+  if (const auto code = TakeUnicodeEscape(text)) {
+    std::string_view rest = text;
+    const auto low = TakeUnicodeEscape(rest);
+    const bool is_pair = *code >= 0xd800U && *code < 0xdc00U && low &&
+                         *low >= 0xdc00U && *low < 0xe000U;
+    if (is_pair) {
+      text = rest;
+    }
+    AppendUtf8(bytes, is_pair ? 0x10000U + ((*code - 0xd800U) << 10U) +
+                                    (*low - 0xdc00U)
+                              : *code);
+    return true;
+  }
+  const std::size_t letter =
+      text.size() < 2 ? kLetters.npos : kLetters.find(text[1]);
+  if (letter == kLetters.npos) {
+    return false;
+  }
+  bytes += kMeanings[letter];
+  text.remove_prefix(2);
+  return true;
+}
+
 }  // namespace
 
 std::optional<json_elements> SplitArray(std::string_view text) {
@@ -152,6 +224,24 @@
   return cutter.at_end() ? std::optional(std::move(members)) : std::nullopt;
 }
 
+std::optional<std::string> StringBytes(std::string_view text) {
+  if (text.size() < 2 || !text.starts_with('"') || !text.ends_with('"')) {
+    return std::nullopt;
+  }
+  text = WithoutQuotes(text);
+  std::string bytes;
+  bytes.reserve(text.size());
+  while (!text.empty()) {
+    const std::string_view plain = text.substr(0, text.find('\\'));
+    bytes += plain;
+    text.remove_prefix(plain.size());
+    if (!text.empty() && !TakeEscape(text, bytes)) {
+      return std::nullopt;
+    }
+  }
+  return bytes;
+}
+
 std::string_view FindValue(const json_members& members, std::string_view key) {
   // The last one of several counts, as in parsed objects.
   std::string_view value;
--- a/wire/json_text.h
+++ b/wire/json_text.h
@@ -32,6 +32,10 @@
 // it.
 std::optional<json_elements> SplitArray(std::string_view text);
 std::optional<json_members> SplitObject(std::string_view text);
+// Returns the bytes that the text of a JSON string stands for, also if they are
+// not valid Unicode, which ParseJson() does not accept. Returns nothing if the
+// text is not a string.
+std::optional<std::string> StringBytes(std::string_view text);
 // Returns the value of a member, or an empty view if there is none.
 std::string_view FindValue(const json_members& members, std::string_view key);
 
--- a/wire/object_store.h
+++ b/wire/object_store.h
@@ -35,6 +35,9 @@
   // this version; at least `version`.
   std::uint64_t read_until = 0;
   std::vector<stored_object> objects;
+  // False if the store has more objects that could not be read: an object that
+  // is missing here may exist.
+  bool complete = true;
 };
 
 enum class object_event_kind { kPut, kDelete };
