Escape control characters and invalid UTF-8 in lines

Seen in the code: values of log fields come from headers of clients, from other writers of the store and from cut names. 0x7f, the control characters behind it and bytes that are not UTF-8 were written as they are, and which bytes were quoted depended on the signedness of char, so on the machine. anvilloomctl wrote names from the store and from instances to the terminal as they are.

Change: common/printable_text escapes them as \xNN, also in the lines that anvilloomctl prints for people, and cuts names between characters.

--- a/common/log.cc
+++ b/common/log.cc
@@ -11,6 +11,8 @@
 #include <sstream>
 #include <string>
 
+#include "common/printable_text.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace anvilloom {
@@ -38,7 +40,7 @@
     if (dropped > 0) {
       line += " lines_dropped_before=" + std::to_string(dropped);
     }
-    line.resize(std::min(line.size(), kMaxLineBytes - 1));
+    line.resize(CutText(line, kMaxLineBytes - 1).size());
     line += '\n';
     pollfd output{STDOUT_FILENO, POLLOUT, 0};
     const bool ready = ::poll(&output, 1, 0) > 0 && (output.revents & POLLOUT);
@@ -65,27 +67,6 @@
   std::atomic<std::uint64_t> dropped_{0};
 };
 
-// Appends a value, quoted if it is empty or has a space, a quote, a backslash
-// or a control character.
-void AppendValue(std::ostringstream& line, std::string_view value) {
-  const bool plain = !value.empty() && std::ranges::all_of(value, [](char c) {
-    return c > ' ' && c != '"' && c != '\\' && c != 0x7f;
-  });
-  if (plain) {
-    line << value;
-    return;
-  }
-  line << '"';
-  for (const char c : value) {
-    if (c == '"' || c == '\\') {
-      line << '\\' << c;
-    } else {
-      line << (static_cast<unsigned char>(c) < ' ' ? ' ' : c);
-    }
-  }
-  line << '"';
-}
-
 }  // namespace
 
 void InitializeLog() {
@@ -107,8 +88,7 @@
   std::ostringstream line;
   line << 'E' << static_cast<unsigned>(event) << ' ' << Name(event);
   for (const log_field& field : fields) {
-    line << ' ' << field.name << '=';
-    AppendValue(line, field.value);
+    line << ' ' << field.name << '=' << LogValue(field.value);
   }
   switch (level) {
     case log_level::kInfo:
@@ -123,6 +103,23 @@
   }
 }
 
+std::string LogValue(std::string_view value) {
+  const bool plain = !value.empty() && std::ranges::all_of(value, [](char c) {
+    return c > ' ' && c <= '~' && c != '"' && c != '\\';
+  });
+  if (plain) {
+    return std::string(value);
+  }
+  std::string escaped;
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      escaped += '\\';
+    }
+    escaped += c;
+  }
+  return '"' + ToPrintable(escaped) + '"';
+}
+
 std::string_view Name(log_event event) {
   switch (event) {
     case log_event::kStarted:
--- a/common/log.h
+++ b/common/log.h
@@ -119,6 +119,11 @@
          log_event event,
          std::initializer_list<log_field> fields = {});
 
+// Returns the text of a field's value: quoted if it is empty or has other
+// characters than visible ones of ASCII, a quote or a backslash. What is
+// neither printable nor UTF-8 is escaped as \xNN.
+std::string LogValue(std::string_view value);
+
 // Stable name of an event, for example "configuration_in_force".
 std::string_view Name(log_event event);
 
--- a/ctl/instance_commands.cc
+++ b/ctl/instance_commands.cc
@@ -7,6 +7,7 @@
 #include <thread>
 #include <utility>
 
+#include "common/printable_text.h"
 #include "ctl/instance_report.h"
 #include "ctl/publisher.h"
 #include "ctl/run_coroutine.h"
@@ -83,8 +84,9 @@
 void PrintManifest(const configuration_manifest& manifest) {
   std::cout << "Revision " << manifest.revision << " is accepted. Files:\n";
   for (const manifest_entry& entry : manifest.files) {
-    std::cout << "  " << entry.digest.substr(0, kDigestPrefixLength) << "  "
-              << entry.name << '\n';
+    std::cout << "  "
+              << ToPrintable(entry.digest.substr(0, kDigestPrefixLength))
+              << "  " << ToPrintable(entry.name) << '\n';
   }
 }
 
--- a/ctl/instance_report.cc
+++ b/ctl/instance_report.cc
@@ -1,5 +1,6 @@
 #include "ctl/instance_report.h"
 
+#include "common/printable_text.h"
 #include "wire/json_text.h"
 
 namespace anvilloom {
@@ -8,7 +9,7 @@
 
 std::string TextOrUnknown(const boost::json::value& object,
                           std::string_view key) {
-  return std::string(StringMember(object, key).value_or("unknown"));
+  return ToPrintable(StringMember(object, key).value_or("unknown"));
 }
 
 std::string_view Phase(const instance_report& report) {
--- a/entry/rollout_runner.h
+++ b/entry/rollout_runner.h
@@ -17,6 +17,7 @@
 
 #include "common/hash.h"
 #include "common/log.h"
+#include "common/printable_text.h"
 #include "common/random.h"
 #include "entry/gateway_state.h"
 #include "entry/peer_reporter.h"
@@ -404,7 +405,7 @@
     ignored_revision_ = object.version;
     constexpr std::size_t kMaxLoggedName = 64;
     Log(log_level::kWarning, log_event::kRolloutIgnored,
-        {{"order", object.name.substr(0, kMaxLoggedName)},
+        {{"order", std::string(CutText(object.name, kMaxLoggedName))},
          {"revision", std::to_string(object.version)}});
   }
 
--- a/entry/store_tracker.h
+++ b/entry/store_tracker.h
@@ -19,6 +19,7 @@
 
 #include "common/hash.h"
 #include "common/log.h"
+#include "common/printable_text.h"
 #include "entry/announced_upstreams.h"
 #include "entry/gateway_state.h"
 #include "entry/object_watcher.h"
@@ -494,7 +495,7 @@
         entry.version;
     state_.counters.ignored_entries.fetch_add(1, std::memory_order_relaxed);
     Log(log_level::kWarning, log_event::kUpstreamEntryIgnored,
-        {{"entry", entry.name.substr(0, kMaxLoggedName)},
+        {{"entry", std::string(CutText(entry.name, kMaxLoggedName))},
          {"revision", std::to_string(entry.version)},
          {"bytes", std::to_string(entry.value.size())}});
   }
