End the wait for memory of a connection that is closed for a new one

Seen in the new test: 150 clients that send a body but for its last byte, go and come again took 1,617 descriptors of 800, and all kinds of clients at once 1,434. Ordinary calls were answered, but a process with that limit of the kernel could not have opened a connection to an engine.

Cause: at the limit on connections, a new one replaces the one that has been sending a request for the longest time, by a cancel of its socket. A body that waits for memory has no pending operation there, so it stayed, with its connection, while the new one was admitted.

Change: the wait for memory ends, too, and its request is refused with 503, which is true. Connections are counted while their coroutine exists, also if it ends with an exception.

--- a/test/support/client_crowd.cc
+++ b/test/support/client_crowd.cc
@@ -34,8 +34,7 @@
   context_.stop();
 }
 
-awaitable<void> client_crowd::Run(std::uint16_t port) {
-  tcp::socket socket(context_);
+awaitable<void> client_crowd::Send(std::uint16_t port, tcp::socket& socket) {
   net::steady_timer timer(context_);
   auto [error] = co_await socket.async_connect(
       {net::ip::address_v4::loopback(), port}, kAwaitTuple);
@@ -51,10 +50,22 @@
     std::tie(error, std::ignore) = co_await net::async_write(
         socket, net::buffer(script_.repeated), kAwaitTuple);
   }
-  ++settled_;
-  // Keeps the connection open until the crowd is destroyed.
-  timer.expires_at(net::steady_timer::time_point::max());
-  co_await timer.async_wait(kAwaitTuple);
+}
+
+awaitable<void> client_crowd::Run(std::uint16_t port) {
+  net::steady_timer timer(context_);
+  for (bool first = true; first || script_.reconnects_after; first = false) {
+    tcp::socket socket(context_);
+    co_await Send(port, socket);
+    settled_ += first ? 1 : 0;
+    if (script_.reconnects_after) {
+      timer.expires_after(*script_.reconnects_after);
+    } else {
+      // Keeps the connection open until the crowd is destroyed.
+      timer.expires_at(net::steady_timer::time_point::max());
+    }
+    co_await timer.async_wait(kAwaitTuple);
+  }
 }
 
 }  // namespace anvilloom
--- a/test/support/client_crowd.h
+++ b/test/support/client_crowd.h
@@ -5,10 +5,12 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -23,6 +25,8 @@
   std::string repeated = {};
   std::size_t times = 0;
   std::chrono::milliseconds pause{0};
+  // Whether it is then closed instead, and opened again after this pause.
+  std::optional<std::chrono::milliseconds> reconnects_after = {};
 };
 
 // The connections are served by a thread of their own, and are closed on
@@ -35,11 +39,14 @@
   client_crowd(const client_crowd&) = delete;
   client_crowd& operator=(const client_crowd&) = delete;
 
-  // Connections that have sent everything or could not send on.
+  // Connections that have sent everything or could not send on, once.
   std::size_t settled() const { return settled_.load(); }
 
  private:
   awaitable<void> Run(std::uint16_t port);
+  // Sends the script on a new connection, until an error.
+  awaitable<void> Send(std::uint16_t port,
+                       boost::asio::ip::tcp::socket& socket);
 
   crowd_script script_;
   boost::asio::io_context context_{1};
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -54,6 +54,8 @@
 
 // Connections that have been chosen to be closed, and may still be open.
 constexpr std::ptrdiff_t kClosingConnections = 100;
+// The same as a part of all connections, which is less if there may be few.
+constexpr std::size_t kClosingDivisor = 8;
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -189,24 +191,6 @@
   return stream.socket().available(error) > 0 && !error;
 }
 
-// Counts a request while it exists. Owns the counter jointly: a suspended
-// request is destroyed with its io_context, after the server.
-class request_count {
- public:
-  explicit request_count(std::shared_ptr<std::atomic<std::size_t>> count)
-      : count_(std::move(count)) {
-    count_->fetch_add(1, std::memory_order_relaxed);
-  }
-  // The release pairs with busy(): whoever reads zero also sees the effects of
-  // the requests.
-  ~request_count() { count_->fetch_sub(1, std::memory_order_release); }
-  request_count(const request_count&) = delete;
-  request_count& operator=(const request_count&) = delete;
-
- private:
-  std::shared_ptr<std::atomic<std::size_t>> count_;
-};
-
 // Identifies the client of a connection by its IP address.
 std::uint64_t ClientOf(const boost::beast::tcp_stream& stream) {
   boost::system::error_code error;
@@ -309,8 +293,15 @@
 
 namespace {
 
-awaitable<bool> CancelLongest(idle_connections& waits) {
-  co_return waits.CancelLongest();
+// Ends the longest wait for a request, or for the rest of one: either for its
+// bytes or for the memory that they need. Returns false if there is none.
+awaitable<bool> EndLongestWait(idle_connections& waits,
+                               unfinished_bodies& bodies) {
+  boost::beast::tcp_stream* stream = waits.CancelLongest();
+  if (stream != nullptr) {
+    bodies.StopWait(*stream);
+  }
+  co_return stream != nullptr;
 }
 
 // Returns the thread with the longest wait that began before `before`, or
@@ -344,9 +335,10 @@
     if (!thread) {
       co_return false;
     }
-    const bool ended = co_await net::co_spawn(pool_.context(*thread),
-                                              CancelLongest((*waits)[*thread]),
-                                              net::use_awaitable);
+    const bool ended = co_await net::co_spawn(
+        pool_.context(*thread),
+        EndLongestWait((*waits)[*thread], bodies_[*thread]),
+        net::use_awaitable);
     if (ended) {
       co_return true;
     }
@@ -369,33 +361,41 @@
       co_await Pause(kAcceptPause);
       continue;
     }
+    if (co_await MakeRoom()) {
+      Serve(std::move(socket), thread);
+    }
+    // Otherwise the socket closes as it goes out of scope.
+  }
+}
+
+awaitable<bool> http_server::MakeRoom() {
+  const deadline until = deadline::After(clock_.Now(), kMaxAcceptWait);
+  for (;;) {
+    const std::size_t limit = CurrentLimits().connections;
+    const std::size_t open = open_connections_->load(std::memory_order_relaxed);
+    const bool is_short = IsShortOfDescriptors(1);
+    if (!is_short && open < limit) {
+      co_return true;
+    }
+    const bool evicted = co_await EvictConnection();
     // The evicted connection closes shortly after the new one opens, so the
-    // limit may be exceeded briefly.
-    const deadline until = deadline::After(clock_.Now(), kMaxAcceptWait);
-    bool has_room = false;
-    bool may_wait = true;
-    while (!has_room && may_wait) {
-      const bool is_short = IsShortOfDescriptors(1);
-      const bool is_full =
-          is_short || open_connections_.load(std::memory_order_relaxed) >=
-                          CurrentLimits().connections;
-      has_room = !is_full || co_await EvictConnection();
-      may_wait = is_short && !until.Expired(clock_.Now()) &&
-                 !closing_.load(std::memory_order_relaxed);
-      if (!has_room && may_wait) {
-        co_await Pause(kAcceptPause);
-      }
+    // limit may be exceeded briefly, but not by any number.
+    if (evicted && open < limit + limit / kClosingDivisor) {
+      co_return true;
     }
-    if (!has_room) {
-      continue;  // The socket closes as it goes out of scope.
+    const bool may_wait = (is_short || evicted) &&
+                          !until.Expired(clock_.Now()) &&
+                          !closing_.load(std::memory_order_relaxed);
+    if (!may_wait) {
+      co_return false;
     }
-    Serve(std::move(socket), thread);
+    co_await Pause(kAcceptPause);
   }
 }
 
 bool http_server::IsShortOfDescriptors(std::ptrdiff_t more) const {
   const auto used = static_cast<std::ptrdiff_t>(
-      open_connections_.load(std::memory_order_relaxed) +
+      open_connections_->load(std::memory_order_relaxed) +
       handled_->load(std::memory_order_relaxed));
   return used + more > static_cast<std::ptrdiff_t>(descriptors_);
 }
@@ -414,13 +414,15 @@
 }
 
 void http_server::Serve(tcp::socket socket, std::size_t thread) {
-  open_connections_.fetch_add(1, std::memory_order_relaxed);
   net::co_spawn(pool_.context(thread),
-                ServeConnection(std::move(socket), thread), net::detached);
+                ServeConnection(std::move(socket), thread,
+                                internal::counted_use(open_connections_)),
+                net::detached);
 }
 
 awaitable<void> http_server::ServeConnection(tcp::socket socket,
-                                             std::size_t thread) {
+                                             std::size_t thread,
+                                             internal::counted_use /*open*/) {
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   boost::beast::tcp_stream stream(std::move(socket));
@@ -434,7 +436,6 @@
     co_await Linger(stream);
   }
   stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  open_connections_.fetch_sub(1, std::memory_order_relaxed);
 }
 
 awaitable<bool> http_server::AwaitRequest(boost::beast::tcp_stream& stream,
@@ -511,7 +512,7 @@
   }
   // The wait was cancelled when the request had arrived.
   const bool evicted = buffer.size() == 0;
-  const request_count counted(busy_);
+  const internal::counted_use counted(busy_);
   body_reader::request_parser parser;
   const http_server_limits limits = CurrentLimits();
   parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
@@ -551,7 +552,7 @@
     co_await RefuseRequest(stream, error, limits);
     co_return false;
   }
-  const request_count handled(handled_);
+  const internal::counted_use handled(handled_);
   // A connection that was to be closed must not have another one closed.
   if (IsShortOfDescriptors(0) && (evicted || !co_await EvictConnection() ||
                                   IsShortOfDescriptors(-kClosingConnections))) {
--- a/wire/http_server.h
+++ b/wire/http_server.h
@@ -37,6 +37,29 @@
 
 namespace internal {
 
+// Counts a use of something, such as a connection or a request, while it
+// exists. Owns the counter jointly: suspended coroutines are destroyed with
+// their io_context, after the server.
+class counted_use {
+ public:
+  explicit counted_use(std::shared_ptr<std::atomic<std::size_t>> count)
+      : count_(std::move(count)) {
+    count_->fetch_add(1, std::memory_order_relaxed);
+  }
+  counted_use(counted_use&& other) noexcept = default;
+  counted_use& operator=(counted_use&&) = delete;
+  // The release pairs with busy(): whoever reads zero also sees the effects of
+  // the requests.
+  ~counted_use() {
+    if (count_) {
+      count_->fetch_sub(1, std::memory_order_release);
+    }
+  }
+
+ private:
+  std::shared_ptr<std::atomic<std::size_t>> count_;
+};
+
 // A type-erased handler, so that the connection code is compiled only once.
 using handler_function =
     std::function<awaitable<void>(http_exchange&, std::size_t)>;
@@ -82,11 +105,11 @@
     limits_in_doubt_ = std::move(in_doubt);
   }
 
-  // Limits the memory that request bodies hold until their requests are
-  // answered. A body that finds no room is not read on until others release
-  // theirs; if that takes too long, an unfinished body is given up and its
-  // request refused with 503. Must be called before the pool starts. The
-  // account must outlive the pool and belongs to this server alone.
+  // Limits the memory that requests hold until they are answered. A request
+  // that finds no room is not read on until others release theirs; if that
+  // takes too long, an unfinished one is given up and refused with 503. Must be
+  // called before the pool starts. The account must outlive the pool and
+  // belongs to this server alone.
   void SetMemoryAccount(memory_account& account);
 
   // Limits the sum of the connections and of the requests that are being
@@ -105,7 +128,7 @@
 
   // Number of open connections, including idle ones.
   std::size_t open() const {
-    return open_connections_.load(std::memory_order_relaxed);
+    return open_connections_->load(std::memory_order_relaxed);
   }
 
   // Requests of which at least one byte has arrived and that are not completely
@@ -127,11 +150,16 @@
               internal::handler_function handler);
 
   awaitable<void> AcceptConnections();
+  // Returns whether a new connection may be served, after a wait for others to
+  // be closed if there are too many.
+  awaitable<bool> MakeRoom();
   // Accepts the connections that the kernel holds, without waiting.
   void AcceptPending();
   void Serve(boost::asio::ip::tcp::socket socket, std::size_t thread);
+  // `open` counts the connection.
   awaitable<void> ServeConnection(boost::asio::ip::tcp::socket socket,
-                                  std::size_t thread);
+                                  std::size_t thread,
+                                  internal::counted_use open);
   awaitable<bool> ServeRequest(boost::beast::tcp_stream& stream,
                                boost::beast::flat_buffer& buffer,
                                std::size_t thread);
@@ -166,7 +194,8 @@
   internal::handler_function handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::uint16_t port_;
-  std::atomic<std::size_t> open_connections_{0};
+  std::shared_ptr<std::atomic<std::size_t>> open_connections_ =
+      std::make_shared<std::atomic<std::size_t>>(0);
   std::shared_ptr<std::atomic<std::size_t>> busy_ =
       std::make_shared<std::atomic<std::size_t>>(0);
   // Requests that are being handled.
--- a/wire/idle_connections.cc
+++ b/wire/idle_connections.cc
@@ -17,19 +17,20 @@
   }
 }
 
-bool idle_connections::CancelLongest() {
+boost::beast::tcp_stream* idle_connections::CancelLongest() {
   if (waiting_.empty()) {
-    return false;
+    return nullptr;
   }
   const auto longest = waiting_.begin();
-  longest->second.stream->cancel();
+  boost::beast::tcp_stream* stream = longest->second.stream;
+  stream->cancel();
   waiting_.erase(longest);
   PublishIdleSince();
-  return true;
+  return stream;
 }
 
 void idle_connections::CancelAll() {
-  while (CancelLongest()) {
+  while (CancelLongest() != nullptr) {
   }
 }
 
--- a/wire/idle_connections.h
+++ b/wire/idle_connections.h
@@ -23,8 +23,9 @@
   wait_id Add(boost::beast::tcp_stream& stream, time_point now);
   void Remove(wait_id wait);
 
-  // Cancels the longest wait; returns false if no connection is waiting.
-  bool CancelLongest();
+  // Cancels the longest wait; returns its stream, or null if no connection is
+  // waiting.
+  boost::beast::tcp_stream* CancelLongest();
   void CancelAll();
 
   // Start of the longest wait, or time_point::max() if no connection is
--- a/wire/unfinished_bodies.cc
+++ b/wire/unfinished_bodies.cc
@@ -94,6 +94,15 @@
   }
 }
 
+void unfinished_bodies::StopWait(const boost::beast::tcp_stream& stream) {
+  for (const auto& [id, read] : reads_) {
+    if (read->stream == &stream) {
+      read->stopped = true;
+      EndWait(*read);
+    }
+  }
+}
+
 // The read is no longer one that waits, also before its coroutine resumes, so
 // that the next call wakes another one.
 void unfinished_bodies::EndWait(body_read& read) {
--- a/wire/unfinished_bodies.h
+++ b/wire/unfinished_bodies.h
@@ -62,6 +62,8 @@
   void WakeSmallest();
   // Ends the waits of all bodies, which then fail.
   void StopWaits();
+  // The same for the body that is read from a stream, if there is one.
+  void StopWait(const boost::beast::tcp_stream& stream);
 
   // Memory that the bodies hold and that is not about to be released.
   // Thread-safe; may be out of date.
