Reserve the memory of header fields before they are parsed

Cause: each field is a node of about 100 bytes, and the call to the engine copies all of them, so a head takes thirty times its size until the call has been answered. Only bodies were counted.

Change: request_reader, formerly body_reader, reads the head into the buffer of the connection, which grows by doubling, and counts the buffer and the fields before it parses them: the first 8 KiB of each request are not counted, which ordinary heads stay below. A request that finds no room waits or is given up as one with a body. The buffer is released between requests. A malformed request line is still refused at once; a malformed field once the head has ended.

--- a/test/support/misbehaving_clients.cc
+++ b/test/support/misbehaving_clients.cc
@@ -39,6 +39,8 @@
 std::vector<misbehaviour> Misbehaviours(const call_heads& heads,
                                         std::size_t body_bytes) {
   constexpr std::size_t kMany = 1'000'000;
+  // With the rest of the head below 8 KiB.
+  constexpr std::size_t kShortFields = 1'500;
   const std::string& held = heads.held;
   const std::string chunked = held + "Transfer-Encoding: chunked\r\n\r\n";
   const std::string quarter(body_bytes / 4, 'x');
@@ -79,6 +81,9 @@
       {"send an extension of a chunk without end",
        kUploads,
        {chunked + "1;", part, 16}},
+      {"send calls with many short fields that no engine answers",
+       kConnections,
+       {held + Repeat("a:\r\n", kShortFields) + "\r\n"}},
       {"pipeline requests and read no answer",
        kUploads,
        {"", Repeat(held + "\r\n", 100), 100}},
--- a/wire/http_exchange.cc
+++ b/wire/http_exchange.cc
@@ -43,8 +43,17 @@
 
 http_exchange::http_exchange(boost::beast::tcp_stream& stream,
                              http_request request,
-                             const http_server_limits& limits)
-    : stream_(stream), request_(std::move(request)), limits_(limits) {}
+                             const http_server_limits& limits,
+                             request_share memory)
+    : stream_(stream),
+      memory_(std::move(memory)),
+      request_(std::move(request)),
+      limits_(limits) {}
+
+request_share http_exchange::ReleaseBody() {
+  request_.body() = std::string();
+  return std::move(memory_);
+}
 
 // Shared with the pending wait, which may complete after the exchange is
 // destroyed.
--- a/wire/http_exchange.h
+++ b/wire/http_exchange.h
@@ -15,6 +15,7 @@
 #include <string_view>
 
 #include "common/time.h"
+#include "wire/memory_account.h"
 #include "wire/transfer.h"
 
 namespace anvilloom {
@@ -50,12 +51,16 @@
  public:
   http_exchange(boost::beast::tcp_stream& stream,
                 http_request request,
-                const http_server_limits& limits);
+                const http_server_limits& limits,
+                request_share memory = request_share());
   ~http_exchange();
   http_exchange(const http_exchange&) = delete;
   http_exchange& operator=(const http_exchange&) = delete;
 
   const http_request& request() const { return request_; }
+  // Frees the body of the request and returns the share of the memory that the
+  // request has held, for a handler that keeps a part of it.
+  request_share ReleaseBody();
   std::string_view target() const;
   // The target without the query.
   std::string_view path() const;
@@ -110,6 +115,8 @@
   bool RecordWrite(bool written);
 
   boost::beast::tcp_stream& stream_;
+  // The memory of the request, held until it has been answered.
+  request_share memory_;
   http_request request_;
   http_server_limits limits_;
   bool responded_ = false;
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -20,9 +20,9 @@
 #include <utility>
 
 #include "common/log.h"
-#include "wire/body_reader.h"
 #include "wire/endpoint.h"
 #include "wire/pause.h"
+#include "wire/request_reader.h"
 
 namespace anvilloom {
 
@@ -57,6 +57,9 @@
 // The same as a part of all connections, which is less if there may be few.
 constexpr std::size_t kClosingDivisor = 8;
 
+// A buffer that a request has left larger is released between requests.
+constexpr std::size_t kKeptBufferBytes = 4096;
+
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 constexpr std::string_view kMalformedRequestBody =
@@ -431,6 +434,9 @@
   while (more) {
     more = co_await ServeRequest(stream, buffer, thread) &&
            !closing_.load(std::memory_order_relaxed);
+    if (buffer.size() == 0 && buffer.capacity() > kKeptBufferBytes) {
+      buffer.shrink_to_fit();
+    }
   }
   if (buffer.size() > 0 || HasInput(stream)) {
     co_await Linger(stream);
@@ -513,7 +519,7 @@
   // The wait was cancelled when the request had arrived.
   const bool evicted = buffer.size() == 0;
   const internal::counted_use counted(busy_);
-  body_reader::request_parser parser;
+  request_reader::request_parser parser;
   const http_server_limits limits = CurrentLimits();
   parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
   parser.body_limit(limits.body_bytes);
@@ -522,26 +528,27 @@
   // trailer that never ends. Set for each request, since the limits may have
   // changed since the connection was opened.
   constexpr std::size_t kBodyPartBytes = std::size_t{16} * 1024;
-  buffer.max_size(
-      std::max(limits.header_bytes + kBodyPartBytes, buffer.size()));
+  const std::size_t buffer_limit =
+      std::max(limits.header_bytes + kBodyPartBytes, buffer.size() + 1);
   // A single timeout covers header and body, so that a client cannot hold a
   // connection by sending one byte at a time.
   const deadline read_by = deadline::After(clock_.Now(), limits.read_timeout);
   stream.expires_at(ToSteady(read_by));
   const idle_connections::wait_id read =
       reading_[thread].Add(stream, clock_.Now());
-  auto [error, header_bytes] =
-      co_await http::async_read_header(stream, buffer, parser, kAwaitTuple);
+  const request_memory memory{account_, &bodies_[thread],
+                              [this] { GiveUpBody(); }};
+  request_reader reader(stream, buffer, memory, ClientOf(stream), read_by);
+  boost::system::error_code error =
+      co_await reader.ReadHeader(parser, limits.header_bytes, buffer_limit);
   if (!error && ExpectsContinue(parser.get()) && !parser.is_done() &&
       !co_await SendContinue(stream)) {
+    reader.Cancel();
     reading_[thread].Remove(read);
     co_return false;
   }
-  const body_memory memory{account_, &bodies_[thread],
-                           [this] { GiveUpBody(); }};
-  body_reader body(stream, buffer, memory, ClientOf(stream), read_by);
   if (!error) {
-    error = co_await body.Read(parser, limits.body_bytes);
+    error = co_await reader.ReadBody(parser, limits.body_bytes);
   }
   reading_[thread].Remove(read);
   if (error == net::error::operation_aborted) {
@@ -559,11 +566,9 @@
     co_await RefuseRequest(stream, NoDescriptors(), limits);
     co_return false;
   }
-  // The memory is held until the exchange has ended.
-  const request_share share = body.TakeShare();
   http_exchange exchange(
-      stream, http_request(std::move(parser.get().base()), body.TakeBody()),
-      limits);
+      stream, http_request(std::move(parser.get().base()), reader.TakeBody()),
+      limits, reader.TakeShare());
   stream.expires_never();
   if (closing_.load(std::memory_order_relaxed) ||
       draining_.load(std::memory_order_relaxed)) {
