Account for the memory and the descriptors of entry instances

Cause: the memory account and the limit on descriptors belonged to the gateway of the platform. The other mode of the program has the same server, without them.

Change: process_limits holds the memory and the descriptors of a process, reads their settings and applies them to the server that clients connect to, in both modes. memory_mb and descriptors are settings of both, with the same defaults. limits/body_bytes is at most a quarter of memory_mb, since larger bodies could not be served. The metrics of the account are the same in both modes.

--- a/entry/admin_handler.cc
+++ b/entry/admin_handler.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "common/hash.h"
+#include "entry/memory_metrics.h"
 #include "entry/readiness.h"
 #include "links/load_owner.h"
 
@@ -177,6 +178,7 @@
     });
   }
   AppendFleetMetrics(out, fleet_.Status());
+  AppendMemoryMetrics(out, process_.memory);
   co_return out;
 }
 
--- a/entry/entry_instance.cc
+++ b/entry/entry_instance.cc
@@ -1,5 +1,6 @@
 #include "entry/entry_instance.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -12,6 +13,7 @@
 #include <utility>
 
 #include "common/log.h"
+#include "entry/process_limits.h"
 #include "entry/stream_handover.h"
 #include "wire/endpoint.h"
 
@@ -63,11 +65,15 @@
       health_reviewer_(process_),
       load_poller_(process_, control_pool_.context(0).get_executor()),
       signals_(control_pool_.context(0), SIGINT, SIGTERM) {
-  const http_server_limits& limits = process_.settings.limits;
+  http_server_limits limits = process_.settings.limits;
+  admin_server_ = std::make_unique<http_server>(
+      control_pool_, process_.settings.admin_listen, AdminLimits(limits),
+      admin_handler_);
+  limits.connections = std::min(limits.connections,
+                                process_.settings.process.ClientConnections());
   caller_server_ = std::make_unique<http_server>(
       request_pool_, process_.settings.listen, limits, request_handler_);
-  admin_server_ = std::make_unique<http_server>(
-      control_pool_, process_.settings.admin_listen, limits, admin_handler_);
+  LimitClients(*caller_server_, process_.settings.process, process_.memory);
   if (!process_.settings.peer_listen.empty()) {
     peers_ = std::make_unique<peer_service>(
         process_, workers_, HttpAddress(process_.settings, port()));
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -24,6 +24,7 @@
 #include "entry/gateway_state.h"
 #include "entry/pace_log.h"
 #include "entry/peer_reporter.h"
+#include "entry/process_limits.h"
 #include "entry/rollout_runner.h"
 #include "entry/serving_platform.h"
 #include "entry/stale_entry_remover.h"
@@ -78,8 +79,14 @@
         pace_log_(state_),
         forwarder_(state_, clients_, state_.settings.threads),
         admin_(state_),
-        admin_server_(control_pool_, state_.settings.admin_listen, {}, admin_),
-        ready_server_(control_pool_, state_.settings.ready_listen, {}, admin_),
+        admin_server_(control_pool_,
+                      state_.settings.admin_listen,
+                      AdminLimits({}),
+                      admin_),
+        ready_server_(control_pool_,
+                      state_.settings.ready_listen,
+                      AdminLimits({}),
+                      admin_),
         caller_server_(MakeClients(caller_pool_),
                        state_.settings.listen,
                        CallerLimits(caller_limits{}),
@@ -105,11 +112,7 @@
     state_.usage_stored = [this](std::span<const usage_count> counts) {
       reporter_.SendFinalUsage(counts);
     };
-    caller_server_.SetMemoryAccount(state_.memory);
-    if (HasManyDescriptors()) {
-      caller_server_.SetDescriptorLimit(state_.settings.descriptors -
-                                        kOwnDescriptors);
-    }
+    LimitClients(caller_server_, state_.settings.process, state_.memory);
     caller_server_.SetLimitsInDoubt(
         [this] { return state_.IsManifestInDoubt(); });
     tracker_.SetFetchAddress(
@@ -193,11 +196,6 @@
   static constexpr duration kMaintenanceInterval = std::chrono::seconds(1);
   // Time for each instance in which all create their entries again.
   static constexpr duration kRestoreInterval = std::chrono::milliseconds(10);
-  // File descriptors reserved for listeners, upstreams and the store.
-  static constexpr std::size_t kReservedDescriptors = 700;
-  // The part of them that is needed whatever the calls: for listeners, threads,
-  // the store, and idle connections to upstreams.
-  static constexpr std::size_t kOwnDescriptors = 200;
 
   // Sleeps first: Close() and EndReads() take effect on the caller threads a
   // moment later, and may let requests in that have just arrived.
@@ -236,10 +234,6 @@
     return pool;
   }
 
-  bool HasManyDescriptors() const {
-    return state_.settings.descriptors > 2 * kReservedDescriptors;
-  }
-
   http_server_limits CallerLimits(const caller_limits& configured) const {
     http_server_limits limits;
     limits.header_bytes = configured.header_bytes;
@@ -247,12 +241,7 @@
     limits.idle_timeout = configured.idle_time;
     // Covers the header and the body, each of which may take the header time.
     limits.read_timeout = configured.header_time * 2;
-    // With few descriptors, all connections may need a second one for an
-    // upstream at the same time.
-    limits.connections =
-        HasManyDescriptors()
-            ? state_.settings.descriptors - kReservedDescriptors
-            : state_.settings.descriptors * 2 / 5;
+    limits.connections = state_.settings.process.ClientConnections();
     return limits;
   }
 
--- a/entry/gateway_admin.cc
+++ b/entry/gateway_admin.cc
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "common/hash.h"
+#include "entry/memory_metrics.h"
 #include "entry/readiness.h"
 
 namespace anvilloom {
@@ -229,10 +230,7 @@
   AppendCounter(out, "queued_reports", counters.queued_reports.load());
   AppendCounter(out, "dropped_reports_total", counters.dropped_reports.load());
   AppendCounter(out, "report_wait_us", counters.report_wait_us.load());
-  AppendCounter(out, "answer_memory_bytes", state_.memory.answers().used());
-  AppendCounter(out, "request_memory_bytes", state_.memory.requests().used());
-  AppendCounter(out, "waiting_bodies", state_.memory.waiters());
-  AppendCounter(out, "given_up_bodies_total", state_.memory.given_up());
+  AppendMemoryMetrics(out, state_.memory);
   AppendSuspects(out, state_.suspects);
   if (state_.settings.HasRollouts()) {
     AppendRollouts(out, *Rollouts(state_));
--- a/entry/gateway_settings.cc
+++ b/entry/gateway_settings.cc
@@ -42,14 +42,6 @@
                                                     "report_interval_ms"};
 constexpr double kMinThreads = 0.01;
 constexpr double kMaxThreads = 64;
-// With fewer file descriptors, listeners and upstream connections leave none
-// for callers.
-constexpr std::size_t kMinDescriptors = 256;
-constexpr std::size_t kMaxDescriptors = 1'048'576;
-// The program itself takes about 20 MB.
-constexpr double kMinMemoryMb = 32;
-constexpr double kMaxMemoryMb = 1'048'576;
-constexpr double kBytesPerMb = 1'000'000;
 constexpr duration kMillisecond = std::chrono::milliseconds(1);
 constexpr std::size_t kMinTimeMs = 50;
 constexpr std::size_t kMaxTimeMs = 600'000;
@@ -101,11 +93,7 @@
   auto threads = static_cast<double>(settings.threads);
   reader.ReadNumber("threads", kMinThreads, kMaxThreads, threads);
   settings.threads = static_cast<std::size_t>(std::ceil(threads));
-  reader.ReadCount("descriptors", kMinDescriptors, kMaxDescriptors,
-                   settings.descriptors);
-  auto memory_mb = static_cast<double>(settings.memory_bytes) / kBytesPerMb;
-  reader.ReadNumber("memory_mb", kMinMemoryMb, kMaxMemoryMb, memory_mb);
-  settings.memory_bytes = static_cast<std::size_t>(memory_mb * kBytesPerMb);
+  ReadProcessLimits(reader, settings.process);
   reader.ReadSeconds("stop_limit_s", kMinTimeS, kMaxTimeS, settings.stop_limit);
   ReadFractionalMs(reader, "lease_ms", settings.lease);
   reader.ReadSeconds("usage_window_s", kMinTimeS, kMaxTimeS,
--- a/entry/gateway_settings.h
+++ b/entry/gateway_settings.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "common/time.h"
+#include "entry/process_limits.h"
 #include "entry/settings.h"
 
 namespace anvilloom {
@@ -33,10 +34,7 @@
   std::string store;
   std::string cloud;
   std::size_t threads = 1;
-  // Maximum number of open file descriptors.
-  std::size_t descriptors = 4096;
-  // Memory above which the platform kills the process.
-  std::size_t memory_bytes = std::size_t{256} * 1024 * 1024;
+  process_limits process;
   // Time from SIGTERM until the platform kills the process.
   duration stop_limit = std::chrono::seconds(8);
   // Lease period stated by the platform; the duty lease uses two thirds of it.
--- a/entry/gateway_state.h
+++ b/entry/gateway_state.h
@@ -88,7 +88,7 @@
         epoch(static_cast<std::uint64_t>(WallClockMicros())),
         view(std::make_unique<std::shared_ptr<const serving_view>>(
             std::make_shared<serving_view>())),
-        memory(settings.memory_bytes),
+        memory(settings.process.memory_bytes),
         wall_offset_us(OwnWallOffset()) {}
 
   // The local wall clock minus the monotonic clock, in microseconds.
--- a/entry/process_state.cc
+++ b/entry/process_state.cc
@@ -21,6 +21,7 @@
 
 process_state::process_state(entry_settings from)
     : settings(std::move(from)),
+      memory(settings.process.memory_bytes),
       epoch(RandomEpoch()),
       world(topology_builder().Build()),
       members(std::make_unique<const membership_snapshot>()) {}
--- a/entry/process_state.h
+++ b/entry/process_state.h
@@ -17,6 +17,7 @@
 #include "links/least_cost.h"
 #include "links/retry_budget.h"
 #include "links/topology.h"
+#include "wire/memory_account.h"
 #include "wire/steady_clock.h"
 
 namespace anvilloom {
@@ -39,6 +40,8 @@
   explicit process_state(entry_settings from);
 
   entry_settings settings;
+  // What clients and upstreams have sent and what has not been passed on.
+  memory_account memory;
   // Distinguishes this run of the process from earlier ones of the same name.
   std::string epoch;
   steady_source clock;
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -18,13 +18,14 @@
 namespace json = boost::json;
 namespace leaf = boost::leaf;
 
-constexpr std::array<std::string_view, 18> kKeys = {
+constexpr std::array<std::string_view, 20> kKeys = {
     "name",           "failure_domain",     "listen",
     "admin_listen",   "admin_token_sha256", "object_api",
     "threads",        "instance_api",       "reclaim_plan",
     "limits",         "peer_listen",        "seeds",
     "drain_limit_ms", "drain_grace_ms",     "fleet",
-    "fleet_lease_ms", "fleet_round_ms",     "load_interval_ms"};
+    "fleet_lease_ms", "fleet_round_ms",     "load_interval_ms",
+    "memory_mb",      "descriptors"};
 constexpr std::size_t kMaxThreads = 64;
 constexpr std::size_t kMaxDrainMs = 600'000;
 // A shorter lease would expire under the usual delays of a busy machine.
@@ -190,6 +191,7 @@
   reader.ReadBool("reclaim_plan", settings.reclaim_plan);
   reader.ReadCount("threads", 1, kMaxThreads, settings.threads);
   ReadLimits(reader, *parsed, file, settings.limits);
+  ReadProcessLimits(reader, settings.process);
   reader.ReadAddress("peer_listen", false, settings.peer_listen);
   reader.ReadAddresses("seeds", settings.seeds);
   reader.ReadCount("drain_limit_ms", 1, kMaxDrainMs, settings.drain_limit_ms);
@@ -201,6 +203,10 @@
                    settings.fleet_round_ms);
   reader.ReadCount("load_interval_ms", 0, kMaxLoadIntervalMs,
                    settings.load_interval_ms);
+  if (settings.limits.body_bytes > settings.process.MaxBodyBytes()) {
+    reader.Fail(settings_fault_kind::kWrongType, "limits/body_bytes",
+                "at most a quarter of \"memory_mb\"");
+  }
   if (!IsName(settings.name)) {
     reader.Fail(settings_fault_kind::kBadName, "name");
   }
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "entry/process_limits.h"
 #include "wire/http_exchange.h"
 
 namespace anvilloom {
@@ -34,6 +35,8 @@
   std::size_t threads = 2;
   // Limits on client connections and requests, for both ports.
   http_server_limits limits;
+  // Memory above which the process is killed, and its descriptors.
+  process_limits process;
   // Listen address for other entry instances; empty if there are none. They
   // must be able to reach the IP address.
   std::string peer_listen;
--- a/test/error/gateway_settings_test.cc
+++ b/test/error/gateway_settings_test.cc
@@ -101,7 +101,7 @@
       REQUIRE(settings);
       REQUIRE(settings->retry_extra == 52);
       REQUIRE(settings->threads == 1);
-      REQUIRE(settings->memory_bytes == 260'000'000);
+      REQUIRE(settings->process.memory_bytes == 260'000'000);
       REQUIRE(settings->manifest_apply == std::chrono::seconds(4));
       REQUIRE(settings->upstream_drain == std::chrono::seconds(3));
     }
--- a/test/error/operator_commands_test.cc
+++ b/test/error/operator_commands_test.cc
@@ -401,6 +401,16 @@
     }
   }
 
+  GIVEN("a body that takes more than its part of the memory") {
+    THEN("the settings are refused, and accepted with more memory") {
+      const std::string limit = R"(,"limits":{"body_bytes":16000001})";
+      REQUIRE(!ParseWith(limit + R"(,"memory_mb":64)"));
+      REQUIRE(ParseWith(limit + R"(,"memory_mb":64.1)"));
+      REQUIRE(!ParseWith(R"(,"memory_mb":31)"));
+      REQUIRE(!ParseWith(R"(,"descriptors":255)"));
+    }
+  }
+
   GIVEN("limits that are not an object or have an unknown key") {
     const local_system system;
     const auto [text, sentence] = GENERATE(table<std::string, std::string>({
