Count answers of plain services, and hold the bodies of calls once

Seen in client_memory_entry_test, without limits: 450 clients that ask for answers of 1 MB and read nothing made an instance take 465 MB, and 150 calls with bodies of 1 MiB that no service answers 333 MB.

Cause: answers were read without a limit on their sum, and the body of a call was copied for each attempt, once more if the call runs once.

Change: http_client::Exchange() takes a request that views its body, and counts the answer in the account; the handler of plain services uses both. An answer that finds no room fails the call with an unknown outcome and does not count against the upstream.

--- a/entry/plain_handler.cc
+++ b/entry/plain_handler.cc
@@ -46,11 +46,12 @@
                               : std::string(type->value());
 }
 
-http_request MakeForwarded(const http_exchange& exchange,
-                           std::string_view path) {
-  http_request forwarded =
-      MakeRequest(exchange.request().method(), path, exchange.request().body(),
-                  exchange.Header("Content-Type"));
+// Returns a request that views the body of the caller's.
+http_request_view MakeForwarded(const http_exchange& exchange,
+                                std::string_view path) {
+  http_request_view forwarded = MakeRequestView(
+      exchange.request().method(), path, exchange.request().body(),
+      exchange.Header("Content-Type"));
   const std::string_view key = exchange.Header("Idempotency-Key");
   if (!key.empty()) {
     forwarded.set("Idempotency-Key", key);
@@ -65,17 +66,26 @@
   return std::min(kMaxMargin, left / kRemainingTimeDivisor);
 }
 
+// An answer for which this instance has no memory is no fault of the upstream.
+void RecordFailure(link& path, const transfer_failure& failure) {
+  if (failure.error != transfer_error::kTooLarge) {
+    path.RecordFailure();
+  }
+}
+
 // Sends one claimed request. Tries another upstream only while no byte can have
 // reached the previous one. Satisfies request_sender.
 class claimed_request_sender {
  public:
   claimed_request_sender(worker& self,
                          const service& target,
-                         http_request request,
+                         http_request_view request,
+                         answer_share& memory,
                          deadline answer_by)
       : self_(self),
         target_(target),
         request_(std::move(request)),
+        memory_(memory),
         answer_by_(answer_by) {}
 
   awaitable<claim_send_result> operator()(deadline send_by) {
@@ -88,15 +98,15 @@
         break;
       }
       auto answer = co_await self_.client().Exchange(
-          chosen->address, request_, answer_by_, connection_use::kFresh,
-          send_by);
+          chosen->address, request_, memory_, answer_by_,
+          connection_use::kFresh, send_by);
       chosen->place.Release();
       if (answer) {
         chosen->path->RecordSuccess();
         co_return claim_answer{answer->result_int(), ContentType(*answer),
                                std::move(answer->body())};
       }
-      chosen->path->RecordFailure();
+      RecordFailure(*chosen->path, answer.error());
       failed_links.push_back(chosen->path);
       failure = {answer.error().sent, refusal_code::kUpstreamFailed};
     }
@@ -106,7 +116,8 @@
  private:
   worker& self_;
   const service& target_;
-  http_request request_;
+  http_request_view request_;
+  answer_share& memory_;
   deadline answer_by_;
 };
 
@@ -175,13 +186,15 @@
   process.retries.Request(RetryPermille(process));
   shared_links failed;
   bool sent = false;
+  // Holds the memory of the answer until it has been passed on.
+  answer_share memory(process.memory.answers());
   for (std::uint32_t attempt = 0; attempt < kMaxAttempts; ++attempt) {
     auto chosen = ChooseUpstream(process, target, answer_by, failed);
     if (!chosen) {
       break;
     }
     auto answer = co_await self.client().Exchange(
-        chosen->address, MakeForwarded(exchange, path), answer_by);
+        chosen->address, MakeForwarded(exchange, path), memory, answer_by);
     chosen->place.Release();
     if (answer) {
       chosen->path->RecordSuccess();
@@ -190,8 +203,12 @@
                                 answer->body());
       co_return;
     }
-    chosen->path->RecordFailure();
+    RecordFailure(*chosen->path, answer.error());
     failed.push_back(chosen->path);
+    if (answer.error().error == transfer_error::kTooLarge) {
+      sent = true;
+      break;
+    }
     sent = sent || answer.error().sent;
     // A refused connection adds no load to any upstream, so the next attempt
     // needs no retry budget.
@@ -232,11 +249,13 @@
     co_return;
   }
   ++self.metrics().accepted;
-  http_request request = MakeForwarded(exchange, path);
+  http_request_view request = MakeForwarded(exchange, path);
   if (exchange.Header("Idempotency-Key").empty()) {
     request.set("Idempotency-Key", operation->name);
   }
-  claimed_request_sender send(self, target, std::move(request), reply_by);
+  answer_share memory(process.memory.answers());
+  claimed_request_sender send(self, target, std::move(request), memory,
+                              reply_by);
   claim_runner runner(self.objects(), process.clock, claim_owners(process),
                       process.unfinished, operation->name);
   claim_identity identity{self.NextAttemptToken(), process.RunName(),
--- a/wire/http_client.cc
+++ b/wire/http_client.cc
@@ -495,8 +495,29 @@
     connection_use use,
     deadline send_by) {
   http_request_view view = ViewOf(request);
+  co_return co_await ExchangeView(address, view, nullptr, until, use, send_by);
+}
+
+awaitable<transfer_result<http_response>> http_client::Exchange(
+    std::string_view address,
+    http_request_view request,
+    answer_share& memory,
+    deadline until,
+    connection_use use,
+    deadline send_by) {
+  co_return co_await ExchangeView(address, request, &memory, until, use,
+                                  send_by);
+}
+
+awaitable<transfer_result<http_response>> http_client::ExchangeView(
+    std::string_view address,
+    http_request_view& request,
+    answer_share* memory,
+    deadline until,
+    connection_use use,
+    deadline send_by) {
   auto connection =
-      co_await SendAndReadHeader(address, view, until, use, send_by);
+      co_await SendAndReadHeader(address, request, until, use, send_by);
   if (!connection) {
     co_return connection.error();
   }
@@ -513,6 +534,10 @@
     if (piece->empty()) {
       break;
     }
+    const std::size_t size = response.body().size() + piece->size();
+    if (memory != nullptr && !memory->Resize(size)) {
+      co_return transfer_failure{transfer_error::kTooLarge, true};
+    }
     response.body().append(*piece);
   }
   if ((*connection)->HasExcessData()) {
@@ -529,11 +554,21 @@
                          std::string_view target,
                          std::string_view body,
                          std::string_view content_type) {
-  http_request request(method, target, 11);
+  http_request_view view = MakeRequestView(method, target, body, content_type);
+  http_request request(std::move(view.base()));
+  request.body() = body;
+  return request;
+}
+
+http_request_view MakeRequestView(http::verb method,
+                                  std::string_view target,
+                                  std::string_view body,
+                                  std::string_view content_type) {
+  http_request_view request(method, target, 11);
   request.set(http::field::host, "anvilloom");
   if (!body.empty()) {
     request.set(http::field::content_type, content_type);
-    request.body() = body;
+    request.body() = {body.data(), body.size()};
   }
   request.prepare_payload();
   return request;
--- a/wire/http_client.h
+++ b/wire/http_client.h
@@ -15,6 +15,7 @@
 #include "common/time.h"
 #include "wire/http_exchange.h"
 #include "wire/http_request_view.h"
+#include "wire/memory_account.h"
 #include "wire/transfer.h"
 
 namespace anvilloom {
@@ -137,6 +138,16 @@
       deadline until,
       connection_use use = connection_use::kPooled,
       deadline send_by = deadline::Never());
+  // Same for a request whose body must stay in place until the call returns.
+  // Fails with kTooLarge if `memory` has no room for the body of the response,
+  // which it counts until it is resized or destroyed.
+  awaitable<transfer_result<http_response>> Exchange(
+      std::string_view address,
+      http_request_view request,
+      answer_share& memory,
+      deadline until,
+      connection_use use = connection_use::kPooled,
+      deadline send_by = deadline::Never());
 
   // Sends `request` and returns once the response header has arrived, after any
   // interim responses (1xx), which are skipped. `handle`, if given, must
@@ -165,6 +176,14 @@
                     connection_use use,
                     deadline send_by = deadline::Never(),
                     http_call_handle* handle = nullptr);
+  // `memory` is null if the response is not counted.
+  awaitable<transfer_result<http_response>> ExchangeView(
+      std::string_view address,
+      http_request_view& request,
+      answer_share* memory,
+      deadline until,
+      connection_use use,
+      deadline send_by);
 
   boost::asio::any_io_executor executor_;
   http_client_limits limits_;
@@ -177,6 +196,11 @@
                          std::string_view target,
                          std::string_view body = {},
                          std::string_view content_type = "application/json");
+// Same without a copy of the body.
+http_request_view MakeRequestView(boost::beast::http::verb method,
+                                  std::string_view target,
+                                  std::string_view body,
+                                  std::string_view content_type);
 
 }  // namespace anvilloom
 
