Encode the events of a resumed stream piece by piece

Seen in client_memory_entry_test: 300 clients that resume a stream of 30,000 tokens from its start and read nothing made an instance take 1.8 GB.

Cause: all events from the requested one on were encoded before the first was written, and held until the client had read them.

Change: at most about 16 KiB of events are encoded for each write.

--- a/entry/chat_handler.cc
+++ b/entry/chat_handler.cc
@@ -25,6 +25,9 @@
 namespace net = boost::asio;
 namespace leaf = boost::leaf;
 
+// Events that are encoded at a time. A client that reads slowly holds no more
+// of a stream that it has resumed.
+constexpr std::size_t kMaxWriteBytes = std::size_t{16} * 1024;
 constexpr std::string_view kStreamsPath = "/v1/streams/";
 // Limit on proxying one resumed stream.
 constexpr duration kResumeProxyTimeout = std::chrono::minutes(10);
@@ -59,12 +62,13 @@
           session.model_version()};
 }
 
-// Appends the events from token `next` on and advances `next` past them.
+// Appends the events from token `next` on, up to about kMaxWriteBytes, and
+// advances `next` past them.
 void AppendTokens(std::string& out,
                   const stream_session& session,
                   std::uint32_t& next) {
   const completion_identity identity = IdentityOf(session);
-  while (next < session.visible_tokens()) {
+  while (next < session.visible_tokens() && out.size() < kMaxWriteBytes) {
     AppendTokenEvent(out, session.order().stream_id, identity, next,
                      session.token(next));
     ++next;
@@ -97,8 +101,10 @@
   while (open) {
     out.clear();
     AppendTokens(out, *session, next);
-    const bool ended = session->phase() != stream_phase::kRunning;
-    const bool handed_over = session->phase() == stream_phase::kHandedOver;
+    const bool ended = session->phase() != stream_phase::kRunning &&
+                       next >= session->visible_tokens();
+    const bool handed_over =
+        ended && session->phase() == stream_phase::kHandedOver;
     if (ended && !handed_over) {
       AppendEnd(out, *session);
     }
