Read the JSON of clients without a tree of its values

Seen in client_memory_entry_test, with body limits of 1 MiB: 50 clients that send chat requests or calls with as many small values as fit made an instance take 121 MB and 174 MB.

Cause: bodies were parsed into a tree, which takes 24 bytes and more for a value of two characters, while a request needs a few members of it.

Change: the text is checked by a parser that keeps nothing, and the members are found and compacted as text. The messages of a chat request keep the spelling of their values; before, they were encoded again. A field that identifies an operation has at most 16 KiB.

--- a/entry/operation_identity.cc
+++ b/entry/operation_identity.cc
@@ -11,6 +11,10 @@
 
 namespace {
 
+// A longer value of a field identifies no operation: a parsed value takes many
+// times its text.
+constexpr std::size_t kMaxIdentityBytes = std::size_t{16} * 1024;
+
 // The length prefix makes the concatenation of parts unambiguous.
 void AppendLengthPrefixed(std::string& text, std::string_view part) {
   text += std::to_string(part.size());
@@ -20,14 +24,15 @@
 
 std::optional<std::string> KeyFromBody(std::string_view body,
                                        std::span<const std::string> fields) {
-  const auto parsed = fields.empty() ? std::nullopt : ParseJson(body);
-  if (!parsed) {
+  if (fields.empty() || !IsValidJson(body)) {
     return std::nullopt;
   }
   std::string key;
   for (const std::string& field : fields) {
-    const boost::json::value* member = FindMember(*parsed, field);
-    if (member == nullptr || member->is_null()) {
+    const std::string_view text = FindRawMember(body, field);
+    const auto member =
+        text.size() <= kMaxIdentityBytes ? ParseJson(text) : std::nullopt;
+    if (!member || member->is_null()) {
       return std::nullopt;
     }
     AppendLengthPrefixed(key, field);
--- a/wire/chat_codec.cc
+++ b/wire/chat_codec.cc
@@ -1,6 +1,7 @@
 #include "wire/chat_codec.h"
 
 #include <boost/json/serialize.hpp>
+#include <boost/json/value_to.hpp>
 #include <boost/leaf/error.hpp>
 #include <charconv>
 #include <utility>
@@ -91,6 +92,27 @@
   return static_cast<std::uint32_t>(*wide);
 }
 
+// Returns the text of a member, or an empty one if it is not a string.
+std::string TextOf(std::string_view member) {
+  const auto parsed =
+      member.starts_with('"') ? ParseJson(member) : std::nullopt;
+  return parsed ? json::value_to<std::string>(*parsed) : std::string();
+}
+
+// Returns the number of a "max_tokens" member, or nothing if it is not one in
+// range.
+std::optional<std::uint32_t> TokensOf(std::string_view member) {
+  constexpr std::size_t kMaxDigits = 32;
+  const auto parsed =
+      member.size() <= kMaxDigits ? ParseJson(member) : std::nullopt;
+  boost::system::error_code error;
+  const auto tokens =
+      parsed ? parsed->to_number<std::uint64_t>(error) : std::uint64_t{0};
+  return error || tokens == 0 || tokens > kMaxAnswerTokens
+             ? std::nullopt
+             : std::optional(static_cast<std::uint32_t>(tokens));
+}
+
 // Returns the first element of "choices", or null.
 const json::value* FirstChoice(const json::value& chunk) {
   const json::value* choices = FindMember(chunk, "choices");
@@ -118,29 +140,31 @@
 }
 
 leaf::result<chat_request> DecodeChatRequest(std::string_view body) {
-  const auto parsed = ParseJson(body);
-  if (!parsed || !parsed->is_object()) {
+  const std::size_t begin = body.find_first_not_of(" \t\r\n");
+  if (!IsValidJson(body) || body[begin] != '{') {
     return leaf::new_error(chat_fault::kNotJson);
   }
-  const auto model = StringMember(*parsed, "model");
-  if (!model || model->empty()) {
+  chat_request request;
+  request.service = TextOf(FindRawMember(body, "model"));
+  if (request.service.empty()) {
     return leaf::new_error(chat_fault::kMissingModel);
   }
-  const json::value* messages = FindMember(*parsed, "messages");
-  if (messages == nullptr || !messages->is_array() ||
-      messages->get_array().empty()) {
+  const std::string_view messages = FindRawMember(body, "messages");
+  if (!messages.starts_with('[')) {
     return leaf::new_error(chat_fault::kMissingMessages);
   }
-  chat_request request;
-  request.service = *model;
-  request.messages = json::serialize(*messages);
-  request.stream = BoolMember(*parsed, "stream").value_or(false);
-  if (FindMember(*parsed, "max_tokens") != nullptr) {
-    const auto tokens = UnsignedMember(*parsed, "max_tokens");
-    if (!tokens || *tokens == 0 || *tokens > kMaxAnswerTokens) {
+  request.messages = CompactJson(messages);
+  if (request.messages == "[]") {
+    return leaf::new_error(chat_fault::kMissingMessages);
+  }
+  request.stream = FindRawMember(body, "stream") == "true";
+  const std::string_view max_tokens = FindRawMember(body, "max_tokens");
+  if (!max_tokens.empty()) {
+    const auto tokens = TokensOf(max_tokens);
+    if (!tokens) {
       return leaf::new_error(chat_fault::kBadMaxTokens);
     }
-    request.max_tokens = static_cast<std::uint32_t>(*tokens);
+    request.max_tokens = *tokens;
   }
   return request;
 }
--- a/wire/json_text.cc
+++ b/wire/json_text.cc
@@ -1,6 +1,7 @@
 #include "wire/json_text.h"
 
 #include <algorithm>
+#include <boost/json/basic_parser_impl.hpp>
 #include <boost/json/parse.hpp>
 #include <charconv>
 #include <utility>
@@ -14,13 +15,51 @@
 // Deeper nesting is rejected, so that input cannot exhaust the stack.
 constexpr std::size_t kMaxDepth = 32;
 
-std::optional<json::value> Parse(std::string_view text, bool comments) {
+constexpr std::string_view kJsonSpace = " \t\r\n";
+
+json::parse_options ParseOptions(bool comments) {
   json::parse_options options;
   options.max_depth = kMaxDepth;
   options.allow_comments = comments;
+  return options;
+}
+
+// A handler of a parser that only checks the text.
+struct json_checker {
+  // Boost.JSON prescribes these names.
+  // NOLINTBEGIN(readability-identifier-naming)
+  static constexpr std::size_t max_object_size = json::object::max_size();
+  static constexpr std::size_t max_array_size = json::array::max_size();
+  static constexpr std::size_t max_key_size = json::string::max_size();
+  static constexpr std::size_t max_string_size = json::string::max_size();
+  // NOLINTEND(readability-identifier-naming)
+
+  using text = json::string_view;
+  using error = boost::system::error_code;
+  bool on_document_begin(error&) { return true; }
+  bool on_document_end(error&) { return true; }
+  bool on_array_begin(error&) { return true; }
+  bool on_array_end(std::size_t, error&) { return true; }
+  bool on_object_begin(error&) { return true; }
+  bool on_object_end(std::size_t, error&) { return true; }
+  bool on_string_part(text, std::size_t, error&) { return true; }
+  bool on_string(text, std::size_t, error&) { return true; }
+  bool on_key_part(text, std::size_t, error&) { return true; }
+  bool on_key(text, std::size_t, error&) { return true; }
+  bool on_number_part(text, error&) { return true; }
+  bool on_int64(std::int64_t, text, error&) { return true; }
+  bool on_uint64(std::uint64_t, text, error&) { return true; }
+  bool on_double(double, text, error&) { return true; }
+  bool on_bool(bool, error&) { return true; }
+  bool on_null(error&) { return true; }
+  bool on_comment_part(text, error&) { return true; }
+  bool on_comment(text, error&) { return true; }
+};
+
+std::optional<json::value> Parse(std::string_view text, bool comments) {
   boost::system::error_code error;
-  json::value parsed =
-      json::parse({text.data(), text.size()}, error, {}, options);
+  json::value parsed = json::parse({text.data(), text.size()}, error, {},
+                                   ParseOptions(comments));
   if (error) {
     return std::nullopt;
   }
@@ -55,7 +94,7 @@
 
  private:
   void SkipSpace() {
-    const std::size_t begin = text_.find_first_not_of(" \t\r\n");
+    const std::size_t begin = text_.find_first_not_of(kJsonSpace);
     text_.remove_prefix(std::min(begin, text_.size()));
   }
 
@@ -253,6 +292,51 @@
   return value;
 }
 
+bool IsValidJson(std::string_view text) {
+  json::basic_parser<json_checker> parser(ParseOptions(false));
+  boost::system::error_code error;
+  const std::size_t parsed =
+      parser.write_some(false, text.data(), text.size(), error);
+  return !error && parser.done() &&
+         text.find_first_not_of(kJsonSpace, parsed) == text.npos;
+}
+
+std::string_view FindRawMember(std::string_view text, std::string_view key) {
+  std::string_view found;
+  json_cutter cutter(text);
+  bool more = cutter.Skip('{') && !cutter.Skip('}');
+  while (more) {
+    const std::string_view name = cutter.TakeValue();
+    cutter.Skip(':');
+    const std::string_view value = cutter.TakeValue();
+    if (WithoutQuotes(name) == key) {
+      found = value;
+    }
+    more = cutter.Skip(',');
+  }
+  return found;
+}
+
+std::string CompactJson(std::string_view text) {
+  std::string compact;
+  compact.reserve(text.size());
+  while (!text.empty()) {
+    const std::string_view outside =
+        text.substr(0, text.find_first_of("\" \t\r\n"));
+    compact += outside;
+    text.remove_prefix(outside.size());
+    if (!text.empty() && text.front() == '"') {
+      const std::string_view quoted = json_cutter(text).TakeValue();
+      compact += quoted;
+      text.remove_prefix(quoted.size());
+    } else {
+      text.remove_prefix(
+          std::min(text.find_first_not_of(kJsonSpace), text.size()));
+    }
+  }
+  return compact;
+}
+
 std::optional<json::value> ParseJson(std::string_view text) {
   return Parse(text, false);
 }
--- a/wire/json_text.h
+++ b/wire/json_text.h
@@ -39,6 +39,17 @@
 // Returns the value of a member, or an empty view if there is none.
 std::string_view FindValue(const json_members& members, std::string_view key);
 
+// The following use no memory for values, whose number may be that of the bytes
+// of the text. They take text from clients.
+
+// Whether ParseJson() accepts the text.
+bool IsValidJson(std::string_view text);
+// Returns the value of a member as it stands in valid JSON, the last one of
+// several, or an empty view if there is none or the text is not an object.
+std::string_view FindRawMember(std::string_view text, std::string_view key);
+// Returns valid JSON without the space between its elements.
+std::string CompactJson(std::string_view text);
+
 // Returns a member of an object, or null if it is absent or `object` is not an
 // object.
 const boost::json::value* FindMember(const boost::json::value& object,
