Count the prompts of streams, and free them when the stream has ended

Seen in client_memory_entry_test, without limits: 50 clients that send prompts of 256 KiB which the engine refuses, go and come again made an instance take 4.9 GB within 4 s, and 150 prompts of 1 MiB that no engine answers 500 MB.

Cause: a stream keeps its prompt, apart from the body of the request, and each attempt encodes it once more; neither was counted. It was kept for 30 s after the stream had ended, for callers that resume it, although only a stream that runs needs it.

Change: the share of the memory that the body held goes with the stream, for the prompt and its copy, and is given back when the stream has ended. A request that finds no room is refused with 503, not run. A stream that failed before its first token, whose id no caller has been told, is not kept.

--- a/entry/chat_handler.cc
+++ b/entry/chat_handler.cc
@@ -28,6 +28,8 @@
 // Events that are encoded at a time. A client that reads slowly holds no more
 // of a stream that it has resumed.
 constexpr std::size_t kMaxWriteBytes = std::size_t{16} * 1024;
+// Other requests are completed or given up in this time.
+constexpr duration kMemoryRetryDelay = std::chrono::seconds(1);
 constexpr std::string_view kStreamsPath = "/v1/streams/";
 // Limit on proxying one resumed stream.
 constexpr duration kResumeProxyTimeout = std::chrono::minutes(10);
@@ -79,7 +81,7 @@
   const stream_spec& order = session.order();
   if (session.phase() == stream_phase::kComplete) {
     AppendFinishEvents(out, order.stream_id, IdentityOf(session),
-                       EstimatePromptTokens(order.request), session.tokens());
+                       session.prompt_tokens(), session.tokens());
     return;
   }
   out += "event: error\ndata: ";
@@ -145,9 +147,9 @@
 
 awaitable<void> WriteWholeAnswer(http_exchange& exchange,
                                  std::shared_ptr<stream_session> session) {
-  const std::string body = EncodeCompletion(
-      IdentityOf(*session), session->text(),
-      EstimatePromptTokens(session->order().request), session->tokens());
+  const std::string body =
+      EncodeCompletion(IdentityOf(*session), session->text(),
+                       session->prompt_tokens(), session->tokens());
   if (co_await exchange.Respond(http_status::ok, "application/json", body)) {
     session->SetFetched();
   }
@@ -160,8 +162,7 @@
   co_await AwaitEnd(session);
   const bool complete = session->phase() == stream_phase::kComplete;
   if (complete) {
-    ticket.Settle(EstimatePromptTokens(session->order().request) +
-                  session->tokens());
+    ticket.Settle(session->prompt_tokens() + session->tokens());
   } else if (session->failure() &&
              session->failure()->code == refusal_code::kNoUpstream &&
              session->tokens() == 0) {
@@ -178,6 +179,8 @@
   std::string_view detail;
   stream_spec order;
   admission_ticket ticket;
+  // The memory of the request.
+  request_share memory;
 };
 
 prepared_stream MakeRefused(const refusal& why, std::string_view detail = {}) {
@@ -187,7 +190,16 @@
   return prepared;
 }
 
-prepared_stream Prepare(const http_exchange& exchange,
+// Makes a share hold the messages of a request, and their copy in a call to an
+// engine. Returns false if there is no memory for them.
+bool ResizeToRequest(request_share& memory, const chat_request& request) {
+  constexpr std::size_t kCopies = 2;
+  const std::size_t bytes = request.messages.size() * kCopies;
+  memory.Shrink(bytes);
+  return memory.TryGrow(bytes, bytes <= memory_account::kSmallBodyBytes);
+}
+
+prepared_stream Prepare(http_exchange& exchange,
                         worker& self,
                         const caller& from) {
   process_state& process = self.process();
@@ -218,6 +230,11 @@
   order.accepted_at = now;
   order.first_token_by = deadline::After(now, target->terms.first_token_target);
   order.answer_by = *answer_by;
+  prepared.memory = exchange.ReleaseBody();
+  if (!ResizeToRequest(prepared.memory, order.request)) {
+    return MakeRefused({refusal_code::kOverloaded, outcome::kNotRun,
+                        deadline::After(now, kMemoryRetryDelay)});
+  }
   admission_result admission = AdmitRequest(process, order.workspace, *target,
                                             MakeRouteRequest(order, 0), now);
   if (admission.refused) {
@@ -232,6 +249,7 @@
                                             prepared_stream prepared) {
   auto session = std::make_shared<stream_session>(self.context().get_executor(),
                                                   std::move(prepared.order));
+  session->HoldMemory(std::move(prepared.memory));
   self.AddStream(session);
   ++self.metrics().accepted;
   net::co_spawn(self.context(), RunStream(self, session), net::detached);
--- a/entry/stream_runner.cc
+++ b/entry/stream_runner.cc
@@ -277,7 +277,18 @@
                           std::shared_ptr<stream_session> session) {
   stream_driver driver(self, session);
   co_await driver.Run();
-  co_await Pause(kFinishedStreamRetention);
+  if (session->phase() != stream_phase::kHandedOver) {
+    // Another instance may be offered a stream that was handed over.
+    session->ReleaseRequest();
+  }
+  // Without a token, the caller has not been told the id of the stream, unless
+  // it comes from another instance.
+  const bool unknown_to_caller = session->phase() == stream_phase::kFailed &&
+                                 session->tokens() == 0 &&
+                                 session->transfer() == 0;
+  if (!unknown_to_caller) {
+    co_await Pause(kFinishedStreamRetention);
+  }
   self.RemoveStream(session->order().stream_id);
 }
 
--- a/entry/stream_session.cc
+++ b/entry/stream_session.cc
@@ -10,7 +10,10 @@
 
 stream_session::stream_session(const boost::asio::any_io_executor& executor,
                                stream_spec spec)
-    : spec_(std::move(spec)), changed_(executor), wake_(executor) {
+    : spec_(std::move(spec)),
+      prompt_tokens_(EstimatePromptTokens(spec_.request)),
+      changed_(executor),
+      wake_(executor) {
   changed_.expires_at(std::chrono::steady_clock::time_point::max());
 }
 
@@ -46,6 +49,11 @@
   Notify();
 }
 
+void stream_session::ReleaseRequest() {
+  spec_.request.messages = std::string();
+  memory_.reset();
+}
+
 void stream_session::HandOver(std::string_view holder_address) {
   if (phase_ != stream_phase::kRunning && phase_ != stream_phase::kHandedOver) {
     return;
--- a/entry/stream_session.h
+++ b/entry/stream_session.h
@@ -10,12 +10,14 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "common/time.h"
 #include "contracts/outcome.h"
 #include "contracts/service.h"
 #include "wire/chat_codec.h"
+#include "wire/memory_account.h"
 #include "wire/transfer.h"
 
 namespace anvilloom {
@@ -47,6 +49,8 @@
                  stream_spec spec);
 
   const stream_spec& order() const { return spec_; }
+  // Estimated; stays known after ReleaseRequest().
+  std::uint32_t prompt_tokens() const { return prompt_tokens_; }
   stream_phase phase() const { return phase_; }
   std::uint32_t tokens() const {
     return static_cast<std::uint32_t>(ends_.size());
@@ -98,6 +102,11 @@
   void Complete();
   void Fail(const refusal& reason);
 
+  // Keeps the memory that the request takes until ReleaseRequest().
+  void HoldMemory(request_share memory) { memory_.emplace(std::move(memory)); }
+  // Frees the messages of the request, which only a stream that runs needs.
+  void ReleaseRequest();
+
   // Waits until a token is appended, the phase changes or withheld tokens
   // become visible.
   awaitable<void> AwaitChange();
@@ -111,6 +120,8 @@
   void Notify();
 
   stream_spec spec_;
+  std::uint32_t prompt_tokens_;
+  std::optional<request_share> memory_;
   stream_phase phase_ = stream_phase::kRunning;
   std::string text_;
   // End offset of each token in text_.
--- a/wire/memory_account.h
+++ b/wire/memory_account.h
@@ -147,7 +147,14 @@
   request_share(request_share&& other) noexcept
       : account_(std::exchange(other.account_, nullptr)),
         bytes_(std::exchange(other.bytes_, 0)) {}
-  request_share& operator=(request_share&&) = delete;
+  request_share& operator=(request_share&& other) noexcept {
+    if (this != &other) {
+      Shrink(0);
+      account_ = std::exchange(other.account_, nullptr);
+      bytes_ = std::exchange(other.bytes_, 0);
+    }
+    return *this;
+  }
   ~request_share() { Shrink(0); }
 
   std::size_t bytes() const { return bytes_; }
