--- a/wire/http_server.h
+++ b/wire/http_server.h
@@ -209,7 +209,7 @@
   // for the rest of one.
   std::vector<idle_connections> idle_;
   std::vector<idle_connections> reading_;
-  // Request bodies that are being read.
+  // Requests that are being read.
   std::vector<unfinished_bodies> bodies_;
   // Whether WakeBodies() has already been posted to the thread.
   std::vector<std::atomic<bool>> wake_posted_;
--- a/wire/request_reader.cc
+++ b/wire/request_reader.cc
@@ -104,19 +104,25 @@
   std::size_t size = std::min(
       buffer_limit_, std::max(buffer_.capacity(), kInitialBufferBytes));
   std::size_t searched = 0;
+  bool has_line = false;
+  // A line that arrives byte by byte is checked when its size has doubled, so
+  // that the work stays proportional to its size.
+  std::size_t check_at = 1;
   while (ToView(buffer_).find(kHeaderEnd, searched) == std::string_view::npos) {
     const std::size_t received = buffer_.size();
     if (received >= limit) {
       co_return http::error::header_limit;
     }
-    if (searched == 0 && received > 0) {
-      if (const error_code error = CheckRequestLine(ToView(buffer_))) {
-        co_return error;
+    if (!has_line) {
+      has_line = ToView(buffer_).find('\n', searched) != std::string_view::npos;
+      if (has_line || received >= check_at) {
+        check_at = received * 2;
+        if (const error_code error = CheckRequestLine(ToView(buffer_))) {
+          co_return error;
+        }
       }
     }
-    if (ToView(buffer_).find('\n') != std::string_view::npos) {
-      searched = received - std::min(received, kHeaderEnd.size() - 1);
-    }
+    searched = received - std::min(received, kHeaderEnd.size() - 1);
     size = received < size ? size : std::min(buffer_limit_, size * 2);
     if (!co_await ReserveHeader(size)) {
       co_return NoMemory();
--- a/wire/unfinished_bodies.h
+++ b/wire/unfinished_bodies.h
@@ -1,5 +1,5 @@
-// Defines unfinished_bodies, the request bodies that one thread is reading, and
-// the rules by which one of them is given up or woken.
+// Defines unfinished_bodies, the requests that one thread is reading, heads
+// included, and the rules by which one of them is given up or woken.
 #ifndef WIRE_UNFINISHED_BODIES_H_
 #define WIRE_UNFINISHED_BODIES_H_
 
