Let a share of memory give back no more than it has reserved

Cause: request_share::Shrink() also raised the size of a share that held less. The share of a stream was to shrink to twice its prompt, held less, and later gave back what it had never reserved. The account fell below zero, that is to a huge number, and refused everything.

Change: Shrink() has no effect on a share that holds no more than that.

--- a/test/correctness/memory_account_test.cc
+++ b/test/correctness/memory_account_test.cc
@@ -20,6 +20,24 @@
 SCENARIO("Request bodies share the memory of an instance", "[memory_account]") {
   memory_account account(kMemory);
 
+  GIVEN("a share that holds less than what it is to shrink to") {
+    request_share share(&account);
+    REQUIRE(share.TryGrow(kSmall, false));
+    share.Shrink(2 * kSmall);
+    THEN("it holds what it has reserved, and gives back no more") {
+      REQUIRE(share.bytes() == kSmall);
+      share.Shrink(0);
+      REQUIRE(account.requests().used() == 0);
+    }
+    THEN("another share may take its place") {
+      request_share other(&account);
+      REQUIRE(other.TryGrow(kSmall, false));
+      other = std::move(share);
+      REQUIRE(other.bytes() == kSmall);
+      REQUIRE(account.requests().used() == kSmall);
+    }
+  }
+
   GIVEN("a body that holds more than all memory for requests") {
     request_share alone(&account);
     REQUIRE(alone.TryGrow(kSmall, false));
--- a/test/error/client_memory_entry_test.cc
+++ b/test/error/client_memory_entry_test.cc
@@ -181,6 +181,49 @@
   }
 }
 
+SCENARIO("Requests that have ended hold no memory", "[client_memory]") {
+  GIVEN("an entry instance with an engine and a service") {
+    const scripted_engine service(AnswerService);
+    local_system system;
+    system.Start("objects", "standins/standin_objects");
+    const std::uint16_t engine =
+        system.Start("engine", "standins/standin_engine",
+                     {"--first-token-us", "100", "--token-interval-us", "20"});
+    const std::uint16_t port = system.StartEntry("e1", "zone-a", kSettings);
+    system.WriteConfiguration("10-all.json",
+                              TestConfiguration({engine}, {service.port()}));
+    system.WriteConfiguration("20-limits.json", kNoOtherLimits);
+    REQUIRE(system.PublishConfiguration() == 0);
+    REQUIRE(system.AwaitReady("e1"));
+    WHEN("prompts and bodies of several sizes have been answered") {
+      for (const std::size_t size : {1, 4'000, 20'000, 300'000, 1'000'000}) {
+        CAPTURE(size);
+        const std::string text(size, 'x');
+        for (const bool stream : {true, false}) {
+          CHECK(Call(port, verb::post, "/v1/chat/completions",
+                     ChatBody(text, 5, stream))
+                    .status == 200);
+        }
+        CHECK(Call(port, verb::post, "/s/lookup/1", text).status == 200);
+        CHECK(Call(port, verb::post, "/s/lookup/large", text).status == 200);
+      }
+      THEN("all memory has been given back") {
+        const auto metrics = [&] {
+          return Call(system.admin_port("e1"), verb::get, "/metrics").body;
+        };
+        CHECK(Eventually(
+            [&] {
+              return metrics().find("anvilloom_request_memory_bytes 0\n") !=
+                     std::string::npos;
+            },
+            seconds(10)));
+        CHECK(metrics().find("anvilloom_answer_memory_bytes 0\n") !=
+              std::string::npos);
+      }
+    }
+  }
+}
+
 SCENARIO("Clients of the admin port cost an entry instance no more",
          "[client_memory]") {
   GIVEN("connections that stop a byte short of a body at the limit") {
--- a/wire/memory_account.h
+++ b/wire/memory_account.h
@@ -168,8 +168,12 @@
     bytes_ = bytes;
     return true;
   }
+  // Has no effect if the share holds no more than `bytes`.
   void Shrink(std::size_t bytes) {
-    if (account_ != nullptr && bytes < bytes_) {
+    if (bytes >= bytes_) {
+      return;
+    }
+    if (account_ != nullptr) {
       account_->Release(bytes_ - bytes);
     }
     bytes_ = bytes;
