--- a/scripts/check_other_machine.sh
+++ b/scripts/check_other_machine.sh
@@ -25,7 +25,7 @@
 headers="-idirafter /usr/include -idirafter /usr/include/$(uname -m)-linux-gnu"
 # Removes GCC's precompiled header, which is for this machine.
 commands=$(grep '"command":' "$build/compile_commands.json" |
-  sed -E 's/^ *"command": "(.*)",?$/\1/; s/\\"/"/g;
+  sed -E 's/^ *"command": "(.*)",?$/\1/; s/\\(["\\])/\1/g;
     s/ -Winvalid-pch//; s/ -include [^ ]*cmake_pch\.hxx//; s/ -fpch-preprocess//;
     s/ -o [^ ]*\.o / -o \/dev\/null /' |
   sed -E "s|^[^ ]*c\+\+ |$compiler $headers |" |
