Read whole numbers and strings of JSON text in one place

The clients of both stores and the decoder of chat requests each parsed a whole number from the text of a member, and the decoder parsed a string, which StringBytes() does. json_text has ParseUnsigned() for all of them.

Behaviour is unchanged: odd_names_test, odd_entries_test, json_text_test, the decoder tests and load_reports_test pass, with their assertions as they were.

--- a/wire/chat_codec.cc
+++ b/wire/chat_codec.cc
@@ -1,7 +1,6 @@
 #include "wire/chat_codec.h"
 
 #include <boost/json/serialize.hpp>
-#include <boost/json/value_to.hpp>
 #include <boost/leaf/error.hpp>
 #include <charconv>
 #include <utility>
@@ -18,6 +17,8 @@
 constexpr std::uint32_t kBytesPerToken = 4;
 // Upper bound of "max_tokens" in a request.
 constexpr std::uint64_t kMaxAnswerTokens = 32'768;
+// A longer value of a member is no number, and is not parsed.
+constexpr std::size_t kMaxNumberBytes = 32;
 
 std::string_view EnginePriority(priority request_priority) {
   switch (request_priority) {
@@ -92,27 +93,6 @@
   return static_cast<std::uint32_t>(*wide);
 }
 
-// Returns the text of a member, or an empty one if it is not a string.
-std::string TextOf(std::string_view member) {
-  const auto parsed =
-      member.starts_with('"') ? ParseJson(member) : std::nullopt;
-  return parsed ? json::value_to<std::string>(*parsed) : std::string();
-}
-
-// Returns the number of a "max_tokens" member, or nothing if it is not one in
-// range.
-std::optional<std::uint32_t> TokensOf(std::string_view member) {
-  constexpr std::size_t kMaxDigits = 32;
-  const auto parsed =
-      member.size() <= kMaxDigits ? ParseJson(member) : std::nullopt;
-  boost::system::error_code error;
-  const auto tokens =
-      parsed ? parsed->to_number<std::uint64_t>(error) : std::uint64_t{0};
-  return error || tokens == 0 || tokens > kMaxAnswerTokens
-             ? std::nullopt
-             : std::optional(static_cast<std::uint32_t>(tokens));
-}
-
 // Returns the first element of "choices", or null.
 const json::value* FirstChoice(const json::value& chunk) {
   const json::value* choices = FindMember(chunk, "choices");
@@ -145,7 +125,7 @@
     return leaf::new_error(chat_fault::kNotJson);
   }
   chat_request request;
-  request.service = TextOf(FindRawMember(body, "model"));
+  request.service = StringBytes(FindRawMember(body, "model")).value_or("");
   if (request.service.empty()) {
     return leaf::new_error(chat_fault::kMissingModel);
   }
@@ -160,11 +140,13 @@
   request.stream = FindRawMember(body, "stream") == "true";
   const std::string_view max_tokens = FindRawMember(body, "max_tokens");
   if (!max_tokens.empty()) {
-    const auto tokens = TokensOf(max_tokens);
-    if (!tokens) {
+    const auto tokens = max_tokens.size() <= kMaxNumberBytes
+                            ? ParseUnsigned(max_tokens)
+                            : std::nullopt;
+    if (!tokens || *tokens == 0 || *tokens > kMaxAnswerTokens) {
       return leaf::new_error(chat_fault::kBadMaxTokens);
     }
-    request.max_tokens = *tokens;
+    request.max_tokens = static_cast<std::uint32_t>(*tokens);
   }
   return request;
 }
--- a/wire/http_object_store.cc
+++ b/wire/http_object_store.cc
@@ -58,13 +58,7 @@
 }
 
 std::optional<std::uint64_t> DecodeVersion(const json_members& members) {
-  const auto parsed = ParseJson(FindValue(members, "version"));
-  if (!parsed) {
-    return std::nullopt;
-  }
-  boost::system::error_code error;
-  const auto version = parsed->to_number<std::uint64_t>(error);
-  return error ? std::nullopt : std::optional(version);
+  return ParseUnsigned(FindValue(members, "version"));
 }
 
 // Decodes an object whose value may be of any content, since other programs
--- a/wire/json_text.cc
+++ b/wire/json_text.cc
@@ -66,6 +66,12 @@
   return parsed;
 }
 
+std::optional<std::uint64_t> ToUnsigned(const json::value& value) {
+  boost::system::error_code error;
+  const auto number = value.to_number<std::uint64_t>(error);
+  return error ? std::nullopt : std::optional(number);
+}
+
 // Cuts JSON text at the boundaries of values, without recursion.
 class json_cutter {
  public:
@@ -341,6 +347,11 @@
   return Parse(text, false);
 }
 
+std::optional<std::uint64_t> ParseUnsigned(std::string_view text) {
+  const auto parsed = ParseJson(text);
+  return parsed ? ToUnsigned(*parsed) : std::nullopt;
+}
+
 std::optional<json::value> ParseJsonWithComments(std::string_view text) {
   return Parse(text, true);
 }
@@ -364,15 +375,7 @@
 std::optional<std::uint64_t> UnsignedMember(const json::value& object,
                                             std::string_view key) {
   const json::value* member = FindMember(object, key);
-  if (member == nullptr) {
-    return std::nullopt;
-  }
-  boost::system::error_code error;
-  const auto number = member->to_number<std::uint64_t>(error);
-  if (error) {
-    return std::nullopt;
-  }
-  return number;
+  return member == nullptr ? std::nullopt : ToUnsigned(*member);
 }
 
 std::optional<bool> BoolMember(const json::value& object,
--- a/wire/json_text.h
+++ b/wire/json_text.h
@@ -14,6 +14,9 @@
 
 // Parses JSON; returns nullopt if the text is not valid.
 std::optional<boost::json::value> ParseJson(std::string_view text);
+// Returns the whole number that the text is, or nothing if it is none, negative
+// or out of range.
+std::optional<std::uint64_t> ParseUnsigned(std::string_view text);
 // Same as ParseJson, but also accepts // and /* */ comments.
 std::optional<boost::json::value> ParseJsonWithComments(std::string_view text);
 
