--- a/entry/gateway_admin.cc
+++ b/entry/gateway_admin.cc
@@ -19,14 +19,6 @@
 
 namespace json = boost::json;
 
-void AppendCounter(std::string& out,
-                   std::string_view name,
-                   std::uint64_t value) {
-  out += "anvilloom_";
-  out += name;
-  out += ' ' + std::to_string(value) + '\n';
-}
-
 void AppendEra(std::string& out, const store_era& era) {
   if (era.seen() != 0) {
     AppendCounter(out, "store_era", era.seen() - 1);
--- a/entry/memory_metrics.h
+++ b/entry/memory_metrics.h
@@ -1,5 +1,5 @@
-// Defines AppendMemoryMetrics, the metrics of a memory account, which both
-// modes of the program have.
+// Defines AppendCounter, which writes a metric, and AppendMemoryMetrics, the
+// metrics of a memory account, which both modes of the program have.
 #ifndef ENTRY_MEMORY_METRICS_H_
 #define ENTRY_MEMORY_METRICS_H_
 
@@ -11,17 +11,20 @@
 
 namespace anvilloom {
 
+inline void AppendCounter(std::string& out,
+                          std::string_view name,
+                          std::uint64_t value) {
+  out += "anvilloom_";
+  out += name;
+  out += ' ' + std::to_string(value) + '\n';
+}
+
 inline void AppendMemoryMetrics(std::string& out,
                                 const memory_account& account) {
-  const auto line = [&](std::string_view name, std::uint64_t value) {
-    out += "anvilloom_";
-    out += name;
-    out += ' ' + std::to_string(value) + '\n';
-  };
-  line("answer_memory_bytes", account.answers().used());
-  line("request_memory_bytes", account.requests().used());
-  line("waiting_bodies", account.waiters());
-  line("given_up_bodies_total", account.given_up());
+  AppendCounter(out, "answer_memory_bytes", account.answers().used());
+  AppendCounter(out, "request_memory_bytes", account.requests().used());
+  AppendCounter(out, "waiting_bodies", account.waiters());
+  AppendCounter(out, "given_up_bodies_total", account.given_up());
 }
 
 }  // namespace anvilloom
