Hold the memory of a stream and of a header without extra state

A request_share may be empty, so a stream needs no optional around its own. The header is reserved before the body, so the share holds nothing else then. Behaviour is unchanged: memory_account_test, http_edges_test, load_reports_test and message_framing_test pass.

--- a/entry/stream_session.cc
+++ b/entry/stream_session.cc
@@ -51,7 +51,7 @@
 
 void stream_session::ReleaseRequest() {
   spec_.request.messages = std::string();
-  memory_.reset();
+  memory_.Shrink(0);
 }
 
 void stream_session::HandOver(std::string_view holder_address) {
--- a/entry/stream_session.h
+++ b/entry/stream_session.h
@@ -103,7 +103,7 @@
   void Fail(const refusal& reason);
 
   // Keeps the memory that the request takes until ReleaseRequest().
-  void HoldMemory(request_share memory) { memory_.emplace(std::move(memory)); }
+  void HoldMemory(request_share memory) { memory_ = std::move(memory); }
   // Frees the messages of the request, which only a stream that runs needs.
   void ReleaseRequest();
 
@@ -121,7 +121,7 @@
 
   stream_spec spec_;
   std::uint32_t prompt_tokens_;
-  std::optional<request_share> memory_;
+  request_share memory_;
   stream_phase phase_ = stream_phase::kRunning;
   std::string text_;
   // End offset of each token in text_.
--- a/wire/request_reader.cc
+++ b/wire/request_reader.cc
@@ -180,8 +180,7 @@
   const std::size_t counted =
       bytes > kUncountedBytes ? bytes - kUncountedBytes : 0;
   if (counted > header_bytes_ &&
-      !co_await Reserve(share_.bytes() + counted - header_bytes_,
-                        counted <= memory_account::kSmallBodyBytes)) {
+      !co_await Reserve(counted, counted <= memory_account::kSmallBodyBytes)) {
     co_return false;
   }
   header_bytes_ = std::max(header_bytes_, counted);
--- a/wire/request_reader.h
+++ b/wire/request_reader.h
@@ -74,8 +74,8 @@
   awaitable<boost::system::error_code> ReadLength(std::size_t length);
   awaitable<boost::system::error_code> ReadChunks(request_parser& parser,
                                                   std::size_t limit);
-  // Reserves memory for a header that takes `bytes` in all; false if there is
-  // none.
+  // Reserves memory for a header that takes `bytes` in all, before any for the
+  // body; false if there is none.
   awaitable<bool> ReserveHeader(std::size_t bytes);
   // Enlarges the full body, up to `most` bytes; false if the request was given
   // up. `small` is whether it may be a small body, as far as is known.
