Print the last answer and the log where an ordinary call gets none

client_memory_entry_test failed once with the thread sanitizer, and in 1 of 7 runs by hand, without a sign of what the caller got. The checks are unchanged.

--- a/test/error/client_memory_entry_test.cc
+++ b/test/error/client_memory_entry_test.cc
@@ -126,8 +126,19 @@
         "upstreams":{"engine-1":{"slots":1000},"service-2":{"slots":1000}},
         "limits":{"open_requests_per_workspace":100000}})";
 
+caller_answer CallOnce(std::uint16_t port) {
+  return Call(port, verb::get, "/s/lookup/1");
+}
+
 bool IsServed(std::uint16_t port) {
-  return Call(port, verb::get, "/s/lookup/1").status == 200;
+  return CallOnce(port).status == 200;
+}
+
+// The end of what a process has printed.
+std::string LogEnd(const child_process& process) {
+  constexpr std::size_t kBytes = 4'000;
+  const std::string output = process.Output();
+  return output.substr(output.size() - std::min(output.size(), kBytes));
 }
 
 }  // namespace
@@ -161,8 +172,14 @@
       process_peak peak = PlayClients(crowds, play, port, process);
 
       THEN("an ordinary call is answered, within memory and descriptors") {
-        const bool answered =
-            Eventually([&] { return IsServed(port); }, seconds(20));
+        caller_answer last;
+        const bool answered = Eventually(
+            [&] {
+              last = CallOnce(port);
+              return last.status == 200;
+            },
+            seconds(20));
+        CAPTURE(last.status, last.body, LogEnd(process));
         peak.descriptors =
             std::max(peak.descriptors, process.OpenDescriptors());
         peak.memory_kb = process.PeakMemoryKb();
