Share the plays of misbehaving clients between the two tests

Both built the list of plays, one for each kind and one for all, and read the largest figures of the process in the same way; four scenarios started the entry instance alike.

--- a/test/error/client_memory_entry_test.cc
+++ b/test/error/client_memory_entry_test.cc
@@ -66,7 +66,7 @@
   return WithBody(Head("/s/deposit/refused"), body + "}");
 }
 
-std::vector<std::vector<misbehaviour>> Plays() {
+std::vector<client_play> Plays() {
   constexpr std::size_t kSenders = 50;
   constexpr std::size_t kUploads = 150;
   constexpr milliseconds kPause{20};
@@ -88,15 +88,7 @@
   all.push_back({"send calls of many small members, go and come again",
                  kSenders,
                  {ManyMembers(), {}, 0, milliseconds(0), kPause}});
-  std::vector<std::vector<misbehaviour>> plays;
-  std::vector<misbehaviour> together;
-  for (misbehaviour& each : all) {
-    together.push_back(each);
-    together.back().connections = kOfEachTogether;
-    plays.push_back({std::move(each)});
-  }
-  plays.push_back(std::move(together));
-  return plays;
+  return MakePlays(std::move(all), kOfEachTogether);
 }
 
 std::string Answer(std::string_view status, std::string_view body) {
@@ -126,6 +118,23 @@
         "upstreams":{"engine-1":{"slots":1000},"service-2":{"slots":1000}},
         "limits":{"open_requests_per_workspace":100000}})";
 
+// Starts the entry instance "e1" with the lowered limits, and what it needs
+// beside these upstreams. Returns its port.
+std::uint16_t StartEntry(local_system& system,
+                         const std::vector<std::uint16_t>& engines,
+                         std::uint16_t service) {
+  system.Start("objects", "standins/standin_objects");
+  const std::uint16_t port = system.StartEntry("e1", "zone-a", kSettings);
+  system.WriteConfiguration("10-all.json",
+                            TestConfiguration(engines, {service}));
+  if (!engines.empty()) {
+    system.WriteConfiguration("20-limits.json", kNoOtherLimits);
+  }
+  REQUIRE(system.PublishConfiguration() == 0);
+  REQUIRE(system.AwaitReady("e1"));
+  return port;
+}
+
 caller_answer CallOnce(std::uint16_t port) {
   return Call(port, verb::get, "/s/lookup/1");
 }
@@ -145,10 +154,8 @@
 
 SCENARIO("Clients that break the protocol cost an entry instance no more",
          "[client_memory]") {
-  for (const std::vector<misbehaviour>& play : Plays()) {
-    const std::string name =
-        play.size() > 1 ? "do each of these at once" : play.front().name;
-    GIVEN("connections that " + name) {
+  for (const client_play& play : Plays()) {
+    GIVEN("connections that " + play.name) {
       // An engine that refuses prompts, except those near the limit, which it
       // does not answer.
       const scripted_engine engine([](std::string_view head) {
@@ -159,17 +166,12 @@
       });
       const scripted_engine service(AnswerService);
       local_system system;
-      system.Start("objects", "standins/standin_objects");
-      const std::uint16_t port = system.StartEntry("e1", "zone-a", kSettings);
-      system.WriteConfiguration(
-          "10-all.json", TestConfiguration({engine.port()}, {service.port()}));
-      system.WriteConfiguration("20-limits.json", kNoOtherLimits);
-      REQUIRE(system.PublishConfiguration() == 0);
-      REQUIRE(system.AwaitReady("e1"));
+      const std::uint16_t port =
+          StartEntry(system, {engine.port()}, service.port());
       child_process& process = system.process("e1");
 
       std::vector<std::unique_ptr<client_crowd>> crowds;
-      process_peak peak = PlayClients(crowds, play, port, process);
+      process_peak peak = PlayClients(crowds, play.clients, port, process);
 
       THEN("an ordinary call is answered, within memory and descriptors") {
         caller_answer last;
@@ -180,11 +182,9 @@
             },
             seconds(20));
         CAPTURE(last.status, last.body, LogEnd(process));
-        peak.descriptors =
-            std::max(peak.descriptors, process.OpenDescriptors());
-        peak.memory_kb = process.PeakMemoryKb();
+        peak.Update(process);
         // Printed for the table in docs/design/memory-account.md.
-        std::printf("%s: peak %zu KB, %zu descriptors\n", name.c_str(),
+        std::printf("%s: peak %zu KB, %zu descriptors\n", play.name.c_str(),
                     peak.memory_kb, peak.descriptors);
         CHECK(answered);
         CHECK(peak.descriptors > 0);
@@ -202,16 +202,10 @@
   GIVEN("an entry instance with an engine and a service") {
     const scripted_engine service(AnswerService);
     local_system system;
-    system.Start("objects", "standins/standin_objects");
     const std::uint16_t engine =
         system.Start("engine", "standins/standin_engine",
                      {"--first-token-us", "100", "--token-interval-us", "20"});
-    const std::uint16_t port = system.StartEntry("e1", "zone-a", kSettings);
-    system.WriteConfiguration("10-all.json",
-                              TestConfiguration({engine}, {service.port()}));
-    system.WriteConfiguration("20-limits.json", kNoOtherLimits);
-    REQUIRE(system.PublishConfiguration() == 0);
-    REQUIRE(system.AwaitReady("e1"));
+    const std::uint16_t port = StartEntry(system, {engine}, service.port());
     WHEN("prompts and bodies of several sizes have been answered") {
       for (const std::size_t size : {1, 4'000, 20'000, 300'000, 1'000'000}) {
         CAPTURE(size);
@@ -246,12 +240,7 @@
   GIVEN("connections that stop a byte short of a body at the limit") {
     const scripted_engine service(AnswerService);
     local_system system;
-    system.Start("objects", "standins/standin_objects");
-    const std::uint16_t port = system.StartEntry("e1", "zone-a", kSettings);
-    system.WriteConfiguration("10-all.json",
-                              TestConfiguration({}, {service.port()}));
-    REQUIRE(system.PublishConfiguration() == 0);
-    REQUIRE(system.AwaitReady("e1"));
+    const std::uint16_t port = StartEntry(system, {}, service.port());
     child_process& process = system.process("e1");
     std::vector<std::unique_ptr<client_crowd>> crowds;
     std::string body = WithBody(Head("/dump"), std::string(kBodyBytes, 'x'));
@@ -276,17 +265,11 @@
     constexpr std::uint32_t kTokens = 30'000;
     constexpr std::size_t kReaders = 300;
     local_system system;
-    system.Start("objects", "standins/standin_objects");
     const std::uint16_t engine =
         system.Start("engine", "standins/standin_engine",
                      {"--first-token-us", "1000", "--token-interval-us", "20"});
     const scripted_engine service(AnswerService);
-    const std::uint16_t port = system.StartEntry("e1", "zone-a", kSettings);
-    system.WriteConfiguration("10-all.json",
-                              TestConfiguration({engine}, {service.port()}));
-    system.WriteConfiguration("20-limits.json", kNoOtherLimits);
-    REQUIRE(system.PublishConfiguration() == 0);
-    REQUIRE(system.AwaitReady("e1"));
+    const std::uint16_t port = StartEntry(system, {engine}, service.port());
     const caller_answer streamed =
         Call(port, verb::post, "/v1/chat/completions",
              ChatBody("a", kTokens, true), {}, 60'000);
--- a/test/error/client_memory_test.cc
+++ b/test/error/client_memory_test.cc
@@ -2,7 +2,6 @@
 // memory or the descriptors of its machine, or make it end or hang. Checks no
 // times, only that the process lives within its bounds and still answers.
 
-#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <cstdio>
@@ -52,20 +51,13 @@
 
 SCENARIO("Clients that break the protocol cost no more than the machine has",
          "[client_memory]") {
-  std::vector<std::vector<misbehaviour>> plays;
-  std::vector<misbehaviour> together;
-  for (misbehaviour& each : Misbehaviours(
-           {Head("/single/1", ""), Head("/single/1", "X-Large: 1\r\n")},
-           kBodyBytes)) {
-    together.push_back(each);
-    together.back().connections = kOfEachTogether;
-    plays.push_back({std::move(each)});
-  }
-  plays.push_back(std::move(together));
-  for (const std::vector<misbehaviour>& play : plays) {
-    const std::string name =
-        play.size() > 1 ? "do each of these at once" : play.front().name;
-    GIVEN("connections that " + name) {
+  const std::vector<client_play> plays = MakePlays(
+      Misbehaviours(
+          {Head("/single/1", ""), Head("/single/1", "X-Large: 1\r\n")},
+          kBodyBytes),
+      kOfEachTogether);
+  for (const client_play& play : plays) {
+    GIVEN("connections that " + play.name) {
       platform_system system;
       system.PutManifest({"key-1"}, 0, {8192, kBodyBytes, kHeaderTimeoutMs});
       const std::uint16_t port = system.StartGateway("g1", 0, kSettings);
@@ -86,17 +78,15 @@
       child_process& process = system.process("g1");
 
       std::vector<std::unique_ptr<client_crowd>> crowds;
-      process_peak peak = PlayClients(crowds, play, port, process);
+      process_peak peak = PlayClients(crowds, play.clients, port, process);
 
       THEN("an ordinary call is answered, within memory and descriptors") {
         const bool answered = Eventually(
             [&] { return system.CallOnce(port, "/single/1").status == 200; },
             seconds(20));
-        peak.descriptors =
-            std::max(peak.descriptors, process.OpenDescriptors());
-        peak.memory_kb = process.PeakMemoryKb();
+        peak.Update(process);
         // Printed for the table in docs/design/memory-account.md.
-        std::printf("%s: peak %zu KB, %zu descriptors\n", name.c_str(),
+        std::printf("%s: peak %zu KB, %zu descriptors\n", play.name.c_str(),
                     peak.memory_kb, peak.descriptors);
         CHECK(answered);
         CHECK(peak.descriptors > 0);
--- a/test/support/misbehaving_clients.cc
+++ b/test/support/misbehaving_clients.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string_view>
 #include <thread>
+#include <utility>
 
 #include "test/support/scripted_engine.h"
 
@@ -97,6 +98,26 @@
   };
 }
 
+std::vector<client_play> MakePlays(std::vector<misbehaviour> kinds,
+                                   std::size_t of_each) {
+  std::vector<client_play> plays;
+  client_play together{"do each of these at once", kinds};
+  for (misbehaviour& each : together.clients) {
+    each.connections = of_each;
+  }
+  for (misbehaviour& each : kinds) {
+    const std::string name = each.name;
+    plays.push_back({name, {std::move(each)}});
+  }
+  plays.push_back(std::move(together));
+  return plays;
+}
+
+void process_peak::Update(const child_process& process) {
+  memory_kb = process.PeakMemoryKb();
+  descriptors = std::max(descriptors, process.OpenDescriptors());
+}
+
 std::string WithBody(std::string_view head, std::string_view body) {
   return WithLength(head, body.size()) + std::string(body);
 }
@@ -123,9 +144,9 @@
   while ((growing || endless || settled < connections) &&
          std::chrono::steady_clock::now() < end) {
     std::this_thread::sleep_for(kFigureInterval);
-    growing = process.PeakMemoryKb() > peak.memory_kb;
-    peak.memory_kb = process.PeakMemoryKb();
-    peak.descriptors = std::max(peak.descriptors, process.OpenDescriptors());
+    const std::size_t before_kb = peak.memory_kb;
+    peak.Update(process);
+    growing = peak.memory_kb > before_kb;
     settled = 0;
     for (const auto& crowd : crowds) {
       settled += crowd->settled();
--- a/test/support/misbehaving_clients.h
+++ b/test/support/misbehaving_clients.h
@@ -35,6 +35,17 @@
 std::vector<misbehaviour> Misbehaviours(const call_heads& heads,
                                         std::size_t body_bytes);
 
+// Clients that come at the same time.
+struct client_play {
+  // Continues "connections that ...".
+  std::string name;
+  std::vector<misbehaviour> clients;
+};
+
+// One play for each kind, and one with `of_each` connections of all kinds.
+std::vector<client_play> MakePlays(std::vector<misbehaviour> kinds,
+                                   std::size_t of_each);
+
 // `head` with a body.
 std::string WithBody(std::string_view head, std::string_view body);
 
@@ -42,6 +53,8 @@
 struct process_peak {
   std::size_t memory_kb = 0;
   std::size_t descriptors = 0;
+
+  void Update(const child_process& process);
 };
 
 // Connects all the clients, and returns the figures after the time in which
