Store all blocked prompt parts, not only those of one message

Callers saw calls with a part that crashes engines reach engines again after a restart of all instances, although the part had been blocked before.

Cause: the list for the store was made by BlockedReports(), which cuts it to one datagram (24 ends, 16 parts). Of 20 blocked parts with 12 ends each, 2 were stored. StoredReports() returns all of them; the list in whole reports is still cut.

The new scenario in crash_suspects_test fails with the earlier list (2 of 20 parts blocked after the restart).

--- a/entry/crash_monitor.cc
+++ b/entry/crash_monitor.cc
@@ -54,6 +54,10 @@
   return suspects_.BlockedReports(state_.clock.Now());
 }
 
+std::vector<suspect_report> crash_monitor::StoredReports() const {
+  return suspects_.StoredReports(state_.clock.Now());
+}
+
 void crash_monitor::HandleChange() {
   // Suspicions may wait for the next round; what is refused may not.
   if (LogVerdicts()) {
--- a/entry/crash_monitor.h
+++ b/entry/crash_monitor.h
@@ -38,6 +38,8 @@
   // The parts that an instance which has just started must know, and a number
   // that changes with them.
   std::vector<suspect_report> BlockedReports() const;
+  // The parts to store for the case that all instances are lost.
+  std::vector<suspect_report> StoredReports() const;
   std::uint64_t blocked_version() const { return suspects_.blocked_version(); }
 
  private:
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -345,7 +345,7 @@
     if (is_stored || reporter_.peer_reports().Rank(now) != 0) {
       co_return;
     }
-    const std::vector<suspect_report> blocked = crashes_.BlockedReports();
+    const std::vector<suspect_report> blocked = crashes_.StoredReports();
     const bool stored = co_await stored_suspects_.Save(
         blocked, deadline::After(now, kRegisterTimeout));
     if (stored) {
--- a/links/crash_suspects.cc
+++ b/links/crash_suspects.cc
@@ -224,6 +224,13 @@
 
 std::vector<suspect_report> crash_suspects::BlockedReports(
     time_point now) const {
+  std::vector<suspect_report> reports = StoredReports(now);
+  reports.resize(CountForOneReport(reports));
+  return reports;
+}
+
+std::vector<suspect_report> crash_suspects::StoredReports(
+    time_point now) const {
   std::vector<suspect_report> reports;
   for (const auto& [part, known] : suspects_) {
     if (known.blocked) {
@@ -235,7 +242,6 @@
       reports.push_back(std::move(report));
     }
   }
-  reports.resize(CountForOneReport(reports));
   return reports;
 }
 
--- a/links/crash_suspects.h
+++ b/links/crash_suspects.h
@@ -133,8 +133,11 @@
   // fit into one message, so that the traffic does not grow with the upstreams
   // that end. The rest follows at the next calls. Call at intervals.
   std::vector<suspect_report> TakeReports(time_point now);
-  // Returns the first blocked parts, for instances that have just started.
+  // Returns the first blocked parts, for instances that have just started: no
+  // more than fit into one message.
   std::vector<suspect_report> BlockedReports(time_point now) const;
+  // Returns all blocked parts, for the store.
+  std::vector<suspect_report> StoredReports(time_point now) const;
 
   // Forgets answers that no longer matter. Call at intervals.
   void Sweep(time_point now);
--- a/test/correctness/crash_suspects_test.cc
+++ b/test/correctness/crash_suspects_test.cc
@@ -762,6 +762,33 @@
   }
 }
 
+// Guards against blocked parts that are forgotten at the loss of all instances
+// because the stored list was cut to what one message holds.
+SCENARIO("All blocked parts are stored", "[crash_suspects]") {
+  GIVEN("blocked parts with more ends than one message holds") {
+    constexpr std::uint64_t kParts = 20;
+    constexpr std::uint64_t kEnds = 12;
+    crash_suspects suspects;
+    for (std::uint64_t part = 1; part <= kParts; ++part) {
+      for (std::uint64_t i = 1; i <= kEnds; ++i) {
+        suspects.RecordCrash(std::vector<std::uint64_t>{part},
+                             Crash(100 * part + i, i, seconds(20 * part + i)));
+      }
+    }
+    const time_point now{seconds(500)};
+    REQUIRE(suspects.blocked() == kParts);
+    REQUIRE(suspects.BlockedReports(now).size() < kParts);
+
+    THEN("an instance that reads the stored parts blocks all of them") {
+      crash_suspects restarted;
+      for (const suspect_report& each : suspects.StoredReports(now)) {
+        restarted.Merge(each, now);
+      }
+      REQUIRE(restarted.blocked() == kParts);
+    }
+  }
+}
+
 SCENARIO("The number of suspects is bounded", "[crash_suspects]") {
   crash_suspects suspects;
   const std::vector<std::uint64_t> deadly = {kDeadly};
