Store the ends of upstreams under parts that are not blocked yet

Cause: only blocked parts were stored. The first two ends under a part were known in memory alone, so a restart of all began to count anew. The stored list now has each part with ends that no answer has refuted, with their ages, and a restarted instance goes on counting. An answer still removes the ends before it, from the store with the next write.

--- a/entry/crash_monitor.h
+++ b/entry/crash_monitor.h
@@ -35,12 +35,12 @@
   void Apply(const peer_report& report);
   // Applies what was stored before this process started.
   void Restore(std::span<const suspect_report> stored);
-  // The parts that an instance which has just started must know, and a number
-  // that changes with them.
+  // The parts that an instance which has just started must know.
   std::vector<suspect_report> BlockedReports() const;
-  // The parts to store for the case that all instances are lost.
+  // The parts to store for the case that all instances are lost, and a number
+  // that changes with them.
   std::vector<suspect_report> StoredReports() const;
-  std::uint64_t blocked_version() const { return suspects_.blocked_version(); }
+  std::uint64_t stored_version() const { return suspects_.stored_version(); }
 
  private:
   // Delay between two rounds of reports. Bounds the number of datagrams while
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -267,7 +267,7 @@
       const std::vector<suspect_report> stored = co_await stored_suspects_.Load(
           deadline::After(state_.clock.Now(), kRegisterTimeout));
       crashes_.Restore(stored);
-      stored_suspects_version_ = crashes_.blocked_version();
+      stored_suspects_version_ = crashes_.stored_version();
       stored_suspects_era_ = state_.era.seen();
     }
     tried_to_join_ = true;
@@ -336,7 +336,7 @@
   // One instance is enough, since all reach the same verdicts.
   awaitable<void> StoreSuspects() {
     const time_point now = state_.clock.Now();
-    const std::uint64_t version = crashes_.blocked_version();
+    const std::uint64_t version = crashes_.stored_version();
     // An older copy of the store may lack parts, or hold parts that have been
     // cleared since.
     const std::uint64_t era = state_.era.seen();
@@ -345,9 +345,9 @@
     if (is_stored || reporter_.peer_reports().Rank(now) != 0) {
       co_return;
     }
-    const std::vector<suspect_report> blocked = crashes_.StoredReports();
+    const std::vector<suspect_report> suspects = crashes_.StoredReports();
     const bool stored = co_await stored_suspects_.Save(
-        blocked, deadline::After(now, kRegisterTimeout));
+        suspects, deadline::After(now, kRegisterTimeout));
     if (stored) {
       stored_suspects_version_ = version;
       stored_suspects_era_ = era;
--- a/entry/suspect_checkpoint.h
+++ b/entry/suspect_checkpoint.h
@@ -1,4 +1,4 @@
-// Defines suspect_checkpoint, which keeps the blocked prompt parts in the
+// Defines suspect_checkpoint, which keeps the suspected prompt parts in the
 // store, so that they are known after all processes have been lost.
 #ifndef ENTRY_SUSPECT_CHECKPOINT_H_
 #define ENTRY_SUSPECT_CHECKPOINT_H_
--- a/links/crash_suspects.cc
+++ b/links/crash_suspects.cc
@@ -224,13 +224,6 @@
 
 std::vector<suspect_report> crash_suspects::BlockedReports(
     time_point now) const {
-  std::vector<suspect_report> reports = StoredReports(now);
-  reports.resize(CountForOneReport(reports));
-  return reports;
-}
-
-std::vector<suspect_report> crash_suspects::StoredReports(
-    time_point now) const {
   std::vector<suspect_report> reports;
   for (const auto& [part, known] : suspects_) {
     if (known.blocked) {
@@ -242,6 +235,20 @@
       reports.push_back(std::move(report));
     }
   }
+  reports.resize(CountForOneReport(reports));
+  return reports;
+}
+
+std::vector<suspect_report> crash_suspects::StoredReports(
+    time_point now) const {
+  std::vector<suspect_report> reports;
+  for (const auto& [part, known] : suspects_) {
+    if (!known.crashes.empty()) {
+      reports.push_back(MakeReport(part, known, now));
+      // An answer has removed the ends before it.
+      reports.back().answered_age.reset();
+    }
+  }
   return reports;
 }
 
@@ -329,7 +336,7 @@
     // answer.
     known.reports_left = kReportCopies;
   }
-  changed_ = true;
+  NoteChange();
   UpdateVerdict(part, known);
   return true;
 }
@@ -342,16 +349,17 @@
       std::erase_if(known.crashes, [&known](const crash_record& each) {
         return each.at <= known.answered_at;
       });
-  changed_ = true;
+  if (cleared > 0) {
+    NoteChange();
+  }
   UpdateVerdict(part, known);
   return cleared > 0;
 }
 
 void crash_suspects::SetTried(suspect& known, time_point at) {
   known.tried_at = at;
-  ++blocked_version_;
   known.trial_taken = std::make_shared<std::atomic<bool>>(false);
-  changed_ = true;
+  NoteChange();
 }
 
 void crash_suspects::UpdateVerdict(std::uint64_t part, suspect& known) {
@@ -362,7 +370,6 @@
       !known.crashes.empty() &&
       (known.blocked || (crashes >= kBlockingCrashes &&
                          calls >= kBlockingCalls && ExplainsCrashes(known)));
-  blocked_version_ += blocked || known.blocked ? 1 : 0;
   if (blocked != known.blocked) {
     known.blocked = blocked;
     verdicts_.push_back({part, blocked, crashes, calls});
@@ -414,7 +421,7 @@
         return std::pair(known.blocked, last);
       });
   suspects_.erase(oldest);
-  changed_ = true;
+  NoteChange();
 }
 
 suspect_report crash_suspects::MakeReport(std::uint64_t part,
--- a/links/crash_suspects.h
+++ b/links/crash_suspects.h
@@ -136,7 +136,8 @@
   // Returns the first blocked parts, for instances that have just started: no
   // more than fit into one message.
   std::vector<suspect_report> BlockedReports(time_point now) const;
-  // Returns all blocked parts, for the store.
+  // Returns the parts to store for the case that all instances are lost: those
+  // that are blocked, and those under which too few upstreams have ended yet.
   std::vector<suspect_report> StoredReports(time_point now) const;
 
   // Forgets answers that no longer matter. Call at intervals.
@@ -161,8 +162,8 @@
   // Returns the changes of verdicts since the last call.
   std::vector<verdict> TakeVerdicts();
 
-  // Changes whenever BlockedReports() changes, except for ages.
-  std::uint64_t blocked_version() const { return blocked_version_; }
+  // Changes whenever StoredReports() changes, except for ages.
+  std::uint64_t stored_version() const { return stored_version_; }
   std::size_t size() const { return suspects_.size(); }
   std::size_t blocked() const;
 
@@ -210,6 +211,11 @@
   // Returns whether the answer came after a crash that had been known.
   bool SetAnswered(std::uint64_t part, suspect& known, time_point at);
   void UpdateVerdict(std::uint64_t part, suspect& known);
+  // Notes that the ends or the trials of a part have changed.
+  void NoteChange() {
+    changed_ = true;
+    ++stored_version_;
+  }
   // Whether a considerable share of the upstreams that ended while the latest
   // crashes of a part occurred ended under it. Otherwise the crashes have
   // another cause, which finds popular parts at many upstreams. Not a majority,
@@ -235,7 +241,7 @@
   std::map<std::uint64_t, time_point> ended_;
   std::vector<verdict> verdicts_;
   bool changed_ = false;
-  std::uint64_t blocked_version_ = 0;
+  std::uint64_t stored_version_ = 0;
   std::size_t viewed_rank_ = 0;
 };
 
--- a/test/correctness/crash_suspects_test.cc
+++ b/test/correctness/crash_suspects_test.cc
@@ -789,6 +789,36 @@
   }
 }
 
+// Guards against a part that is never blocked because each restart of all
+// instances forgets the ends under it that were too few to block it.
+SCENARIO("Ends are counted across restarts", "[crash_suspects]") {
+  const std::vector<std::uint64_t> parts = {1};
+  GIVEN("a part under which two upstreams ended before a restart") {
+    crash_suspects before;
+    before.RecordCrash(parts, Crash(1, 1, seconds(1)));
+    before.RecordCrash(parts, Crash(2, 2, seconds(2)));
+    const time_point now{seconds(10)};
+    crash_suspects after;
+    for (const suspect_report& each : before.StoredReports(now)) {
+      after.Merge(each, now);
+    }
+
+    WHEN("a third one ends after it") {
+      after.RecordCrash(parts, Crash(3, 3, seconds(11)));
+      THEN("the part is blocked") {
+        REQUIRE(after.blocked() == 1);
+      }
+    }
+    WHEN("a call with the part is answered first") {
+      after.RecordAnswer(parts, now);
+      after.RecordCrash(parts, Crash(3, 3, seconds(11)));
+      THEN("the part is not blocked") {
+        REQUIRE(after.blocked() == 0);
+      }
+    }
+  }
+}
+
 SCENARIO("The number of suspects is bounded", "[crash_suspects]") {
   crash_suspects suspects;
   const std::vector<std::uint64_t> deadly = {kDeadly};
--- a/test/error/crashing_prompt_test.cc
+++ b/test/error/crashing_prompt_test.cc
@@ -7,13 +7,16 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <thread>
 #include <vector>
 
+#include "links/crash_suspects.h"
 #include "test/support/platform_system.h"
 #include "test/support/scripted_engine.h"
+#include "wire/json_text.h"
 
 namespace anvilloom {
 
@@ -46,17 +49,12 @@
  public:
   explicit crashing_system(std::size_t engine_count) {
     system_.PutManifest();
-    for (const char* name : {"g1", "g2"}) {
-      gateways_.push_back(system_.StartGateway(name));
-    }
+    StartGateways();
     for (std::size_t i = 0; i < engine_count; ++i) {
       engines_.push_back(std::make_unique<scripted_engine>(AnswerOrCrash));
       system_.Announce("e" + std::to_string(i), "model", engines_[i]->port());
     }
-    for (const char* name : {"g1", "g2"}) {
-      REQUIRE(system_.AwaitReady(name));
-      REQUIRE(system_.AwaitUpstreams(name, engine_count));
-    }
+    AwaitGateways();
   }
 
   // Sends a call whose prompt has this part between a shared first part and a
@@ -77,23 +75,31 @@
 
   // Kills both gateways and starts others in their place.
   void ReplaceGateways() {
-    gateways_.clear();
-    for (const char* name : {"g1", "g2"}) {
-      system_.process(name).Kill();
-    }
-    for (const char* name : {"g3", "g4"}) {
-      gateways_.push_back(system_.StartGateway(name));
-    }
-    for (const char* name : {"g3", "g4"}) {
-      REQUIRE(system_.AwaitReady(name));
-      REQUIRE(system_.AwaitUpstreams(name, engines_.size()));
+    KillGateways();
+    StartGateways();
+    AwaitGateways();
+  }
+  // Removes the entries of the engines that have crashed.
+  void WithdrawCrashed() {
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      if (engines_[i]->crashed() && withdrawn_.insert(i).second) {
+        system_.Withdraw("e" + std::to_string(i));
+      }
     }
   }
-  // Whether the store holds a blocked part.
+  // Whether the store holds a part with as many ends as block it.
   bool HasStoredPart() const {
-    return Call(system_.port("platform"), boost::beast::http::verb::get,
-                "/anvilloom/objects/blocked-parts/latest")
-               .body.find("crashes") != std::string::npos;
+    const auto object =
+        ParseJson(Call(system_.port("platform"), boost::beast::http::verb::get,
+                       "/anvilloom/objects/blocked-parts/latest")
+                      .body);
+    const auto* spec = object ? FindMember(*object, "spec") : nullptr;
+    const auto* parts = spec ? FindMember(*spec, "parts") : nullptr;
+    return parts != nullptr &&
+           std::ranges::any_of(parts->as_array(), [](const auto& part) {
+             return part.at("crashes").as_array().size() >=
+                    crash_suspects::kBlockingCrashes;
+           });
   }
 
   std::size_t Crashed() const {
@@ -109,9 +115,34 @@
   }
 
  private:
+  void KillGateways() {
+    for (const std::string& name : names_) {
+      system_.process(name).Kill();
+    }
+    names_.clear();
+    gateways_.clear();
+  }
+  void StartGateways() {
+    for (int i = 0; i < 2; ++i) {
+      names_.push_back("g" + std::to_string(++last_gateway_));
+      gateways_.push_back(system_.StartGateway(names_.back()));
+    }
+  }
+  void AwaitGateways() const {
+    for (const std::string& name : names_) {
+      REQUIRE(system_.AwaitReady(name));
+      REQUIRE(
+          system_.AwaitUpstreams(name, engines_.size() - withdrawn_.size()));
+    }
+  }
+
   platform_system system_;
+  std::vector<std::string> names_;
   std::vector<std::uint16_t> gateways_;
+  int last_gateway_ = 0;
   std::vector<std::unique_ptr<scripted_engine>> engines_;
+  // Indices of the engines whose entries have been removed.
+  std::set<std::size_t> withdrawn_;
   std::uint64_t next_id_ = 0;
 };
 
@@ -188,4 +219,28 @@
   }
 }
 
+// Guards against a part that is never blocked because each restart of all
+// instances forgets the ends under it that were too few to block it.
+SCENARIO("Ends under a part are counted across the loss of all instances",
+         "[crashing_prompt]") {
+  constexpr std::size_t kEngines = 16;
+  constexpr int kRestarts = 7;
+  crashing_system system(kEngines);
+
+  GIVEN("a restart of all after each call with a part that crashes engines") {
+    for (int round = 0; round <= kRestarts; ++round) {
+      if (round > 0) {
+        system.WithdrawCrashed();
+        system.ReplaceGateways();
+      }
+      system.SendPrompt(round % 2, kCrashingPart);
+      REQUIRE(system.SendPrompt(round % 2, kSoundPart).status == 200);
+      std::this_thread::sleep_for(seconds(1));
+    }
+    THEN("no more than five engines crash") {
+      REQUIRE(system.Crashed() <= 5);
+    }
+  }
+}
+
 }  // namespace anvilloom
