Read the stored prompt parts when the store is back

Callers saw calls with a part that crashes engines reach engines again after a restart of all instances beside a store that did not answer, although the part had been blocked and stored.

Cause: the parts were read once, and only if the first registration succeeded. After that an instance counted as having read them, and the first change of a verdict replaced the object by what this process alone had learned.

suspect_checkpoint now reads until it has succeeded, also at once when the first manifest arrives, takes over what it reads and writes on the condition of the version read, as usage_checkpoint does. A write that another instance has preceded reads again. So nothing is replaced that its writer has not taken over, and writes need no read before them. What is restored isn't passed on, since all instances read it. Parts are stored 0.25 s after a change and at most once a second, instead of at the next second, so that fewer ends are lost with a kill.

crashing_prompt_test starts both instances while the store is silent for 3 s.

--- a/entry/crash_monitor.cc
+++ b/entry/crash_monitor.cc
@@ -37,15 +37,20 @@
 }
 
 void crash_monitor::Apply(const peer_report& report) {
-  if (!report.suspects.empty()) {
-    Restore(report.suspects);
+  if (report.suspects.empty()) {
+    return;
   }
+  const time_point now = state_.clock.Now();
+  for (const suspect_report& each : report.suspects) {
+    suspects_.Merge(each, now);
+  }
+  HandleChange();
 }
 
 void crash_monitor::Restore(std::span<const suspect_report> stored) {
   const time_point now = state_.clock.Now();
   for (const suspect_report& each : stored) {
-    suspects_.Merge(each, now);
+    suspects_.Restore(each, now);
   }
   HandleChange();
 }
--- a/entry/crash_monitor.h
+++ b/entry/crash_monitor.h
@@ -33,7 +33,7 @@
   void ReportTrial(std::vector<std::uint64_t> parts);
   // Applies the report of another instance.
   void Apply(const peer_report& report);
-  // Applies what was stored before this process started.
+  // Applies what was stored.
   void Restore(std::span<const suspect_report> stored);
   // The parts that an instance which has just started must know.
   std::vector<suspect_report> BlockedReports() const;
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -64,7 +64,7 @@
         crashes_(state_, reporter_, control_pool_.context(0).get_executor()),
         duties_(state_, reporter_.peer_reports(), store_, cloud_, identity_),
         departed_(store_, reporter_.peer_reports(), kInstanceKind),
-        stored_suspects_(store_),
+        stored_suspects_(store_, state_.era, crashes_),
         tracker_(state_,
                  store_,
                  reporter_,
@@ -139,6 +139,7 @@
     });
     Run("pace_log", [this] { return pace_log_.Run(); });
     Run("maintenance", [this] { return MaintainStore(); });
+    Run("suspects", [this] { return StoreSuspects(); });
     if (!state_.settings.cloud.empty()) {
       Run("duties", [this] { return duties_.Run(); });
       Run("usage_reports", [this] { return duties_.RunReports(); });
@@ -194,6 +195,11 @@
   // An entry that is removed, or a list that is stored, a second late has no
   // effect.
   static constexpr duration kMaintenanceInterval = std::chrono::seconds(1);
+  // Delay before suspected prompt parts are stored, within which answers clear
+  // most of those that are sound, and time until the next write.
+  static constexpr duration kStoreSuspectsDelay =
+      std::chrono::milliseconds(250);
+  static constexpr duration kStoreSuspectsInterval = std::chrono::seconds(1);
   // Time for each instance in which all create their entries again.
   static constexpr duration kRestoreInterval = std::chrono::milliseconds(10);
 
@@ -254,6 +260,10 @@
   void HandleManifest(const manifest_index& index, bool first) {
     if (first) {
       reporter_.ChargeInitialLimits();
+      if (!stored_suspects_.loaded()) {
+        // The store is likely to respond again.
+        Run("load_suspects", [this] { return LoadSuspects(); });
+      }
     }
     caller_server_.UpdateLimits(CallerLimits(index.source().limits));
   }
@@ -264,16 +274,15 @@
   awaitable<void> Join() {
     bool listed = co_await Register();
     if (listed) {
-      const std::vector<suspect_report> stored = co_await stored_suspects_.Load(
-          deadline::After(state_.clock.Now(), kRegisterTimeout));
-      crashes_.Restore(stored);
-      stored_suspects_version_ = crashes_.stored_version();
-      stored_suspects_era_ = state_.era.seen();
+      co_await LoadSuspects();
     }
     tried_to_join_ = true;
-    while (!listed) {
+    while (!listed || !stored_suspects_.loaded()) {
       co_await Pause(kRegisterRetryDelay);
-      listed = co_await Register();
+      listed = listed || co_await Register();
+      if (listed) {
+        co_await LoadSuspects();
+      }
     }
   }
 
@@ -297,7 +306,6 @@
     for (;;) {
       co_await Pause(kMaintenanceInterval);
       co_await departed_.Remove(state_.clock.Now(), duties_.fencing() != 0);
-      co_await StoreSuspects();
       co_await RestoreEntry();
     }
   }
@@ -333,24 +341,24 @@
     }
   }
 
-  // One instance is enough, since all reach the same verdicts.
+  // Reads the parts that were stored before this process started.
+  awaitable<void> LoadSuspects() {
+    co_await stored_suspects_.Load(
+        deadline::After(state_.clock.Now(), kRegisterTimeout));
+  }
+
+  // Stores the suspected parts when they change. One instance is enough, since
+  // all learn the same.
   awaitable<void> StoreSuspects() {
-    const time_point now = state_.clock.Now();
-    const std::uint64_t version = crashes_.stored_version();
-    // An older copy of the store may lack parts, or hold parts that have been
-    // cleared since.
-    const std::uint64_t era = state_.era.seen();
-    const bool is_stored = version == stored_suspects_version_ &&
-                           (version == 0 || era == stored_suspects_era_);
-    if (is_stored || reporter_.peer_reports().Rank(now) != 0) {
-      co_return;
-    }
-    const std::vector<suspect_report> suspects = crashes_.StoredReports();
-    const bool stored = co_await stored_suspects_.Save(
-        suspects, deadline::After(now, kRegisterTimeout));
-    if (stored) {
-      stored_suspects_version_ = version;
-      stored_suspects_era_ = era;
+    for (;;) {
+      co_await Pause(kStoreSuspectsDelay);
+      const time_point now = state_.clock.Now();
+      if (stored_suspects_.IsSaved() ||
+          reporter_.peer_reports().Rank(now) != 0) {
+        continue;
+      }
+      co_await stored_suspects_.Save(deadline::After(now, kRegisterTimeout));
+      co_await Pause(kStoreSuspectsInterval - kStoreSuspectsDelay);
     }
   }
 
@@ -388,9 +396,7 @@
   crash_monitor crashes_;
   duty_runner<typename Platform::store, typename Platform::cloud> duties_;
   stale_entry_remover<typename Platform::store> departed_;
-  suspect_checkpoint<typename Platform::store> stored_suspects_;
-  std::uint64_t stored_suspects_version_ = 0;
-  std::uint64_t stored_suspects_era_ = 0;
+  suspect_checkpoint<typename Platform::store, crash_monitor> stored_suspects_;
   // The era in which the entry of this instance was created, and the one in
   // which it is created again, with the time for that.
   std::uint64_t registered_era_ = 0;
--- a/entry/suspect_checkpoint.h
+++ b/entry/suspect_checkpoint.h
@@ -3,7 +3,9 @@
 #ifndef ENTRY_SUSPECT_CHECKPOINT_H_
 #define ENTRY_SUSPECT_CHECKPOINT_H_
 
+#include <concepts>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -12,6 +14,7 @@
 #include "common/log.h"
 #include "common/time.h"
 #include "entry/suspect_record.h"
+#include "instances/store_era.h"
 #include "wire/object_store.h"
 #include "wire/wall_clock.h"
 
@@ -21,50 +24,120 @@
 inline constexpr std::string_view kBlockedPartsKind = "blocked-parts";
 inline constexpr std::string_view kBlockedPartsName = "latest";
 
-// Any instance may write, since all reach the same verdicts; the last write
-// counts. A verdict that is out of date is found out by the next trial. Not
-// thread-safe; used on the control thread.
-template <object_store Store>
+// The suspected parts that an instance knows, and a number that is 0 at first
+// and changes with them.
+template <typename T>
+concept suspect_memory = requires(T& memory,
+                                  std::span<const suspect_report> stored) {
+  memory.Restore(stored);
+  { memory.StoredReports() } -> std::same_as<std::vector<suspect_report>>;
+  { memory.stored_version() } -> std::same_as<std::uint64_t>;
+};
+
+// Any instance may write, since all learn the same. Each write is conditional
+// on the version read, whose parts the writer has taken over, so that no write
+// replaces parts that its writer doesn't know. Not thread-safe; used on the
+// control thread.
+template <object_store Store, suspect_memory Memory>
 class suspect_checkpoint {
  public:
-  explicit suspect_checkpoint(Store& store) : store_(store) {}
+  suspect_checkpoint(Store& store, const store_era& era, Memory& memory)
+      : store_(store), era_(era), memory_(memory) {}
+
+  // Whether the stored parts have been read since the start.
+  bool loaded() const { return loaded_; }
 
-  // Returns the stored parts, none if the store does not respond.
-  awaitable<std::vector<suspect_report>> Load(deadline until) {
+  // Whether the store holds what this instance knows. An older copy of the
+  // store may lack parts.
+  bool IsSaved() const {
+    const std::uint64_t version = memory_.stored_version();
+    return version == saved_version_ &&
+           (version == 0 || era_.seen() == saved_era_);
+  }
+
+  // Reads the object unless its version is known, and takes over its parts.
+  // False if the store did not respond.
+  awaitable<bool> Load(deadline until) {
+    if (version_) {
+      co_return true;
+    }
     const auto object =
         co_await store_.Get(kBlockedPartsKind, kBlockedPartsName, until);
-    if (!object) {
-      co_return std::vector<suspect_report>{};
+    if (!object && object.error() != store_error::kNotFound) {
+      co_return false;
+    }
+    const bool knew_nothing = memory_.stored_version() == 0;
+    version_ = object ? object->version : kNoObject;
+    loaded_ = true;
+    if (object) {
+      TakeOver(*object);
     }
-    auto suspects = DecodeSuspects(object->value, WallClockMicros());
-    if (!suspects) {
-      // The next write replaces it.
-      Log(log_level::kError, log_event::kBlockedPartsUnreadable,
-          {{"revision", std::to_string(object->version)}});
-      co_return std::vector<suspect_report>{};
+    if (knew_nothing) {
+      MarkSaved(memory_.stored_version());
     }
-    co_return std::move(*suspects);
+    co_return true;
   }
 
-  // Stores the parts. False if the store did not confirm the write.
-  awaitable<bool> Save(std::span<const suspect_report> suspects,
-                       deadline until) {
-    const std::string text = EncodeSuspects(suspects, WallClockMicros());
-    const auto object =
-        co_await store_.Get(kBlockedPartsKind, kBlockedPartsName, until);
-    if (!object && object.error() != store_error::kNotFound) {
+  // Stores what this instance knows unless it is stored. False if the store did
+  // not confirm the write.
+  awaitable<bool> Save(deadline until) {
+    if (IsSaved()) {
+      co_return true;
+    }
+    if (era_.seen() != saved_era_) {
+      version_.reset();
+    }
+    if (!co_await Load(until)) {
       co_return false;
     }
+    const std::uint64_t saved = memory_.stored_version();
+    const std::string text =
+        EncodeSuspects(memory_.StoredReports(), WallClockMicros());
     const auto written =
-        object ? co_await store_.Update(kBlockedPartsKind, kBlockedPartsName,
-                                        object->version, text, until)
-               : co_await store_.Create(kBlockedPartsKind, kBlockedPartsName,
-                                        text, until);
-    co_return written.has_value();
+        *version_ == kNoObject
+            ? co_await store_.Create(kBlockedPartsKind, kBlockedPartsName, text,
+                                     until)
+            : co_await store_.Update(kBlockedPartsKind, kBlockedPartsName,
+                                     *version_, text, until);
+    if (!written) {
+      // Another instance has written, or the response was lost.
+      version_.reset();
+      co_return false;
+    }
+    version_ = *written;
+    MarkSaved(saved);
+    co_return true;
   }
 
  private:
+  // The version while the object does not exist; versions in the store are
+  // higher.
+  static constexpr std::uint64_t kNoObject = 0;
+
+  void TakeOver(const stored_object& object) {
+    if (const auto suspects = DecodeSuspects(object.value, WallClockMicros())) {
+      memory_.Restore(*suspects);
+      return;
+    }
+    // The next write replaces it.
+    Log(log_level::kError, log_event::kBlockedPartsUnreadable,
+        {{"revision", std::to_string(object.version)}});
+  }
+
+  void MarkSaved(std::uint64_t version) {
+    saved_version_ = version;
+    saved_era_ = era_.seen();
+  }
+
   Store& store_;
+  const store_era& era_;
+  Memory& memory_;
+  // Empty while the object must be read.
+  std::optional<std::uint64_t> version_;
+  bool loaded_ = false;
+  // The version of the memory that was stored last, and the store's era then.
+  std::uint64_t saved_version_ = 0;
+  std::uint64_t saved_era_ = 0;
 };
 
 }  // namespace anvilloom
--- a/links/crash_suspects.cc
+++ b/links/crash_suspects.cc
@@ -193,6 +193,17 @@
   found->second.answer_shared = true;
 }
 
+void crash_suspects::Restore(const suspect_report& stored, time_point now) {
+  for (const suspect_report::crash& each : stored.crashes) {
+    AddCrash(stored.part, {each.upstream_hash, each.call_hash, now - each.age});
+  }
+  const auto found = suspects_.find(stored.part);
+  if (found != suspects_.end() && stored.tried_age &&
+      now - *stored.tried_age > found->second.tried_at + kTrialJitter) {
+    SetTried(found->second, now - *stored.tried_age);
+  }
+}
+
 std::vector<suspect_report> crash_suspects::TakeReports(time_point now) {
   using entry = std::pair<const std::uint64_t, suspect>;
   std::vector<entry*> pending;
--- a/links/crash_suspects.h
+++ b/links/crash_suspects.h
@@ -128,6 +128,8 @@
   void RecordTrial(std::span<const std::uint64_t> parts, time_point now);
   // Applies what another instance has reported.
   void Merge(const suspect_report& report, time_point now);
+  // Applies what was stored. It is not passed on, since all instances read it.
+  void Restore(const suspect_report& stored, time_point now);
 
   // Returns the reports to pass on to a few other instances now: no more than
   // fit into one message, so that the traffic does not grow with the upstreams
--- a/test/error/crashing_prompt_test.cc
+++ b/test/error/crashing_prompt_test.cc
@@ -79,6 +79,15 @@
     StartGateways();
     AwaitGateways();
   }
+  // The same while the store doesn't answer until `silence` after the start.
+  void ReplaceGatewaysWithoutStore(milliseconds silence) {
+    KillGateways();
+    system_.process("platform").Pause();
+    StartGateways();
+    std::this_thread::sleep_for(silence);
+    system_.process("platform").Continue();
+    AwaitGateways();
+  }
   // Removes the entries of the engines that have crashed.
   void WithdrawCrashed() {
     for (std::size_t i = 0; i < engines_.size(); ++i) {
@@ -219,6 +228,36 @@
   }
 }
 
+// Guards against blocked parts that are forgotten for good because the store
+// didn't answer when the instances started.
+SCENARIO("Blocked parts are read when the store is back", "[crashing_prompt]") {
+  constexpr std::size_t kEngines = 12;
+  crashing_system system(kEngines);
+  REQUIRE(Eventually(
+      [&] {
+        std::this_thread::sleep_for(milliseconds(200));
+        system.SendPrompt(0, kCrashingPart);
+        return system.SendPrompt(1, kSoundPart).status == 200 &&
+               system.HasStoredPart();
+      },
+      seconds(10)));
+  const std::size_t crashed = system.Crashed();
+
+  WHEN("all gateways start again while the store is silent") {
+    system.ReplaceGatewaysWithoutStore(seconds(3));
+    // The smallest time from the user requirements until an instance counts as
+    // connected.
+    std::this_thread::sleep_for(seconds(3));
+    THEN("they refuse calls with the part, and serve others") {
+      for (const std::size_t gateway : {0U, 1U}) {
+        REQUIRE(system.SendPrompt(gateway, kCrashingPart).status == 503);
+        REQUIRE(system.SendPrompt(gateway, kSoundPart).status == 200);
+      }
+      REQUIRE(system.Crashed() == crashed);
+    }
+  }
+}
+
 // Guards against a part that is never blocked because each restart of all
 // instances forgets the ends under it that were too few to block it.
 SCENARIO("Ends under a part are counted across the loss of all instances",
