Store the ends of all upstreams, and the verdicts, with the suspected parts

After a restart of all instances, sound parts could be blocked, and parts that had been blocked judged anew.

Cause: a part is blocked only if it explains a third of the ends that occurred meanwhile, but the ends of other upstreams were known in memory alone. After a restart each stored end looked more telling than it was; with them restored, a verdict could fall that had been right when it was reached. The record now holds the ends and whether a part is blocked. Records of earlier versions, with neither, are still read.

New simulations, as regression tests, with a restart of all every 5 s and 9 s: sound calls are served, and a part that crashes engines is found.

--- a/entry/crash_monitor.cc
+++ b/entry/crash_monitor.cc
@@ -47,11 +47,8 @@
   HandleChange();
 }
 
-void crash_monitor::Restore(std::span<const suspect_report> stored) {
-  const time_point now = state_.clock.Now();
-  for (const suspect_report& each : stored) {
-    suspects_.Restore(each, now);
-  }
+void crash_monitor::Restore(const suspect_evidence& stored) {
+  suspects_.Restore(stored, state_.clock.Now());
   HandleChange();
 }
 
@@ -59,8 +56,8 @@
   return suspects_.BlockedReports(state_.clock.Now());
 }
 
-std::vector<suspect_report> crash_monitor::StoredReports() const {
-  return suspects_.StoredReports(state_.clock.Now());
+suspect_evidence crash_monitor::Evidence() const {
+  return suspects_.Evidence(state_.clock.Now());
 }
 
 void crash_monitor::HandleChange() {
--- a/entry/crash_monitor.h
+++ b/entry/crash_monitor.h
@@ -6,7 +6,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <cstdint>
-#include <span>
 #include <vector>
 
 #include "entry/gateway_state.h"
@@ -34,12 +33,12 @@
   // Applies the report of another instance.
   void Apply(const peer_report& report);
   // Applies what was stored.
-  void Restore(std::span<const suspect_report> stored);
+  void Restore(const suspect_evidence& stored);
   // The parts that an instance which has just started must know.
   std::vector<suspect_report> BlockedReports() const;
-  // The parts to store for the case that all instances are lost, and a number
-  // that changes with them.
-  std::vector<suspect_report> StoredReports() const;
+  // What to store for the case that all instances are lost, and a number that
+  // changes with it.
+  suspect_evidence Evidence() const;
   std::uint64_t stored_version() const { return suspects_.stored_version(); }
 
  private:
--- a/entry/suspect_checkpoint.h
+++ b/entry/suspect_checkpoint.h
@@ -6,10 +6,8 @@
 #include <concepts>
 #include <cstdint>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "common/log.h"
 #include "common/time.h"
@@ -27,10 +25,9 @@
 // The suspected parts that an instance knows, and a number that is 0 at first
 // and changes with them.
 template <typename T>
-concept suspect_memory = requires(T& memory,
-                                  std::span<const suspect_report> stored) {
+concept suspect_memory = requires(T& memory, const suspect_evidence& stored) {
   memory.Restore(stored);
-  { memory.StoredReports() } -> std::same_as<std::vector<suspect_report>>;
+  { memory.Evidence() } -> std::same_as<suspect_evidence>;
   { memory.stored_version() } -> std::same_as<std::uint64_t>;
 };
 
@@ -92,7 +89,7 @@
     }
     const std::uint64_t saved = memory_.stored_version();
     const std::string text =
-        EncodeSuspects(memory_.StoredReports(), WallClockMicros());
+        EncodeEvidence(memory_.Evidence(), WallClockMicros());
     const auto written =
         *version_ == kNoObject
             ? co_await store_.Create(kBlockedPartsKind, kBlockedPartsName, text,
@@ -115,8 +112,8 @@
   static constexpr std::uint64_t kNoObject = 0;
 
   void TakeOver(const stored_object& object) {
-    if (const auto suspects = DecodeSuspects(object.value, WallClockMicros())) {
-      memory_.Restore(*suspects);
+    if (const auto evidence = DecodeEvidence(object.value, WallClockMicros())) {
+      memory_.Restore(*evidence);
       return;
     }
     // The next write replaces it.
--- a/entry/suspect_record.cc
+++ b/entry/suspect_record.cc
@@ -59,6 +59,9 @@
   suspect_report suspect;
   suspect.part = *part;
   suspect.tried_age = AgeMember(encoded, "tried_age_us", since);
+  const json::value* blocked = FindMember(encoded, "blocked");
+  suspect.blocked =
+      blocked != nullptr && blocked->is_bool() && blocked->get_bool();
   for (const json::value& each : crashes->get_array()) {
     const auto upstream = HashMember(each, "upstream");
     const auto call = HashMember(each, "call");
@@ -73,28 +76,34 @@
 
 }  // namespace
 
-std::string EncodeSuspects(std::span<const suspect_report> suspects,
+std::string EncodeEvidence(const suspect_evidence& evidence,
                            std::int64_t wall_us) {
   json::array parts;
-  for (const suspect_report& each : suspects) {
+  for (const suspect_report& each : evidence.suspects) {
     json::array crashes;
     for (const suspect_report::crash& crash : each.crashes) {
       crashes.push_back(EncodeCrash(crash));
     }
     json::object part = {{"part", FormatHash(each.part)},
                          {"crashes", std::move(crashes)}};
+    part["blocked"] = each.blocked;
     if (each.tried_age) {
       part["tried_age_us"] = each.tried_age->count();
     }
     parts.push_back(std::move(part));
   }
-  return json::serialize(
-      json::object{{"wall_us", wall_us}, {"parts", std::move(parts)}});
+  json::array ends;
+  for (const upstream_end& each : evidence.ends) {
+    ends.push_back({{"upstream", FormatHash(each.upstream_hash)},
+                    {"age_us", each.age.count()}});
+  }
+  return json::serialize(json::object{{"wall_us", wall_us},
+                                      {"parts", std::move(parts)},
+                                      {"ends", std::move(ends)}});
 }
 
-std::optional<std::vector<suspect_report>> DecodeSuspects(
-    std::string_view text,
-    std::int64_t wall_us) {
+std::optional<suspect_evidence> DecodeEvidence(std::string_view text,
+                                               std::int64_t wall_us) {
   const auto parsed = ParseJson(text);
   const auto stored_at =
       parsed ? UnsignedMember(*parsed, "wall_us") : std::nullopt;
@@ -106,13 +115,24 @@
       static_cast<std::uint64_t>(std::max<std::int64_t>(wall_us, 0));
   const duration since(
       static_cast<std::int64_t>(now - std::min(now, *stored_at)));
-  std::vector<suspect_report> suspects;
+  suspect_evidence evidence;
   for (const json::value& each : parts->get_array()) {
     if (auto suspect = DecodeSuspect(each, since)) {
-      suspects.push_back(std::move(*suspect));
+      evidence.suspects.push_back(std::move(*suspect));
+    }
+  }
+  // Earlier versions store no ends.
+  const json::value* ends = FindMember(*parsed, "ends");
+  if (ends != nullptr && ends->is_array()) {
+    for (const json::value& each : ends->get_array()) {
+      const auto upstream = HashMember(each, "upstream");
+      const auto age = AgeMember(each, "age_us", since);
+      if (upstream && age) {
+        evidence.ends.push_back({*upstream, *age});
+      }
     }
   }
-  return suspects;
+  return evidence;
 }
 
 }  // namespace anvilloom
--- a/entry/suspect_record.h
+++ b/entry/suspect_record.h
@@ -4,23 +4,21 @@
 
 #include <cstdint>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "instances/suspect_report.h"
 
 namespace anvilloom {
 
 // `wall_us` is the wall clock time in microseconds since 1970 at which the ages
-// in the reports hold.
-std::string EncodeSuspects(std::span<const suspect_report> suspects,
+// in the evidence hold.
+std::string EncodeEvidence(const suspect_evidence& evidence,
                            std::int64_t wall_us);
-// Returns the suspects with their ages at `wall_us`, or nothing if the text is
-// not a record. Malformed suspects are left out.
-std::optional<std::vector<suspect_report>> DecodeSuspects(std::string_view text,
-                                                          std::int64_t wall_us);
+// Returns the evidence with its ages at `wall_us`, or nothing if the text is
+// not a record. Malformed suspects and ends are left out.
+std::optional<suspect_evidence> DecodeEvidence(std::string_view text,
+                                               std::int64_t wall_us);
 
 }  // namespace anvilloom
 
--- a/instances/suspect_report.h
+++ b/instances/suspect_report.h
@@ -30,6 +30,22 @@
   // Age of the latest trial of the part, if there was one.
   std::optional<duration> tried_age;
   std::vector<crash> crashes;
+  // Whether the part is blocked. Only stored: from a report, each instance
+  // draws its own conclusion.
+  bool blocked = false;
+};
+
+// An upstream that ended, whatever the parts of its calls.
+struct upstream_end {
+  std::uint64_t upstream_hash = 0;
+  duration age{0};
+};
+
+// What is known of the parts that may crash upstreams, with the ends of
+// upstreams that they have to explain.
+struct suspect_evidence {
+  std::vector<suspect_report> suspects;
+  std::vector<upstream_end> ends;
 };
 
 // Maximum number of crashes that are kept for a part. More than a part causes
--- a/links/crash_suspects.cc
+++ b/links/crash_suspects.cc
@@ -193,14 +193,28 @@
   found->second.answer_shared = true;
 }
 
-void crash_suspects::Restore(const suspect_report& stored, time_point now) {
-  for (const suspect_report::crash& each : stored.crashes) {
-    AddCrash(stored.part, {each.upstream_hash, each.call_hash, now - each.age});
-  }
-  const auto found = suspects_.find(stored.part);
-  if (found != suspects_.end() && stored.tried_age &&
-      now - *stored.tried_age > found->second.tried_at + kTrialJitter) {
-    SetTried(found->second, now - *stored.tried_age);
+void crash_suspects::Restore(const suspect_evidence& stored, time_point now) {
+  for (const upstream_end& each : stored.ends) {
+    NoteEnd(each.upstream_hash, now - each.age);
+  }
+  for (const suspect_report& report : stored.suspects) {
+    for (const suspect_report::crash& each : report.crashes) {
+      AddCrash(report.part,
+               {each.upstream_hash, each.call_hash, now - each.age});
+    }
+    const auto found = suspects_.find(report.part);
+    if (found == suspects_.end()) {
+      continue;
+    }
+    suspect& known = found->second;
+    if (report.blocked) {
+      // The verdict may rest on ends that are no longer known.
+      SetBlocked(report.part, known, !known.crashes.empty());
+    }
+    if (report.tried_age &&
+        now - *report.tried_age > known.tried_at + kTrialJitter) {
+      SetTried(known, now - *report.tried_age);
+    }
   }
 }
 
@@ -250,17 +264,20 @@
   return reports;
 }
 
-std::vector<suspect_report> crash_suspects::StoredReports(
-    time_point now) const {
-  std::vector<suspect_report> reports;
+suspect_evidence crash_suspects::Evidence(time_point now) const {
+  suspect_evidence evidence;
   for (const auto& [part, known] : suspects_) {
     if (!known.crashes.empty()) {
-      reports.push_back(MakeReport(part, known, now));
+      evidence.suspects.push_back(MakeReport(part, known, now));
       // An answer has removed the ends before it.
-      reports.back().answered_age.reset();
+      evidence.suspects.back().answered_age.reset();
+      evidence.suspects.back().blocked = known.blocked;
     }
   }
-  return reports;
+  for (const auto& [upstream, at] : ended_) {
+    evidence.ends.push_back({upstream, now - at});
+  }
+  return evidence;
 }
 
 void crash_suspects::Sweep(time_point now) {
@@ -312,13 +329,7 @@
 }
 
 bool crash_suspects::AddCrash(std::uint64_t part, crash_record crash) {
-  if (ended_.size() < kMaxSuspects || ended_.contains(crash.upstream_hash)) {
-    // Each report that passed on a crash has added its delay to the time.
-    time_point& ended_at =
-        ended_.try_emplace(crash.upstream_hash, crash.at).first->second;
-    ended_at = std::min(ended_at, crash.at);
-    crash.at = ended_at;
-  }
+  crash.at = NoteEnd(crash.upstream_hash, crash.at);
   if (!suspects_.contains(part) && suspects_.size() >= kMaxSuspects) {
     EvictOldest();
   }
@@ -352,6 +363,16 @@
   return true;
 }
 
+time_point crash_suspects::NoteEnd(std::uint64_t upstream_hash, time_point at) {
+  if (ended_.size() >= kMaxSuspects && !ended_.contains(upstream_hash)) {
+    return at;
+  }
+  // Each report that passed on a crash has added its delay to the time.
+  time_point& ended_at = ended_.try_emplace(upstream_hash, at).first->second;
+  ended_at = std::min(ended_at, at);
+  return ended_at;
+}
+
 bool crash_suspects::SetAnswered(std::uint64_t part,
                                  suspect& known,
                                  time_point at) {
@@ -381,9 +402,17 @@
       !known.crashes.empty() &&
       (known.blocked || (crashes >= kBlockingCrashes &&
                          calls >= kBlockingCalls && ExplainsCrashes(known)));
+  SetBlocked(part, known, blocked);
+}
+
+void crash_suspects::SetBlocked(std::uint64_t part,
+                                suspect& known,
+                                bool blocked) {
   if (blocked != known.blocked) {
     known.blocked = blocked;
-    verdicts_.push_back({part, blocked, crashes, calls});
+    verdicts_.push_back({part, blocked, CountCrashes(known.crashes),
+                         CountCalls(known.crashes)});
+    NoteChange();
   }
 }
 
--- a/links/crash_suspects.h
+++ b/links/crash_suspects.h
@@ -129,7 +129,7 @@
   // Applies what another instance has reported.
   void Merge(const suspect_report& report, time_point now);
   // Applies what was stored. It is not passed on, since all instances read it.
-  void Restore(const suspect_report& stored, time_point now);
+  void Restore(const suspect_evidence& stored, time_point now);
 
   // Returns the reports to pass on to a few other instances now: no more than
   // fit into one message, so that the traffic does not grow with the upstreams
@@ -138,9 +138,10 @@
   // Returns the first blocked parts, for instances that have just started: no
   // more than fit into one message.
   std::vector<suspect_report> BlockedReports(time_point now) const;
-  // Returns the parts to store for the case that all instances are lost: those
-  // that are blocked, and those under which too few upstreams have ended yet.
-  std::vector<suspect_report> StoredReports(time_point now) const;
+  // Returns what to store for the case that all instances are lost: the parts
+  // that are blocked, those under which too few upstreams have ended yet, and
+  // the ends of all upstreams, against which both are weighed.
+  suspect_evidence Evidence(time_point now) const;
 
   // Forgets answers that no longer matter. Call at intervals.
   void Sweep(time_point now);
@@ -164,7 +165,7 @@
   // Returns the changes of verdicts since the last call.
   std::vector<verdict> TakeVerdicts();
 
-  // Changes whenever StoredReports() changes, except for ages.
+  // Changes whenever Evidence() has other parts, or other ends under them.
   std::uint64_t stored_version() const { return stored_version_; }
   std::size_t size() const { return suspects_.size(); }
   std::size_t blocked() const;
@@ -209,10 +210,13 @@
   // Adds a crash unless it is known or older than the latest answer. Returns
   // whether it was added.
   bool AddCrash(std::uint64_t part, crash_record crash);
+  // Notes that an upstream ended. Returns when, as first reported.
+  time_point NoteEnd(std::uint64_t upstream_hash, time_point at);
   void SetTried(suspect& known, time_point at);
   // Returns whether the answer came after a crash that had been known.
   bool SetAnswered(std::uint64_t part, suspect& known, time_point at);
   void UpdateVerdict(std::uint64_t part, suspect& known);
+  void SetBlocked(std::uint64_t part, suspect& known, bool blocked);
   // Notes that the ends or the trials of a part have changed.
   void NoteChange() {
     changed_ = true;
--- a/test/correctness/crash_suspects_test.cc
+++ b/test/correctness/crash_suspects_test.cc
@@ -51,6 +51,11 @@
     duration longest_answer = milliseconds(260);
     // Time that a report takes to arrive.
     duration report_delay{0};
+    // Interval at which one upstream ends by itself; zero for never.
+    duration failure_interval{0};
+    // Interval at which all instances are lost and start with what was stored;
+    // zero for never.
+    duration restart_interval{0};
   };
 
   explicit crash_simulation(const options& chosen)
@@ -80,12 +85,14 @@
       now_ += kStep;
       StartCalls();
       EndCalls();
-      if (options_.outage_interval > duration(0) &&
-          (now_ - time_point{}) % options_.outage_interval == duration(0)) {
+      if (IsDue(options_.outage_interval)) {
         for (std::size_t i = 0; i < options_.upstreams / 3; ++i) {
           Crash(i);
         }
       }
+      if (IsDue(options_.failure_interval)) {
+        Crash(random_() % options_.upstreams);
+      }
       std::erase_if(wave_, [this](const auto& each) {
         const bool due = each.first <= now_;
         if (due) {
@@ -94,9 +101,16 @@
         return due;
       });
       DeliverReports();
-      if ((now_ - time_point{}) % milliseconds(100) == duration(0)) {
+      if (IsDue(milliseconds(100))) {
         ExchangeReports();
       }
+      if (IsDue(seconds(1))) {
+        stored_ = suspects_[0].Evidence(now_);
+        stored_at_ = now_;
+      }
+      if (IsDue(options_.restart_interval)) {
+        RestartAll();
+      }
     }
   }
 
@@ -134,6 +148,34 @@
     time_point answers_at;
   };
 
+  bool IsDue(duration interval) const {
+    return interval > duration(0) &&
+           (now_ - time_point{}) % interval == duration(0);
+  }
+
+  // Loses all instances with their calls and what was not stored.
+  void RestartAll() {
+    running_.clear();
+    under_way_.clear();
+    for (suspect_report& suspect : stored_.suspects) {
+      for (suspect_report::crash& each : suspect.crashes) {
+        each.age += now_ - stored_at_;
+      }
+    }
+    for (upstream_end& each : stored_.ends) {
+      each.age += now_ - stored_at_;
+    }
+    stored_at_ = now_;
+    for (std::size_t i = 0; i < suspects_.size(); ++i) {
+      suspects_[i] = crash_suspects();
+      suspects_[i].Restore(stored_, now_);
+      views_[i] = suspects_[i].TakeView(i);
+      if (!views_[i]) {
+        views_[i] = std::make_unique<const suspect_view>();
+      }
+    }
+  }
+
   double Unit() { return std::uniform_real_distribution<>(0, 1)(random_); }
   std::uint64_t Part(int count, std::uint64_t base) {
     // Low numbers are drawn more often.
@@ -301,6 +343,9 @@
   std::vector<std::pair<time_point, std::size_t>> wave_;
   // In the order in which they arrive.
   std::deque<message> under_way_;
+  // What instance 0 stored last, and when.
+  suspect_evidence stored_;
+  time_point stored_at_;
   std::uint64_t next_id_ = 0;
   bool mended_ = false;
   std::size_t deadly_crashes_ = 0;
@@ -418,6 +463,76 @@
   }
 }
 
+// Guards against sound parts that are blocked because the ends of upstreams
+// beside them are added up over restarts, while the answers are forgotten.
+SCENARIO("Ends of upstreams that have other causes are stored",
+         "[crash_suspects]") {
+  crash_simulation::options options;
+  options.seed = GENERATE(range(1U, 6U));
+  options.deadly_share = 0;
+  options.failure_interval = milliseconds(700);
+  options.restart_interval = seconds(5);
+  CAPTURE(options.seed);
+
+  GIVEN("upstreams that end one after the other and restarts of all") {
+    const auto middle_parts = GENERATE(5, 60, 400);
+    options.middle_parts = middle_parts;
+    CAPTURE(middle_parts);
+    crash_simulation simulation(options);
+    simulation.Run(seconds(100));
+    THEN("hardly any call is refused") {
+      CAPTURE(simulation.sound_refused(), simulation.sound_calls());
+      REQUIRE(simulation.sound_refused() * 500 <= simulation.sound_calls());
+    }
+  }
+}
+
+// Guards against sound, popular parts that are blocked after a restart because
+// the ends of upstreams with other causes are forgotten.
+SCENARIO("Stored ends are weighed against all that occurred meanwhile",
+         "[crash_suspects]") {
+  const std::vector<std::uint64_t> parts = {1};
+  GIVEN("two ends under a part among many whose other parts were answered") {
+    crash_suspects before;
+    for (std::uint64_t i = 1; i <= 2; ++i) {
+      before.RecordCrash(parts, Crash(i, i, seconds(i)));
+    }
+    for (std::uint64_t i = 10; i < 20; ++i) {
+      const std::vector<std::uint64_t> other = {i};
+      before.RecordCrash(other, Crash(i, i, milliseconds(500 * i - 3'000)));
+      before.RecordAnswer(other, time_point(seconds(8)));
+    }
+
+    WHEN("a third upstream ends under it after a restart") {
+      crash_suspects after;
+      const time_point now{seconds(10)};
+      after.Restore(before.Evidence(now), now);
+      after.RecordCrash(parts, Crash(3, 3, seconds(11)));
+      THEN("the part is not blocked: the others have another cause") {
+        REQUIRE(after.blocked() == 0);
+      }
+    }
+  }
+}
+
+// Guards against a part that is never blocked because of restarts.
+SCENARIO("A part that crashes upstreams is found across restarts",
+         "[crash_suspects]") {
+  crash_simulation::options options;
+  options.seed = GENERATE(range(1U, 11U));
+  options.deadly_share = 0.01;
+  options.restart_interval = seconds(9);
+  CAPTURE(options.seed);
+  crash_simulation simulation(options);
+  simulation.Run(seconds(90));
+  THEN("at most three calls with it are sent once it is known") {
+    REQUIRE(SentLate(simulation, seconds(3)) <= 3);
+  }
+  THEN("hardly any sound call is refused") {
+    REQUIRE(simulation.sound_refused() * 100 <= simulation.sound_calls());
+  }
+}
+
 // Guards against a verdict that outlives its cause.
 SCENARIO("A blocked part is tried again and cleared by an answer",
          "[crash_suspects]") {
@@ -781,9 +896,7 @@
 
     THEN("an instance that reads the stored parts blocks all of them") {
       crash_suspects restarted;
-      for (const suspect_report& each : suspects.StoredReports(now)) {
-        restarted.Merge(each, now);
-      }
+      restarted.Restore(suspects.Evidence(now), now);
       REQUIRE(restarted.blocked() == kParts);
     }
   }
@@ -799,9 +912,7 @@
     before.RecordCrash(parts, Crash(2, 2, seconds(2)));
     const time_point now{seconds(10)};
     crash_suspects after;
-    for (const suspect_report& each : before.StoredReports(now)) {
-      after.Merge(each, now);
-    }
+    after.Restore(before.Evidence(now), now);
 
     WHEN("a third one ends after it") {
       after.RecordCrash(parts, Crash(3, 3, seconds(11)));
--- a/test/correctness/recovered_writes_test.cc
+++ b/test/correctness/recovered_writes_test.cc
@@ -406,7 +406,7 @@
         suspect_checkpoint<seen_store, remembered_suspects> reader(start, fresh,
                                                                    known);
         REQUIRE(RunCall(reader.Load(Soon())));
-        const auto parts = known.StoredReports();
+        const auto parts = known.Evidence().suspects;
         REQUIRE(parts.size() == 2);
         CHECK(parts[0].part == 11);
         CHECK(parts[1].part == 12);
--- a/test/correctness/suspect_record_test.cc
+++ b/test/correctness/suspect_record_test.cc
@@ -23,6 +23,7 @@
   suspect_report suspect;
   suspect.part = std::numeric_limits<std::uint64_t>::max();
   suspect.tried_age = seconds(3);
+  suspect.blocked = true;
   suspect.crashes = {
       {1, 2, seconds(9)},
       {std::numeric_limits<std::uint64_t>::max(), 4, seconds(8)}};
@@ -32,24 +33,29 @@
 }  // namespace
 
 SCENARIO("Blocked parts are stored and read", "[suspect_record]") {
-  const std::vector<suspect_report> stored = {ExampleSuspect()};
-  const std::string text = EncodeSuspects(stored, kStoredAt);
+  const suspect_evidence stored = {{ExampleSuspect()}, {{5, seconds(7)}}};
+  const std::string text = EncodeEvidence(stored, kStoredAt);
 
   THEN("their ages have grown by the time in between") {
-    const auto read = DecodeSuspects(text, kStoredAt + 5 * kSecond);
+    const auto read = DecodeEvidence(text, kStoredAt + 5 * kSecond);
     REQUIRE(read);
-    REQUIRE(read->size() == 1);
-    REQUIRE(read->at(0).part == stored[0].part);
-    REQUIRE(read->at(0).tried_age == seconds(8));
-    REQUIRE(read->at(0).crashes.size() == 2);
-    REQUIRE(read->at(0).crashes[1].upstream_hash ==
-            stored[0].crashes[1].upstream_hash);
-    REQUIRE(read->at(0).crashes[1].age == seconds(13));
+    REQUIRE(read->suspects.size() == 1);
+    const suspect_report& suspect = read->suspects[0];
+    REQUIRE(suspect.part == ExampleSuspect().part);
+    REQUIRE(suspect.tried_age == seconds(8));
+    REQUIRE(suspect.crashes.size() == 2);
+    REQUIRE(suspect.crashes[1].upstream_hash ==
+            ExampleSuspect().crashes[1].upstream_hash);
+    REQUIRE(suspect.crashes[1].age == seconds(13));
+    REQUIRE(suspect.blocked);
+    REQUIRE(read->ends.size() == 1);
+    REQUIRE(read->ends[0].upstream_hash == 5);
+    REQUIRE(read->ends[0].age == seconds(12));
   }
   THEN("a clock that went back makes no ages negative") {
-    const auto read = DecodeSuspects(text, kStoredAt - 5 * kSecond);
+    const auto read = DecodeEvidence(text, kStoredAt - 5 * kSecond);
     REQUIRE(read);
-    REQUIRE(read->at(0).crashes[1].age == seconds(8));
+    REQUIRE(read->suspects.at(0).crashes[1].age == seconds(8));
   }
 }
 
@@ -59,19 +65,33 @@
     for (const char* text :
          {"", "[]", "{}", "7", R"({"wall_us":-1,"parts":[]})",
           R"({"wall_us":1,"parts":{}})"}) {
-      REQUIRE_FALSE(DecodeSuspects(text, kStoredAt));
+      REQUIRE_FALSE(DecodeEvidence(text, kStoredAt));
     }
   }
   THEN("an odd part is left out and the others hold") {
-    const auto read = DecodeSuspects(
+    const auto read = DecodeEvidence(
         R"({"wall_us":1,"parts":[{"part":"zz","crashes":[]},{"part":7},
             {"part":"7","crashes":[{"upstream":"1","call":"2","age_us":1e300},
                                    {"upstream":"1","call":"2","age_us":-1},
                                    {"upstream":"1","call":"2","age_us":5}]}]})",
         kStoredAt);
     REQUIRE(read);
-    REQUIRE(read->size() == 1);
-    REQUIRE(read->at(0).crashes.size() == 1);
+    REQUIRE(read->suspects.size() == 1);
+    REQUIRE(read->suspects[0].crashes.size() == 1);
+  }
+  THEN("an odd end is left out and the others hold") {
+    const auto read = DecodeEvidence(
+        R"({"wall_us":1,"parts":[],"ends":[7,{"upstream":"x","age_us":1},
+            {"upstream":"1","age_us":-1},{"upstream":"1","age_us":5}]})",
+        kStoredAt);
+    REQUIRE(read);
+    REQUIRE(read->ends.size() == 1);
+    REQUIRE(read->ends[0].upstream_hash == 1);
+  }
+  THEN("a record of an earlier version has no ends") {
+    const auto read = DecodeEvidence(R"({"wall_us":1,"parts":[]})", kStoredAt);
+    REQUIRE(read);
+    REQUIRE(read->ends.empty());
   }
 }
 
--- a/test/error/decoder_mutations_test.cc
+++ b/test/error/decoder_mutations_test.cc
@@ -150,6 +150,14 @@
   return known.size() > 0;
 }
 
+bool ApplyEvidence(const suspect_evidence& evidence) {
+  crash_suspects known;
+  known.Restore(evidence, kNow);
+  known.TakeView(0);
+  known.Evidence(kNow);
+  return known.size() > 0;
+}
+
 peer_report WholeReport() {
   peer_report report;
   report.name = "g2";
@@ -406,10 +414,12 @@
       {"claims", EncodeClaim(ExampleClaim()), ApplyClaim},
       {"leases", EncodeLease({"g1", 7, 9, std::chrono::seconds(15)}),
        ApplyLease},
-      {"blocked parts", EncodeSuspects(ExampleSuspects(), kWallUs),
+      {"blocked parts",
+       EncodeEvidence({ExampleSuspects(), {{5, std::chrono::seconds(2)}}},
+                      kWallUs),
        [](std::string_view text) {
-         const auto suspects = DecodeSuspects(text, kWallUs);
-         return suspects && ApplySuspects(*suspects);
+         const auto evidence = DecodeEvidence(text, kWallUs);
+         return evidence && ApplyEvidence(*evidence);
        }},
       {"the platform's manifest", std::string(kPlatformManifest),
        ApplyManifest},
--- a/test/support/remembered_suspects.h
+++ b/test/support/remembered_suspects.h
@@ -4,7 +4,7 @@
 #define TEST_SUPPORT_REMEMBERED_SUSPECTS_H_
 
 #include <cstdint>
-#include <span>
+
 #include <vector>
 
 #include "links/crash_suspects.h"
@@ -12,14 +12,8 @@
 namespace anvilloom {
 
 struct remembered_suspects {
-  void Restore(std::span<const suspect_report> stored) {
-    for (const suspect_report& each : stored) {
-      known.Restore(each, now);
-    }
-  }
-  std::vector<suspect_report> StoredReports() const {
-    return known.StoredReports(now);
-  }
+  void Restore(const suspect_evidence& stored) { known.Restore(stored, now); }
+  suspect_evidence Evidence() const { return known.Evidence(now); }
   std::uint64_t stored_version() const { return known.stored_version(); }
 
   // Records that `count` upstreams ended under a part, one a second.
