Forget ends under parts that are not blocked after an hour

Answers were remembered for 30 s only, so that an instance that had seen one could not contradict later.

Both, and the ends of all upstreams against which a part is weighed, are now kept for an hour, as long as a trial may be put off; blocked parts keep theirs. The ends of upstreams are bounded by dropping the oldest, not by ignoring new ones.

crash_suspects_test: an end every forty minutes blocked a part before (1 == 0).

--- a/entry/crash_monitor.cc
+++ b/entry/crash_monitor.cc
@@ -47,6 +47,11 @@
   HandleChange();
 }
 
+void crash_monitor::Sweep() {
+  suspects_.Sweep(state_.clock.Now());
+  PublishView();
+}
+
 void crash_monitor::Restore(const suspect_evidence& stored) {
   suspects_.Restore(stored, state_.clock.Now());
   HandleChange();
@@ -96,7 +101,6 @@
 
 awaitable<void> crash_monitor::RunRounds() {
   do {
-    suspects_.Sweep(state_.clock.Now());
     reporter_.SendSuspects(suspects_.TakeReports(state_.clock.Now()));
     PublishView();
     co_await Pause(kRoundInterval);
--- a/entry/crash_monitor.h
+++ b/entry/crash_monitor.h
@@ -32,6 +32,8 @@
   void ReportTrial(std::vector<std::uint64_t> parts);
   // Applies the report of another instance.
   void Apply(const peer_report& report);
+  // Forgets what no longer matters. Call at intervals.
+  void Sweep();
   // Applies what was stored.
   void Restore(const suspect_evidence& stored);
   // The parts that an instance which has just started must know.
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -305,6 +305,7 @@
   awaitable<void> MaintainStore() {
     for (;;) {
       co_await Pause(kMaintenanceInterval);
+      crashes_.Sweep();
       co_await departed_.Remove(state_.clock.Now(), duties_.fencing() != 0);
       co_await RestoreEntry();
     }
--- a/links/crash_suspects.cc
+++ b/links/crash_suspects.cc
@@ -281,13 +281,20 @@
 }
 
 void crash_suspects::Sweep(time_point now) {
-  std::erase_if(suspects_, [now](const auto& each) {
-    return each.second.crashes.empty() &&
-           each.second.answered_at + kAnswerLifetime < now;
-  });
-  std::erase_if(ended_, [now](const auto& each) {
-    return each.second + kEndedLifetime < now;
+  const time_point oldest = now - kEvidenceLifetime;
+  for (auto& [part, known] : suspects_) {
+    const auto is_outdated = [&](const crash_record& each) {
+      return each.at < oldest;
+    };
+    if (!known.blocked && std::erase_if(known.crashes, is_outdated) > 0) {
+      NoteChange();
+    }
+  }
+  std::erase_if(suspects_, [oldest](const auto& each) {
+    return each.second.crashes.empty() && each.second.answered_at < oldest;
   });
+  std::erase_if(ended_,
+                [oldest](const auto& each) { return each.second < oldest; });
 }
 
 std::unique_ptr<const suspect_view> crash_suspects::TakeView(std::size_t rank) {
@@ -318,8 +325,7 @@
 bool crash_suspects::NeedsRounds() const {
   return changed_ || std::ranges::any_of(suspects_, [](const auto& each) {
            const suspect& known = each.second;
-           return known.blocked || known.reports_left > 0 ||
-                  known.crashes.empty();
+           return known.blocked || known.reports_left > 0;
          });
 }
 
@@ -364,8 +370,10 @@
 }
 
 time_point crash_suspects::NoteEnd(std::uint64_t upstream_hash, time_point at) {
-  if (ended_.size() >= kMaxSuspects && !ended_.contains(upstream_hash)) {
-    return at;
+  if (ended_.size() >= kMaxEnds && !ended_.contains(upstream_hash)) {
+    ended_.erase(
+        std::ranges::min_element(ended_, std::ranges::less{},
+                                 [](const auto& each) { return each.second; }));
   }
   // Each report that passed on a crash has added its delay to the time.
   time_point& ended_at = ended_.try_emplace(upstream_hash, at).first->second;
--- a/links/crash_suspects.h
+++ b/links/crash_suspects.h
@@ -143,11 +143,10 @@
   // the ends of all upstreams, against which both are weighed.
   suspect_evidence Evidence(time_point now) const;
 
-  // Forgets answers that no longer matter. Call at intervals.
+  // Forgets ends and answers that no longer matter. Call at intervals.
   void Sweep(time_point now);
 
-  // Whether TakeReports(), Sweep() or TakeView() have something to do, now or
-  // later.
+  // Whether TakeReports() or TakeView() have something to do, now or later.
   bool NeedsRounds() const;
 
   // Returns a new view if the verdicts or the rank of this instance have
@@ -192,20 +191,21 @@
   // datagrams may be lost, and that one of another instance is passed on.
   static constexpr int kReportCopies = 3;
   static constexpr int kForwardedCopies = 1;
-  // Time for which an answer is remembered, so that a late report of an earlier
-  // crash has no effect.
-  static constexpr duration kAnswerLifetime = std::chrono::seconds(30);
+  // Time after which the end of an upstream no longer counts, except under a
+  // part that is blocked. Answers are remembered as long, so that an instance
+  // that knows of one tells those that add up the ends before it.
+  static constexpr duration kEvidenceLifetime = std::chrono::hours(1);
   // Ages in reports lack the delay of the report. An answer, or a trial, that
   // is later by less than this is taken for one that is known. Trials are
   // passed on, and at least kTrialStagger apart.
   static constexpr duration kReportJitter = std::chrono::milliseconds(100);
   static constexpr duration kTrialJitter = kTrialStagger / 2;
-  // Time for which the end of an upstream is remembered, longer than it takes
-  // an ordinary load to show that a part crashes upstreams.
-  static constexpr duration kEndedLifetime = std::chrono::minutes(1);
+
   // Bounds the memory and the views. More than the parts of the calls that wait
   // at a few upstreams.
   static constexpr std::size_t kMaxSuspects = 512;
+  // Bounds the memory. More than the upstreams of a large fleet.
+  static constexpr std::size_t kMaxEnds = 4096;
 
   // Adds a crash unless it is known or older than the latest answer. Returns
   // whether it was added.
--- a/test/correctness/crash_suspects_test.cc
+++ b/test/correctness/crash_suspects_test.cc
@@ -515,6 +515,47 @@
   }
 }
 
+// Guards against sound parts that are blocked because of upstreams that ended
+// beside them hours ago, while instances that had seen answers were replaced.
+SCENARIO("An end under a part counts for a limited time", "[crash_suspects]") {
+  const std::vector<std::uint64_t> parts = {1};
+  crash_suspects suspects;
+  const auto record = [&](std::uint64_t upstream, duration at) {
+    suspects.Sweep(time_point(at));
+    suspects.RecordCrash(parts, Crash(upstream, upstream, at));
+  };
+
+  GIVEN("an upstream that ends under a part every forty minutes") {
+    using std::chrono::minutes;
+    for (std::uint64_t i = 0; i < 20; ++i) {
+      record(i, minutes(40) * static_cast<std::int64_t>(i));
+    }
+    THEN("the part is not blocked") {
+      REQUIRE(suspects.blocked() == 0);
+    }
+    WHEN("none ends any more") {
+      suspects.Sweep(time_point(minutes(40) * 22));
+      THEN("nothing is known or stored of it") {
+        REQUIRE(suspects.size() == 0);
+        const auto evidence = suspects.Evidence(time_point(minutes(40) * 22));
+        REQUIRE(evidence.suspects.empty());
+        REQUIRE(evidence.ends.empty());
+      }
+    }
+  }
+  GIVEN("a part that is blocked") {
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+      record(i, seconds(i));
+    }
+    WHEN("hours pass without a call that tries it") {
+      suspects.Sweep(time_point(std::chrono::hours(5)));
+      THEN("it is still blocked") {
+        REQUIRE(suspects.blocked() == 1);
+      }
+    }
+  }
+}
+
 // Guards against a part that is never blocked because of restarts.
 SCENARIO("A part that crashes upstreams is found across restarts",
          "[crash_suspects]") {
