Contradict reports of ends between which an answer was seen

A sound part could be blocked by an instance that adds up ends beside it while another one has seen answers in between: an answer to a part with a single end is not told, and the end was dropped silently by the instance that knew better. Since ends outlive restarts, more of them meet.

An instance that gets a report with two or more ends that are older than the answer it knows, as many as are about to block the part, now tells the answer.

crash_suspects_test: the third end blocked the part before (1 == 0).

--- a/links/crash_suspects.cc
+++ b/links/crash_suspects.cc
@@ -180,6 +180,9 @@
     SetTried(found->second, now - *report.tried_age);
     Forward(found->second);
   }
+  if (found != suspects_.end() && LacksAnswer(report, found->second, now)) {
+    found->second.reports_left = kReportCopies;
+  }
   if (!report.answered_age || found == suspects_.end()) {
     return;
   }
@@ -439,6 +442,16 @@
   return under_part.size() * kMinShareDivisor >= all;
 }
 
+bool crash_suspects::LacksAnswer(const suspect_report& report,
+                                 const suspect& known,
+                                 time_point now) {
+  const auto outdated = static_cast<std::size_t>(std::ranges::count_if(
+      report.crashes, [&](const suspect_report::crash& each) {
+        return now - each.age <= known.answered_at;
+      }));
+  return outdated + 1 >= kBlockingCrashes;
+}
+
 std::vector<std::uint64_t> crash_suspects::Alternatives(
     std::uint64_t part,
     const suspect& known) const {
--- a/links/crash_suspects.h
+++ b/links/crash_suspects.h
@@ -227,6 +227,11 @@
   // another cause, which finds popular parts at many upstreams. Not a majority,
   // since two parts may crash upstreams at the same time.
   bool ExplainsCrashes(const suspect& known) const;
+  // Whether a report counts enough ends before the latest answer to block the
+  // part soon, as its sender doesn't know of the answer.
+  static bool LacksAnswer(const suspect_report& report,
+                          const suspect& known,
+                          time_point now);
   // Passes on what another instance has reported.
   static void Forward(suspect& known) {
     known.reports_left = std::max(known.reports_left, kForwardedCopies);
--- a/test/correctness/crash_suspects_test.cc
+++ b/test/correctness/crash_suspects_test.cc
@@ -878,6 +878,43 @@
   }
 }
 
+// Guards against a sound part that one instance blocks because it adds up ends
+// between which others have seen answers.
+SCENARIO("An instance that has seen an answer contradicts one that has not",
+         "[crash_suspects]") {
+  crash_suspects unaware;
+  crash_suspects aware;
+  const std::vector<std::uint64_t> parts = {1};
+  const auto exchange = [](crash_suspects& from, crash_suspects& to,
+                           time_point now) {
+    for (const suspect_report& each : from.TakeReports(now)) {
+      to.Merge(each, now);
+    }
+  };
+
+  GIVEN("two ends under a part, the second one known to one instance only") {
+    unaware.RecordCrash(parts, Crash(1, 1, seconds(1)));
+    exchange(unaware, aware, time_point(seconds(1)));
+    aware.TakeReports(time_point(seconds(1)));
+    unaware.RecordCrash(parts, Crash(2, 2, seconds(2)));
+    AND_GIVEN("an answer that only the other instance has seen") {
+      const time_point answered(seconds(3));
+      aware.RecordAnswer(parts, answered);
+      REQUIRE(aware.TakeReports(answered).empty());
+
+      WHEN("the first one reports both ends") {
+        const time_point now(seconds(4));
+        exchange(unaware, aware, now);
+        exchange(aware, unaware, now);
+        THEN("it learns of the answer, and a third end blocks nothing") {
+          unaware.RecordCrash(parts, Crash(3, 3, seconds(5)));
+          REQUIRE(unaware.blocked() == 0);
+        }
+      }
+    }
+  }
+}
+
 // Guards against verdicts that end, or trials that never come, because
 // instances repeat each other's reports and each delay adds to their times.
 SCENARIO("Reports that go round don't move their times", "[crash_suspects]") {
