Log both ends of a long list of prompt parts

E800 and E801 showed the first six parts of a prompt. They now show the first and the last three, and how many stand between them; lines stay as short as before.

--- a/common/hash.cc
+++ b/common/hash.cc
@@ -29,11 +29,17 @@
 std::string FormatHashes(std::span<const std::uint64_t> hashes) {
   // Keeps log lines short whatever a caller sends.
   constexpr std::size_t kMaxFormatted = 6;
+  constexpr std::size_t kFirst = kMaxFormatted / 2;
+  const std::size_t left_out =
+      hashes.size() - std::min(hashes.size(), kMaxFormatted);
   std::string text;
-  for (const std::uint64_t each :
-       hashes.first(std::min(hashes.size(), kMaxFormatted))) {
+  for (std::size_t i = 0; i < hashes.size(); ++i) {
     text += text.empty() ? "" : ",";
-    text += FormatHash(each);
+    if (i == kFirst && left_out > 0) {
+      text += "+" + std::to_string(left_out) + ",";
+      i += left_out;
+    }
+    text += FormatHash(hashes[i]);
   }
   return text.empty() ? "none" : text;
 }
--- a/common/hash.h
+++ b/common/hash.h
@@ -19,7 +19,9 @@
 
 // Formats a hash in hexadecimal, without leading zeros.
 std::string FormatHash(std::uint64_t hash);
-// Formats the first few hashes, separated by commas, or "none".
+// Formats hashes, separated by commas, or "none": of many the first and the
+// last few, with the number of those between them, for example
+// "1,2,3,+40,44,45,46".
 std::string FormatHashes(std::span<const std::uint64_t> hashes);
 
 // SHA-256 of `bytes` as 64 lower-case hexadecimal digits.
