Let parts that were in the same calls share one history

What is known of suspected parts was kept, reported, stored and compared part by part. With more parts to a call than today's limit of 16 this breaks, and the limit can't be raised without it; a caller can cause the same with many calls:

- Of 512 suspects kept, the lost calls of one caller displaced those of others, also a part with as many ends: one of two ends under it was forgotten.
- Each part was reported by itself: a call with 512 parts took 258 rounds of 0.1 s until all instances knew of it.
- Each blocked part of a call was compared with each other one on the path of a request: 0.1 ms with 64 parts, 7 ms with 256, 54 ms with 512.

Parts with the same ends now share a history, which is copied when they part. A report and a stored entry name the ends once for all of their parts (a new field that earlier versions ignore; they see the first part), in the order of their evidence and the later parts of a prompt first, since fewer calls share them. suspect_view keeps blocked parts by group and counts the parts of a call in each. 65,536 parts are kept; those with the fewest ends go first, and of these the parts of the longest prompts. What is stored is bounded to half a megabyte.

--- a/entry/crash_monitor.cc
+++ b/entry/crash_monitor.cc
@@ -89,11 +89,13 @@
     if (each.blocked) {
       Log(log_level::kWarning, log_event::kPromptPartBlocked,
           {{"part", FormatHash(each.part)},
+           {"parts", std::to_string(each.parts)},
            {"crashes", std::to_string(each.crashes)},
            {"calls", std::to_string(each.calls)}});
     } else {
       Log(log_level::kInfo, log_event::kPromptPartCleared,
-          {{"part", FormatHash(each.part)}});
+          {{"part", FormatHash(each.part)},
+           {"parts", std::to_string(each.parts)}});
     }
   }
   return !verdicts.empty();
--- a/entry/gateway_admin.cc
+++ b/entry/gateway_admin.cc
@@ -46,11 +46,13 @@
 
 void AppendSuspects(std::string& out, const rcu_cell<suspect_view>& suspects) {
   const rcu_read_guard guard;
-  const auto parts = suspects.Read(guard).parts();
-  AppendCounter(out, "suspected_parts", parts.size());
-  AppendCounter(out, "blocked_parts",
-                static_cast<std::uint64_t>(
-                    std::ranges::count_if(parts, &watched_part::blocked)));
+  const suspect_view& view = suspects.Read(guard);
+  std::size_t blocked = 0;
+  for (const blocked_group& each : view.groups()) {
+    blocked += each.parts.size();
+  }
+  AppendCounter(out, "suspected_parts", view.suspected());
+  AppendCounter(out, "blocked_parts", blocked);
 }
 
 std::shared_ptr<const rollout_view> Rollouts(const gateway_state& state) {
@@ -108,12 +110,10 @@
                              time_point now) {
   json::array blocked;
   const rcu_read_guard guard;
-  for (const watched_part& each : suspects.Read(guard).parts()) {
-    if (each.blocked) {
-      blocked.push_back(
-          {{"part", FormatHash(each.part)},
-           {"trial_in_us", each.trial_at.Remaining(now).count()}});
-    }
+  for (const blocked_group& each : suspects.Read(guard).groups()) {
+    blocked.push_back({{"part", FormatHash(each.parts.front())},
+                       {"parts", each.parts.size()},
+                       {"trial_in_us", each.trial_at.Remaining(now).count()}});
   }
   return blocked;
 }
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -252,14 +252,13 @@
 }
 
 void peer_reporter::SendSuspects(std::span<const suspect_report> suspects) {
-  while (!suspects.empty()) {
-    const auto part = suspects.first(CountForOneReport(suspects));
-    suspects = suspects.subspan(part.size());
-    peer_report report = MakeHeader();
-    report.content = report_content::kSuspects;
-    report.suspects.assign(part.begin(), part.end());
-    SendToSome(EncodePeerReport(report));
+  if (suspects.empty()) {
+    return;
   }
+  peer_report report = MakeHeader();
+  report.content = report_content::kSuspects;
+  report.suspects.assign(suspects.begin(), suspects.end());
+  SendToSome(EncodePeerReport(report));
 }
 
 void peer_reporter::SendRollouts(std::span<const rollout_report> rollouts,
--- a/entry/suspect_record.cc
+++ b/entry/suspect_record.cc
@@ -21,22 +21,27 @@
           {"age_us", crash.age.count()}};
 }
 
-std::optional<std::uint64_t> HashMember(const json::value& object,
-                                        std::string_view key) {
+std::optional<std::uint64_t> ParseHash(const json::value& encoded) {
   constexpr int kHexadecimal = 16;
-  const auto text = StringMember(object, key);
-  std::uint64_t hash = 0;
-  if (!text) {
+  if (!encoded.is_string()) {
     return std::nullopt;
   }
+  const json::string& text = encoded.get_string();
+  std::uint64_t hash = 0;
   const auto [end, error] = std::from_chars(
-      text->data(), text->data() + text->size(), hash, kHexadecimal);
-  if (error != std::errc{} || end != text->data() + text->size()) {
+      text.data(), text.data() + text.size(), hash, kHexadecimal);
+  if (error != std::errc{} || end != text.data() + text.size()) {
     return std::nullopt;
   }
   return hash;
 }
 
+std::optional<std::uint64_t> HashMember(const json::value& object,
+                                        std::string_view key) {
+  const json::value* member = FindMember(object, key);
+  return member == nullptr ? std::nullopt : ParseHash(*member);
+}
+
 std::optional<duration> AgeMember(const json::value& object,
                                   std::string_view key,
                                   duration since) {
@@ -57,7 +62,15 @@
     return std::nullopt;
   }
   suspect_report suspect;
-  suspect.part = *part;
+  suspect.parts.push_back(*part);
+  const json::value* more = FindMember(encoded, "more_parts");
+  if (more != nullptr && more->is_array()) {
+    for (const json::value& each : more->get_array()) {
+      if (const auto hash = ParseHash(each)) {
+        suspect.parts.push_back(*hash);
+      }
+    }
+  }
   suspect.tried_age = AgeMember(encoded, "tried_age_us", since);
   const json::value* blocked = FindMember(encoded, "blocked");
   suspect.blocked =
@@ -84,8 +97,19 @@
     for (const suspect_report::crash& crash : each.crashes) {
       crashes.push_back(EncodeCrash(crash));
     }
-    json::object part = {{"part", FormatHash(each.part)},
+    if (each.parts.empty()) {
+      continue;
+    }
+    json::object part = {{"part", FormatHash(each.parts.front())},
                          {"crashes", std::move(crashes)}};
+    // Earlier versions see the first part only.
+    json::array more;
+    for (const std::uint64_t other : std::span(each.parts).subspan(1)) {
+      more.emplace_back(FormatHash(other));
+    }
+    if (!more.empty()) {
+      part["more_parts"] = std::move(more);
+    }
     part["blocked"] = each.blocked;
     if (each.tried_age) {
       part["tried_age_us"] = each.tried_age->count();
--- a/links/crash_suspects.cc
+++ b/links/crash_suspects.cc
@@ -1,6 +1,8 @@
 #include "links/crash_suspects.h"
 
 #include <algorithm>
+#include <concepts>
+#include <functional>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -33,10 +35,6 @@
   return counted;
 }
 
-std::size_t CountCrashes(std::span<const crash_record> crashes) {
-  return SuccessiveCrashes(crashes).size();
-}
-
 std::size_t CountCalls(std::span<const crash_record> crashes) {
   std::set<std::uint64_t> calls;
   for (const crash_record& each : crashes) {
@@ -45,6 +43,44 @@
   return calls.size();
 }
 
+// Adds a crash in order. Returns false if it is known.
+bool InsertCrash(std::vector<crash_record>& crashes,
+                 const crash_record& crash) {
+  const bool is_known =
+      std::ranges::any_of(crashes, [&](const crash_record& each) {
+        return each.upstream_hash == crash.upstream_hash &&
+               each.call_hash == crash.call_hash;
+      });
+  if (is_known) {
+    return false;
+  }
+  crashes.insert(std::ranges::upper_bound(
+                     crashes, crash.at, std::ranges::less{}, &crash_record::at),
+                 crash);
+  if (crashes.size() > kCrashesPerSuspect) {
+    // The first crashes tell since when, and beside which other parts, the part
+    // has been crashing upstreams.
+    crashes.erase(crashes.begin() + crash_suspects::kBlockingCrashes);
+  }
+  return true;
+}
+
+// Forgets the crashes up to `last`. Returns whether there were any.
+bool EraseCrashes(std::vector<crash_record>& crashes, time_point last) {
+  return std::erase_if(crashes, [last](const crash_record& each) {
+           return each.at <= last;
+         }) > 0;
+}
+
+// Returns the upstreams of crashes in the order of their hashes.
+std::vector<std::uint64_t> UpstreamsOf(std::span<const crash_record> crashes) {
+  std::set<std::uint64_t> upstreams;
+  for (const crash_record& each : crashes) {
+    upstreams.insert(each.upstream_hash);
+  }
+  return {upstreams.begin(), upstreams.end()};
+}
+
 }  // namespace
 
 std::vector<std::uint64_t> SuspectKeys(std::string_view service,
@@ -59,86 +95,87 @@
   return keys;
 }
 
-std::optional<deadline> suspect_view::BlockedUntil(
-    std::span<const std::uint64_t> parts,
-    time_point now) const {
-  std::optional<deadline> until;
-  for (const std::uint64_t part : parts) {
-    const watched_part* known = FindBlocking(part, parts);
-    if (known == nullptr) {
-      continue;
-    }
-    const bool may_try = known->trial_at.Expired(now) &&
-                         !known->trial_taken->load(std::memory_order_relaxed);
-    if (!may_try && (!until || until->at() < known->trial_at.at())) {
-      until = known->trial_at;
+class crash_suspects::regrouping {
+ public:
+  explicit regrouping(crash_suspects& suspects) : suspects_(suspects) {}
+  regrouping(const regrouping&) = delete;
+  regrouping& operator=(const regrouping&) = delete;
+
+  // Reports the verdicts that have changed.
+  ~regrouping() {
+    for (const auto& [before, each] : changes_) {
+      const bool was_blocked = before != nullptr && before->blocked;
+      const bool is_blocked = each.after != nullptr && each.after->blocked;
+      if (each.parts > 0 && was_blocked != is_blocked) {
+        suspects_.verdicts_.push_back({each.part, each.parts, is_blocked,
+                                       is_blocked ? each.after->ended : 0,
+                                       is_blocked ? each.after->calls : 0});
+      }
     }
   }
-  return until;
-}
 
-trial suspect_view::TakeTrials(std::span<const std::uint64_t> parts) const {
-  std::vector<const watched_part*> taken;
-  for (const std::uint64_t part : parts) {
-    const watched_part* known = FindBlocking(part, parts);
-    if (known == nullptr) {
-      continue;
+  // Gives a part the history that `change` makes of its own, and returns true,
+  // unless `change` returns false. `change` is called once for all parts with
+  // the same history.
+  template <std::predicate<history&> Change>
+  bool Apply(std::uint64_t part, suspect& known, Change change) {
+    const auto [found, first] = changes_.try_emplace(known.ends);
+    outcome& result = found->second;
+    if (first) {
+      result = Make(known.ends, part, change);
     }
-    if (known->trial_taken->exchange(true, std::memory_order_relaxed)) {
-      for (const watched_part* each : taken) {
-        each->trial_taken->store(false, std::memory_order_relaxed);
-      }
-      return trial::kUnavailable;
+    if (result.changed) {
+      ++result.parts;
+      known.ends = result.after;
     }
-    taken.push_back(known);
-  }
-  return taken.empty() ? trial::kNotNeeded : trial::kTaken;
-}
-
-bool suspect_view::MustReportAnswer(
-    std::span<const std::uint64_t> parts) const {
-  bool must_report = false;
-  for (const std::uint64_t part : parts) {
-    const watched_part* known = Find(part);
-    if (known != nullptr &&
-        !known->answer_seen->exchange(true, std::memory_order_relaxed)) {
-      must_report = true;
+    return result.changed;
+  }
+
+ private:
+  struct outcome {
+    bool changed = false;
+    // Null if no crashes are left.
+    std::shared_ptr<history> after;
+    // The first part with this history, and the number of such parts.
+    std::uint64_t part = 0;
+    std::size_t parts = 0;
+  };
+
+  template <std::predicate<history&> Change>
+  outcome Make(const std::shared_ptr<history>& before,
+               std::uint64_t part,
+               Change change) {
+    auto after = before == nullptr ? std::make_shared<history>()
+                                   : std::make_shared<history>(*before);
+    if (!change(*after)) {
+      return {};
     }
+    // Parts that no longer share a history are tried one by one.
+    after->trial_taken = std::make_shared<std::atomic<bool>>(false);
+    suspects_.UpdateVerdict(*after);
+    suspects_.NoteChange();
+    if (after->crashes.empty()) {
+      after.reset();
+    }
+    return {true, std::move(after), part, 0};
   }
-  return must_report;
-}
 
-const watched_part* suspect_view::Find(std::uint64_t part) const {
-  const auto found = std::ranges::lower_bound(parts_, part, std::ranges::less{},
-                                              &watched_part::part);
-  return found == parts_.end() || found->part != part ? nullptr : &*found;
-}
-
-const watched_part* suspect_view::FindBlocking(
-    std::uint64_t part,
-    std::span<const std::uint64_t> parts) const {
-  const watched_part* known = Find(part);
-  if (known == nullptr || !known->blocked) {
-    return nullptr;
-  }
-  const bool has_all =
-      std::ranges::all_of(known->alternatives, [parts](std::uint64_t each) {
-        return std::ranges::find(parts, each) != parts.end();
-      });
-  return has_all ? known : nullptr;
-}
+  crash_suspects& suspects_;
+  // Holds the earlier histories, so that none is mistaken for a new one.
+  std::map<std::shared_ptr<history>, outcome> changes_;
+};
 
 void crash_suspects::RecordCrash(std::span<const std::uint64_t> parts,
                                  const crash_record& crash) {
-  for (const std::uint64_t part : parts) {
-    if (AddCrash(part, crash)) {
-      suspects_[part].reports_left = kReportCopies;
-    }
-  }
+  // The later parts of a prompt are shared by fewer calls, so that answers
+  // clear fewer of them: they are reported first.
+  const std::vector<std::uint64_t> reversed(parts.rbegin(), parts.rend());
+  AddCrash(reversed, crash, kReportCopies);
 }
 
 void crash_suspects::RecordAnswer(std::span<const std::uint64_t> parts,
                                   time_point now) {
+  regrouping changes(*this);
   for (const std::uint64_t part : parts) {
     const auto found = suspects_.find(part);
     if (found == suspects_.end()) {
@@ -147,8 +184,8 @@
     suspect& known = found->second;
     // The others need to know if they are about to block the part, too.
     const bool urgent =
-        known.blocked || CountCrashes(known.crashes) + 1 >= kBlockingCrashes;
-    SetAnswered(part, known, now);
+        known.blocked() || known.Ended() + 1 >= kBlockingCrashes;
+    SetAnswered(part, known, now, changes);
     known.answer_shared = urgent;
     if (urgent) {
       known.reports_left = kReportCopies;
@@ -160,40 +197,46 @@
                                  time_point now) {
   for (const std::uint64_t part : parts) {
     const auto found = suspects_.find(part);
-    if (found != suspects_.end() && found->second.blocked) {
-      SetTried(found->second, now);
-      found->second.reports_left = kReportCopies;
+    if (found == suspects_.end() || !found->second.blocked() ||
+        found->second.ends->tried_at == now) {
+      continue;
     }
+    SetTried(*found->second.ends, now);
+    // One part of a group is enough to make others wait.
+    found->second.reports_left = kReportCopies;
   }
 }
 
 void crash_suspects::Merge(const suspect_report& report, time_point now) {
   for (const suspect_report::crash& each : report.crashes) {
-    if (AddCrash(report.part,
-                 {each.upstream_hash, each.call_hash, now - each.age})) {
-      Forward(suspects_[report.part]);
-    }
+    AddCrash(report.parts, {each.upstream_hash, each.call_hash, now - each.age},
+             kForwardedCopies);
   }
-  const auto found = suspects_.find(report.part);
-  if (found != suspects_.end() && report.tried_age &&
-      now - *report.tried_age > found->second.tried_at + kTrialJitter) {
-    SetTried(found->second, now - *report.tried_age);
-    Forward(found->second);
-  }
-  if (found != suspects_.end() && LacksAnswer(report, found->second, now)) {
-    found->second.reports_left = kReportCopies;
-  }
-  if (!report.answered_age || found == suspects_.end()) {
-    return;
-  }
-  const time_point answered_at = now - *report.answered_age;
-  // An answer that clears nothing here is not passed on: its time moves by the
-  // delay of each report, so that it would go round for ever.
-  if (answered_at > found->second.answered_at + kReportJitter &&
-      SetAnswered(report.part, found->second, answered_at)) {
-    Forward(found->second);
+  regrouping changes(*this);
+  for (const std::uint64_t part : report.parts) {
+    const auto found = suspects_.find(part);
+    if (found == suspects_.end()) {
+      continue;
+    }
+    suspect& known = found->second;
+    if (TakeTrialTime(report, known, now)) {
+      Forward(known);
+    }
+    if (LacksAnswer(report, known, now)) {
+      known.reports_left = kReportCopies;
+    }
+    if (!report.answered_age) {
+      continue;
+    }
+    const time_point answered_at = now - *report.answered_age;
+    // An answer that clears nothing here is not passed on: its time moves by
+    // the delay of each report, so that it would go round for ever.
+    if (answered_at > known.answered_at + kReportJitter &&
+        SetAnswered(part, known, answered_at, changes)) {
+      Forward(known);
+    }
+    known.answer_shared = true;
   }
-  found->second.answer_shared = true;
 }
 
 void crash_suspects::Restore(const suspect_evidence& stored, time_point now) {
@@ -202,27 +245,27 @@
   }
   for (const suspect_report& report : stored.suspects) {
     for (const suspect_report::crash& each : report.crashes) {
-      AddCrash(report.part,
-               {each.upstream_hash, each.call_hash, now - each.age});
+      AddCrash(report.parts,
+               {each.upstream_hash, each.call_hash, now - each.age}, 0);
     }
-    const auto found = suspects_.find(report.part);
-    if (found == suspects_.end()) {
-      continue;
-    }
-    suspect& known = found->second;
-    if (report.blocked) {
-      // The verdict may rest on ends that are no longer known.
-      SetBlocked(report.part, known, !known.crashes.empty());
-    }
-    if (report.tried_age &&
-        now - *report.tried_age > known.tried_at + kTrialJitter) {
-      SetTried(known, now - *report.tried_age);
+    regrouping changes(*this);
+    for (const std::uint64_t part : report.parts) {
+      const auto found = suspects_.find(part);
+      if (found == suspects_.end() || found->second.ends == nullptr) {
+        continue;
+      }
+      if (report.blocked) {
+        // The verdict may rest on ends that are no longer known.
+        changes.Apply(part, found->second, [](history& ends) {
+          return !std::exchange(ends.blocked, true);
+        });
+      }
+      TakeTrialTime(report, found->second, now);
     }
   }
 }
 
 std::vector<suspect_report> crash_suspects::TakeReports(time_point now) {
-  using entry = std::pair<const std::uint64_t, suspect>;
   std::vector<entry*> pending;
   for (entry& each : suspects_) {
     if (each.second.reports_left > 0) {
@@ -230,95 +273,122 @@
     }
   }
   // Parts that are refused, then answers, which clear a part, then the parts
-  // that are closest to being refused.
-  std::ranges::stable_sort(
-      pending, std::ranges::greater{}, [](const entry* each) {
+  // that are closest to being refused; and what has not been told at all before
+  // what may have been lost.
+  const auto last = pending.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                          pending.size(), kPartsPerReport));
+  std::ranges::partial_sort(
+      pending, last, std::ranges::greater{}, [](const entry* each) {
         const suspect& known = each->second;
-        return std::tuple(known.blocked, known.crashes.empty(),
-                          known.crashes.size());
+        return std::tuple(known.blocked(), known.ends == nullptr, known.Ended(),
+                          known.reports_left, ~known.order);
       });
-  std::vector<suspect_report> reports;
-  for (const entry* each :
-       std::span(pending).first(std::min(pending.size(), kSuspectsPerReport))) {
-    reports.push_back(MakeReport(each->first, each->second, now));
-  }
-  reports.resize(CountForOneReport(reports));
-  for (entry* each : std::span(pending).first(reports.size())) {
+  pending.erase(last, pending.end());
+  std::vector<suspect_report> message;
+  const std::size_t count = FillMessage<entry>(pending, now, message);
+  for (entry* each : std::span(pending).first(count)) {
     --each->second.reports_left;
     each->second.answer_shared = true;
   }
-  return reports;
+  return message;
 }
 
 std::vector<suspect_report> crash_suspects::BlockedReports(
     time_point now) const {
-  std::vector<suspect_report> reports;
-  for (const auto& [part, known] : suspects_) {
-    if (known.blocked) {
-      suspect_report report = MakeReport(part, known, now);
-      // Instances pass these reports on to each other, so that a time derived
-      // from an age would move forward by the delay of each of them.
-      report.answered_age.reset();
-      report.tried_age.reset();
-      reports.push_back(std::move(report));
+  std::vector<const entry*> blocked;
+  for (const entry& each : suspects_) {
+    if (each.second.blocked()) {
+      blocked.push_back(&each);
     }
   }
-  reports.resize(CountForOneReport(reports));
-  return reports;
+  std::ranges::sort(blocked, std::ranges::less{},
+                    [](const entry* each) { return each->second.order; });
+  std::vector<suspect_report> message;
+  FillMessage<const entry>(blocked, now, message);
+  for (suspect_report& each : message) {
+    // Instances pass these reports on to each other, so that a time derived
+    // from an age would move forward by the delay of each of them.
+    each.answered_age.reset();
+    each.tried_age.reset();
+  }
+  return message;
 }
 
 suspect_evidence crash_suspects::Evidence(time_point now) const {
+  std::vector<const entry*> suspected;
+  for (const entry& each : suspects_) {
+    if (each.second.ends != nullptr) {
+      suspected.push_back(&each);
+    }
+  }
+  std::ranges::sort(suspected, std::ranges::greater{}, [](const entry* each) {
+    return std::tuple(each->second.blocked(), each->second.Ended(),
+                      ~each->second.order);
+  });
   suspect_evidence evidence;
-  for (const auto& [part, known] : suspects_) {
-    if (!known.crashes.empty()) {
-      evidence.suspects.push_back(MakeReport(part, known, now));
-      // An answer has removed the ends before it.
-      evidence.suspects.back().answered_age.reset();
-      evidence.suspects.back().blocked = known.blocked;
+  std::map<const history*, std::size_t> indices;
+  std::size_t crashes = 0;
+  for (const entry* each : std::span(suspected).first(
+           std::min(suspected.size(), kMaxStoredParts))) {
+    const auto& [part, known] = *each;
+    const auto [found, first] =
+        indices.try_emplace(known.ends.get(), evidence.suspects.size());
+    if (!first) {
+      evidence.suspects[found->second].parts.push_back(part);
+      continue;
     }
+    crashes += known.ends->crashes.size();
+    if (crashes > kMaxStoredCrashes) {
+      break;
+    }
+    evidence.suspects.push_back(MakeReport(part, known, now));
+    // An answer has removed the ends before it.
+    evidence.suspects.back().answered_age.reset();
+    evidence.suspects.back().blocked = known.blocked();
   }
   for (const auto& [upstream, at] : ended_) {
     evidence.ends.push_back({upstream, now - at});
   }
+  std::ranges::sort(evidence.ends, std::ranges::less{}, &upstream_end::age);
+  evidence.ends.resize(std::min(evidence.ends.size(), kMaxStoredEnds));
   return evidence;
 }
 
 void crash_suspects::Sweep(time_point now) {
   const time_point oldest = now - kEvidenceLifetime;
-  for (auto& [part, known] : suspects_) {
-    const auto is_outdated = [&](const crash_record& each) {
-      return each.at < oldest;
-    };
-    if (!known.blocked && std::erase_if(known.crashes, is_outdated) > 0) {
-      NoteChange();
+  {
+    regrouping changes(*this);
+    for (auto& [part, known] : suspects_) {
+      if (known.ends != nullptr && !known.blocked() &&
+          known.ends->crashes.front().at <= oldest) {
+        changes.Apply(part, known, [oldest](history& ends) {
+          return EraseCrashes(ends.crashes, oldest);
+        });
+      }
     }
   }
   std::erase_if(suspects_, [oldest](const auto& each) {
-    return each.second.crashes.empty() && each.second.answered_at < oldest;
+    return each.second.ends == nullptr && each.second.answered_at <= oldest;
   });
   std::erase_if(ended_,
-                [oldest](const auto& each) { return each.second < oldest; });
+                [oldest](const auto& each) { return each.second <= oldest; });
 }
 
 std::unique_ptr<const suspect_view> crash_suspects::TakeView(std::size_t rank) {
-  if (blocked() > 0 && rank != viewed_rank_) {
+  if (rank != viewed_rank_ && blocked() > 0) {
     changed_ = true;
   }
   if (!std::exchange(changed_, false)) {
     return nullptr;
   }
   viewed_rank_ = rank;
-  std::vector<watched_part> parts;
+  std::vector<std::uint64_t> suspected;
   for (const auto& [part, known] : suspects_) {
-    if (!known.crashes.empty()) {
-      const time_point trial_at =
-          TrialTime(known) + kTrialStagger * static_cast<std::int64_t>(rank);
-      parts.push_back({part, known.blocked, Alternatives(part, known),
-                       deadline(trial_at), known.trial_taken,
-                       known.answer_seen});
+    if (known.ends != nullptr) {
+      suspected.push_back(part);
     }
   }
-  return std::make_unique<const suspect_view>(std::move(parts));
+  return std::make_unique<const suspect_view>(suspected, BlockedGroups(rank));
 }
 
 std::vector<crash_suspects::verdict> crash_suspects::TakeVerdicts() {
@@ -327,49 +397,37 @@
 
 bool crash_suspects::NeedsRounds() const {
   return changed_ || std::ranges::any_of(suspects_, [](const auto& each) {
-           const suspect& known = each.second;
-           return known.blocked || known.reports_left > 0;
+           return each.second.blocked() || each.second.reports_left > 0;
          });
 }
 
 std::size_t crash_suspects::blocked() const {
   return static_cast<std::size_t>(std::ranges::count_if(
-      suspects_, [](const auto& each) { return each.second.blocked; }));
+      suspects_, [](const auto& each) { return each.second.blocked(); }));
 }
 
-bool crash_suspects::AddCrash(std::uint64_t part, crash_record crash) {
+void crash_suspects::AddCrash(std::span<const std::uint64_t> parts,
+                              crash_record crash,
+                              int copies) {
   crash.at = NoteEnd(crash.upstream_hash, crash.at);
-  if (!suspects_.contains(part) && suspects_.size() >= kMaxSuspects) {
-    EvictOldest();
-  }
-  suspect& known = suspects_[part];
-  const bool is_known =
-      std::ranges::any_of(known.crashes, [&](const crash_record& each) {
-        return each.upstream_hash == crash.upstream_hash &&
-               each.call_hash == crash.call_hash;
-      });
-  if (is_known || crash.at <= known.answered_at) {
-    return false;
-  }
-  known.crashes.insert(
-      std::ranges::upper_bound(known.crashes, crash.at, std::ranges::less{},
-                               &crash_record::at),
-      crash);
-  if (known.crashes.size() > kCrashesPerSuspect) {
-    // The first crashes tell since when, and beside which other parts, the part
-    // has been crashing upstreams.
-    known.crashes.erase(known.crashes.begin() + kBlockingCrashes);
-  }
-  // Answers from now on matter again.
-  known.answer_seen = std::make_shared<std::atomic<bool>>(false);
-  if (!known.answer_shared) {
-    // Another instance may count this crash together with those before the
-    // answer.
-    known.reports_left = kReportCopies;
+  {
+    regrouping changes(*this);
+    for (const std::uint64_t part : parts) {
+      suspect& known = suspects_[part];
+      if (crash.at <= known.answered_at ||
+          !changes.Apply(part, known, [&crash](history& ends) {
+            return InsertCrash(ends.crashes, crash);
+          })) {
+        continue;
+      }
+      known.order = next_order_++;
+      // Another instance may count this crash together with those before an
+      // answer that it has not been told of.
+      known.reports_left = std::max(
+          known.reports_left, known.answer_shared ? copies : kReportCopies);
+    }
   }
-  NoteChange();
-  UpdateVerdict(part, known);
-  return true;
+  Evict();
 }
 
 time_point crash_suspects::NoteEnd(std::uint64_t upstream_hash, time_point at) {
@@ -386,53 +444,48 @@
 
 bool crash_suspects::SetAnswered(std::uint64_t part,
                                  suspect& known,
-                                 time_point at) {
+                                 time_point at,
+                                 regrouping& changes) {
   known.answered_at = std::max(known.answered_at, at);
-  const std::size_t cleared =
-      std::erase_if(known.crashes, [&known](const crash_record& each) {
-        return each.at <= known.answered_at;
-      });
-  if (cleared > 0) {
-    NoteChange();
-  }
-  UpdateVerdict(part, known);
-  return cleared > 0;
+  return known.ends != nullptr &&
+         changes.Apply(part, known, [at](history& ends) {
+           return EraseCrashes(ends.crashes, at);
+         });
 }
 
-void crash_suspects::SetTried(suspect& known, time_point at) {
-  known.tried_at = at;
-  known.trial_taken = std::make_shared<std::atomic<bool>>(false);
+void crash_suspects::SetTried(history& ends, time_point at) {
+  ends.tried_at = at;
+  ends.trial_taken = std::make_shared<std::atomic<bool>>(false);
   NoteChange();
 }
 
-void crash_suspects::UpdateVerdict(std::uint64_t part, suspect& known) {
-  const std::size_t crashes = CountCrashes(known.crashes);
-  const std::size_t calls = CountCalls(known.crashes);
-  // Once blocked, only an answer unblocks it: old crashes are dropped.
-  const bool blocked =
-      !known.crashes.empty() &&
-      (known.blocked || (crashes >= kBlockingCrashes &&
-                         calls >= kBlockingCalls && ExplainsCrashes(known)));
-  SetBlocked(part, known, blocked);
+bool crash_suspects::TakeTrialTime(const suspect_report& report,
+                                   suspect& known,
+                                   time_point now) {
+  if (!report.tried_age || known.ends == nullptr ||
+      now - *report.tried_age <= known.ends->tried_at + kTrialJitter) {
+    return false;
+  }
+  SetTried(*known.ends, now - *report.tried_age);
+  return true;
 }
 
-void crash_suspects::SetBlocked(std::uint64_t part,
-                                suspect& known,
-                                bool blocked) {
-  if (blocked != known.blocked) {
-    known.blocked = blocked;
-    verdicts_.push_back({part, blocked, CountCrashes(known.crashes),
-                         CountCalls(known.crashes)});
-    NoteChange();
-  }
+void crash_suspects::UpdateVerdict(history& ends) const {
+  ends.ended = SuccessiveCrashes(ends.crashes).size();
+  ends.calls = CountCalls(ends.crashes);
+  // Once blocked, only an answer unblocks it: old crashes are dropped.
+  ends.blocked =
+      !ends.crashes.empty() &&
+      (ends.blocked || (ends.ended >= kBlockingCrashes &&
+                        ends.calls >= kBlockingCalls && ExplainsCrashes(ends)));
 }
 
-bool crash_suspects::ExplainsCrashes(const suspect& known) const {
-  const std::vector<time_point> counted = SuccessiveCrashes(known.crashes);
+bool crash_suspects::ExplainsCrashes(const history& ends) const {
+  const std::vector<time_point> counted = SuccessiveCrashes(ends.crashes);
   const time_point since =
       counted[counted.size() - kBlockingCrashes] - kCoincidence;
   std::set<std::uint64_t> under_part;
-  for (const crash_record& each : known.crashes) {
+  for (const crash_record& each : ends.crashes) {
     if (each.at >= since) {
       under_part.insert(each.upstream_hash);
     }
@@ -452,62 +505,137 @@
   return outdated + 1 >= kBlockingCrashes;
 }
 
-std::vector<std::uint64_t> crash_suspects::Alternatives(
-    std::uint64_t part,
-    const suspect& known) const {
-  std::vector<std::uint64_t> alternatives;
-  for (const auto& [other, each] : suspects_) {
-    if (other == part || !known.blocked || !each.blocked) {
+std::vector<blocked_group> crash_suspects::BlockedGroups(std::size_t rank) {
+  // The groups by the upstreams that ended under them, and that of each
+  // history. Reports of a call with many parts come one by one, so that several
+  // histories may have the same upstreams.
+  std::map<std::vector<std::uint64_t>, blocked_group> by_upstreams;
+  std::map<const history*, blocked_group*> by_history;
+  for (auto& [part, known] : suspects_) {
+    if (!known.blocked()) {
       continue;
     }
-    const bool always_present = std::ranges::all_of(
-        known.crashes, [&each = each](const crash_record& crash) {
-          return std::ranges::find(each.crashes, crash.upstream_hash,
-                                   &crash_record::upstream_hash) !=
-                 each.crashes.end();
-        });
-    if (always_present) {
-      alternatives.push_back(other);
+    history& ends = *known.ends;
+    const auto [found, first] = by_history.try_emplace(&ends);
+    if (first) {
+      blocked_group& group = by_upstreams[UpstreamsOf(ends.crashes)];
+      const deadline trial_at(TrialTime(ends) +
+                              kTrialStagger * static_cast<std::int64_t>(rank));
+      if (group.trial_taken == nullptr) {
+        group.trial_taken = ends.trial_taken;
+        group.trial_at = trial_at;
+      }
+      ends.trial_taken = group.trial_taken;
+      group.trial_at = deadline(std::max(group.trial_at.at(), trial_at.at()));
+      found->second = &group;
+    }
+    found->second->parts.push_back(part);
+  }
+  std::vector<blocked_group> groups;
+  std::vector<std::span<const std::uint64_t>> upstreams;
+  for (auto& [hashes, group] : by_upstreams) {
+    groups.push_back(std::move(group));
+    upstreams.emplace_back(hashes);
+  }
+  for (std::size_t i = 0; i < groups.size(); ++i) {
+    for (std::size_t other = 0; other < groups.size(); ++other) {
+      if (other != i && std::ranges::includes(upstreams[other], upstreams[i])) {
+        groups[i].alternatives.push_back(other);
+      }
     }
   }
-  return alternatives;
+  return groups;
 }
 
-void crash_suspects::EvictOldest() {
-  const auto oldest = std::ranges::min_element(
-      suspects_, std::ranges::less{}, [](const auto& each) {
-        const suspect& known = each.second;
-        const time_point last =
-            known.crashes.empty() ? time_point::min() : known.crashes.back().at;
-        return std::pair(known.blocked, last);
-      });
-  suspects_.erase(oldest);
+void crash_suspects::Evict() {
+  if (suspects_.size() <= kMaxSuspects) {
+    return;
+  }
+  std::map<const history*, std::size_t> parts;
+  for (const auto& [part, known] : suspects_) {
+    ++parts[known.ends.get()];
+  }
+  using candidate = std::pair<const history*, std::size_t>;
+  std::vector<candidate> candidates(parts.begin(), parts.end());
+  std::ranges::sort(candidates, std::ranges::less{}, [](const candidate& each) {
+    const auto [ends, count] = each;
+    return ends == nullptr
+               ? std::tuple(false, std::size_t{0}, ~count, time_point::min())
+               : std::tuple(ends->blocked, ends->ended, ~count,
+                            ends->crashes.back().at);
+  });
+  // Makes more room than is needed now, since the search takes long.
+  constexpr std::size_t kKept = kMaxSuspects - kMaxSuspects / 8;
+  std::set<const history*> evicted;
+  std::size_t kept = suspects_.size();
+  for (const auto& [ends, count] : candidates) {
+    if (kept <= kKept) {
+      break;
+    }
+    evicted.insert(ends);
+    kept -= count;
+  }
+  std::erase_if(suspects_, [&evicted](const auto& each) {
+    return evicted.contains(each.second.ends.get());
+  });
   NoteChange();
 }
 
+template <typename Entry>
+std::size_t crash_suspects::FillMessage(std::span<Entry* const> entries,
+                                        time_point now,
+                                        std::vector<suspect_report>& message) {
+  suspect_message_builder builder;
+  std::map<std::pair<const history*, time_point>, std::size_t> indices;
+  std::size_t count = 0;
+  for (const auto* each : entries) {
+    const auto& [part, known] = *each;
+    const auto found =
+        indices.find(std::pair(known.ends.get(), known.answered_at));
+    if (found != indices.end()) {
+      if (!builder.FitsPart()) {
+        break;
+      }
+      builder.AddPart(found->second, part);
+    } else {
+      if (!builder.Fits(known.Crashes())) {
+        break;
+      }
+      indices.emplace(std::pair(known.ends.get(), known.answered_at),
+                      builder.Add(MakeReport(part, known, now)));
+    }
+    ++count;
+  }
+  message = std::move(builder).Build();
+  return count;
+}
+
 suspect_report crash_suspects::MakeReport(std::uint64_t part,
                                           const suspect& known,
                                           time_point now) {
   suspect_report report;
-  report.part = part;
+  report.parts.push_back(part);
   if (known.answered_at != time_point::min()) {
     report.answered_age = now - known.answered_at;
   }
-  if (known.tried_at != time_point::min()) {
-    report.tried_age = now - known.tried_at;
+  if (known.ends == nullptr) {
+    return report;
+  }
+  if (known.ends->tried_at != time_point::min()) {
+    report.tried_age = now - known.ends->tried_at;
   }
-  for (const crash_record& each : known.crashes) {
+  for (const crash_record& each : known.ends->crashes) {
     report.crashes.push_back(
         {each.upstream_hash, each.call_hash, now - each.at});
   }
   return report;
 }
 
-time_point crash_suspects::TrialTime(const suspect& known) {
-  const time_point last = known.crashes.back().at;
-  const duration wait = std::clamp((last - known.crashes.front().at) * 2,
+time_point crash_suspects::TrialTime(const history& ends) {
+  const time_point last = ends.crashes.back().at;
+  const duration wait = std::clamp((last - ends.crashes.front().at) * 2,
                                    kMinTrialDelay, kMaxTrialDelay);
-  return std::max(last + wait, known.tried_at + kMinTrialDelay);
+  return std::max(last + wait, ends.tried_at + kMinTrialDelay);
 }
 
 }  // namespace anvilloom
--- a/links/crash_suspects.h
+++ b/links/crash_suspects.h
@@ -1,6 +1,5 @@
 // Defines crash_suspects, which finds the parts of prompts that crash
-// upstreams, and suspect_view, the snapshot of its verdicts that calls are
-// checked against.
+// upstreams.
 #ifndef LINKS_CRASH_SUSPECTS_H_
 #define LINKS_CRASH_SUSPECTS_H_
 
@@ -10,14 +9,15 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
 #include <span>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "common/time.h"
 #include "instances/suspect_report.h"
 #include "links/prompt.h"
+#include "links/suspect_view.h"
 
 namespace anvilloom {
 
@@ -34,60 +34,6 @@
 std::vector<std::uint64_t> SuspectKeys(std::string_view service,
                                        const prompt_shape& prompt);
 
-// A suspected part as seen by the threads that serve callers. The flags are set
-// by these threads and read by the control thread.
-struct watched_part {
-  std::uint64_t part = 0;
-  bool blocked = false;
-  // Other blocked parts that were present at each upstream that ended under
-  // this one, so that either may be the cause. Only calls with all of them are
-  // refused; the others show which part it is.
-  std::vector<std::uint64_t> alternatives;
-  // When this instance may send one call with a blocked part, to find out
-  // whether it still crashes upstreams.
-  deadline trial_at = deadline::Never();
-  std::shared_ptr<std::atomic<bool>> trial_taken;
-  // Whether an answer has been reported since the part was last suspected.
-  std::shared_ptr<std::atomic<bool>> answer_seen;
-};
-
-// Whether a call may be sent although a part of its prompt is blocked.
-enum class trial : std::uint8_t {
-  kNotNeeded,    // No part of the prompt is blocked.
-  kTaken,        // The call is the one that tries the part.
-  kUnavailable,  // Another call is trying it.
-};
-
-// Immutable except for the flags. Thread-safe.
-class suspect_view {
- public:
-  suspect_view() = default;
-  // `parts` must be sorted by part.
-  explicit suspect_view(std::vector<watched_part> parts)
-      : parts_(std::move(parts)) {}
-
-  // Returns when a call with these parts may be sent: nothing if now, otherwise
-  // the deadline of the next trial.
-  std::optional<deadline> BlockedUntil(std::span<const std::uint64_t> parts,
-                                       time_point now) const;
-  // Reserves the trial of each blocked part of a call that BlockedUntil() lets
-  // through.
-  trial TakeTrials(std::span<const std::uint64_t> parts) const;
-  // Whether an answer to a call with these parts must be reported, because one
-  // of them is suspected. True for the first such answer only.
-  bool MustReportAnswer(std::span<const std::uint64_t> parts) const;
-
-  std::span<const watched_part> parts() const { return parts_; }
-
- private:
-  const watched_part* Find(std::uint64_t part) const;
-  // Returns the part if it blocks a call with these parts, otherwise null.
-  const watched_part* FindBlocking(std::uint64_t part,
-                                   std::span<const std::uint64_t> parts) const;
-
-  std::vector<watched_part> parts_;
-};
-
 // Counts, for each part of the prompts, the upstreams that ended before they
 // had answered a call with it. A part that crashes upstreams is never answered,
 // while other calls with the sound parts beside it are, so one answer clears a
@@ -97,6 +43,10 @@
 // call with some of them tells which it is. After a time that grows with the
 // time it has been crashing upstreams, one call tries a blocked part again.
 //
+// A prompt may have thousands of parts. Those that have been in the same calls
+// share one history, so that a call costs time in proportion to its parts, and
+// a report names the ends once for all of them.
+//
 // Each instance passes what it sees, and what is new to it in the reports of
 // others, on to a few others, so all reach the same verdicts. Not thread-safe.
 class crash_suspects {
@@ -117,6 +67,9 @@
   // try it at once. A prompt is answered, or crashes its upstream, within this
   // time.
   static constexpr duration kTrialStagger = std::chrono::seconds(2);
+  // Bounds the memory and the views. A prompt of this many parts takes headers
+  // of 256 KiB, as a part takes at least four bytes.
+  static constexpr std::size_t kMaxSuspects = std::size_t{1} << 16U;
 
   // Records that an upstream ended before it had answered a call with these
   // parts.
@@ -140,7 +93,8 @@
   std::vector<suspect_report> BlockedReports(time_point now) const;
   // Returns what to store for the case that all instances are lost: the parts
   // that are blocked, those under which too few upstreams have ended yet, and
-  // the ends of all upstreams, against which both are weighed.
+  // the ends of all upstreams, against which both are weighed. Of very many,
+  // those with the most ends.
   suspect_evidence Evidence(time_point now) const;
 
   // Forgets ends and answers that no longer matter. Call at intervals.
@@ -154,9 +108,11 @@
   // precede this one.
   std::unique_ptr<const suspect_view> TakeView(std::size_t rank);
 
-  // A change of a verdict, for the log.
+  // A change of a verdict, for the log: on `parts` parts that share their ends,
+  // one of which is `part`.
   struct verdict {
     std::uint64_t part = 0;
+    std::size_t parts = 0;
     bool blocked = false;
     std::size_t crashes = 0;
     std::size_t calls = 0;
@@ -170,22 +126,37 @@
   std::size_t blocked() const;
 
  private:
-  struct suspect {
+  // The ends under parts that were in the same calls.
+  struct history {
     // Sorted by time.
     std::vector<crash_record> crashes;
-    // Latest answer, or the minimum if there was none.
-    time_point answered_at = time_point::min();
+    // The upstreams that ended one after the other, and the calls involved.
+    std::size_t ended = 0;
+    std::size_t calls = 0;
     bool blocked = false;
     // Latest trial, here or at another instance, or the minimum.
     time_point tried_at = time_point::min();
+    std::shared_ptr<std::atomic<bool>> trial_taken;
+  };
+  struct suspect {
+    // Null if there was no end since the latest answer.
+    std::shared_ptr<history> ends;
+    // Latest answer, or the minimum if there was none.
+    time_point answered_at = time_point::min();
+    // Place among the parts with as much evidence in the order of reports.
+    std::uint64_t order = 0;
     int reports_left = 0;
     // Whether the other instances are told of the latest answer.
     bool answer_shared = true;
-    std::shared_ptr<std::atomic<bool>> trial_taken =
-        std::make_shared<std::atomic<bool>>(false);
-    std::shared_ptr<std::atomic<bool>> answer_seen =
-        std::make_shared<std::atomic<bool>>(false);
+
+    bool blocked() const { return ends != nullptr && ends->blocked; }
+    std::size_t Crashes() const {
+      return ends == nullptr ? 0 : ends->crashes.size();
+    }
+    std::size_t Ended() const { return ends == nullptr ? 0 : ends->ended; }
   };
+  using suspect_map = std::unordered_map<std::uint64_t, suspect>;
+  using entry = suspect_map::value_type;
 
   // Number of times that a report of an own observation is sent, since
   // datagrams may be lost, and that one of another instance is passed on.
@@ -200,24 +171,37 @@
   // passed on, and at least kTrialStagger apart.
   static constexpr duration kReportJitter = std::chrono::milliseconds(100);
   static constexpr duration kTrialJitter = kTrialStagger / 2;
-
-  // Bounds the memory and the views. More than the parts of the calls that wait
-  // at a few upstreams.
-  static constexpr std::size_t kMaxSuspects = 512;
   // Bounds the memory. More than the upstreams of a large fleet.
   static constexpr std::size_t kMaxEnds = 4096;
-
-  // Adds a crash unless it is known or older than the latest answer. Returns
-  // whether it was added.
-  bool AddCrash(std::uint64_t part, crash_record crash);
+  // Bound the size of what is stored, to about half a megabyte.
+  static constexpr std::size_t kMaxStoredParts = 8192;
+  static constexpr std::size_t kMaxStoredCrashes = 4096;
+  static constexpr std::size_t kMaxStoredEnds = 1024;
+
+  // Changes the histories of parts together: those of a history that was
+  // common to them have a common one again. Defined in crash_suspects.cc.
+  class regrouping;
+
+  // Adds a crash under parts where it is neither known nor older than the
+  // latest answer. It is reported `copies` times.
+  void AddCrash(std::span<const std::uint64_t> parts,
+                crash_record crash,
+                int copies);
   // Notes that an upstream ended. Returns when, as first reported.
   time_point NoteEnd(std::uint64_t upstream_hash, time_point at);
-  void SetTried(suspect& known, time_point at);
   // Returns whether the answer came after a crash that had been known.
-  bool SetAnswered(std::uint64_t part, suspect& known, time_point at);
-  void UpdateVerdict(std::uint64_t part, suspect& known);
-  void SetBlocked(std::uint64_t part, suspect& known, bool blocked);
-  // Notes that the ends or the trials of a part have changed.
+  static bool SetAnswered(std::uint64_t part,
+                          suspect& known,
+                          time_point at,
+                          regrouping& changes);
+  void SetTried(history& ends, time_point at);
+  // Returns whether the report tells of a trial that was not known.
+  bool TakeTrialTime(const suspect_report& report,
+                     suspect& known,
+                     time_point now);
+  // Draws the conclusion from ends that have changed.
+  void UpdateVerdict(history& ends) const;
+  // Notes that the ends or the trials of parts have changed.
   void NoteChange() {
     changed_ = true;
     ++stored_version_;
@@ -226,7 +210,7 @@
   // crashes of a part occurred ended under it. Otherwise the crashes have
   // another cause, which finds popular parts at many upstreams. Not a majority,
   // since two parts may crash upstreams at the same time.
-  bool ExplainsCrashes(const suspect& known) const;
+  bool ExplainsCrashes(const history& ends) const;
   // Whether a report counts enough ends before the latest answer to block the
   // part soon, as its sender doesn't know of the answer.
   static bool LacksAnswer(const suspect_report& report,
@@ -236,21 +220,27 @@
   static void Forward(suspect& known) {
     known.reports_left = std::max(known.reports_left, kForwardedCopies);
   }
-  // Returns the other blocked parts that were present at each upstream that
-  // ended under this one.
-  std::vector<std::uint64_t> Alternatives(std::uint64_t part,
-                                          const suspect& known) const;
-  // Makes room for another suspect.
-  void EvictOldest();
+  // Returns the groups of the blocked parts. `rank` as in TakeView().
+  std::vector<blocked_group> BlockedGroups(std::size_t rank);
+  // Makes room if there are too many suspects. Those with the least evidence
+  // go first, and of these the parts of the longest prompts, so that one caller
+  // can't displace the parts of many others.
+  void Evict();
+  // Fills one message with what is known of parts, and returns how many fit.
+  template <typename Entry>
+  static std::size_t FillMessage(std::span<Entry* const> entries,
+                                 time_point now,
+                                 std::vector<suspect_report>& message);
   static suspect_report MakeReport(std::uint64_t part,
                                    const suspect& known,
                                    time_point now);
-  static time_point TrialTime(const suspect& known);
+  static time_point TrialTime(const history& ends);
 
-  std::map<std::uint64_t, suspect> suspects_;
+  suspect_map suspects_;
   // When each upstream ended, by its hash, whatever the parts of its calls.
   std::map<std::uint64_t, time_point> ended_;
   std::vector<verdict> verdicts_;
+  std::uint64_t next_order_ = 0;
   bool changed_ = false;
   std::uint64_t stored_version_ = 0;
   std::size_t viewed_rank_ = 0;
--- a/test/correctness/recovered_writes_test.cc
+++ b/test/correctness/recovered_writes_test.cc
@@ -408,8 +408,8 @@
         REQUIRE(RunCall(reader.Load(Soon())));
         const auto parts = known.Evidence().suspects;
         REQUIRE(parts.size() == 2);
-        CHECK(parts[0].part == 11);
-        CHECK(parts[1].part == 12);
+        CHECK(parts[0].parts == std::vector<std::uint64_t>{11});
+        CHECK(parts[1].parts == std::vector<std::uint64_t>{12});
         CHECK(parts[0].crashes.size() == kEnds);
         CHECK(parts[1].crashes.size() == kEnds);
       }
--- a/test/correctness/suspect_record_test.cc
+++ b/test/correctness/suspect_record_test.cc
@@ -21,7 +21,7 @@
 
 suspect_report ExampleSuspect() {
   suspect_report suspect;
-  suspect.part = std::numeric_limits<std::uint64_t>::max();
+  suspect.parts = {std::numeric_limits<std::uint64_t>::max(), 3, 4};
   suspect.tried_age = seconds(3);
   suspect.blocked = true;
   suspect.crashes = {
@@ -41,7 +41,7 @@
     REQUIRE(read);
     REQUIRE(read->suspects.size() == 1);
     const suspect_report& suspect = read->suspects[0];
-    REQUIRE(suspect.part == ExampleSuspect().part);
+    REQUIRE(suspect.parts == ExampleSuspect().parts);
     REQUIRE(suspect.tried_age == seconds(8));
     REQUIRE(suspect.crashes.size() == 2);
     REQUIRE(suspect.crashes[1].upstream_hash ==
@@ -107,28 +107,35 @@
     REQUIRE(read);
     REQUIRE(read->content == report_content::kSuspects);
     REQUIRE(read->suspects.size() == 1);
-    REQUIRE(read->suspects[0].part == report.suspects[0].part);
+    REQUIRE(read->suspects[0].parts == report.suspects[0].parts);
     REQUIRE(read->suspects[0].answered_age == seconds(1));
     REQUIRE(read->suspects[0].tried_age == seconds(3));
     REQUIRE(read->suspects[0].crashes.size() == 2);
   }
   THEN("a full report fits into one packet") {
     constexpr std::size_t kPacketBytes = 1'472;
-    std::vector<suspect_report> many;
-    for (int i = 0; i < 40; ++i) {
-      many.push_back(ExampleSuspect());
-      many.back().crashes.resize(i % 3 == 0 ? kCrashesPerSuspect : 1,
-                                 {1, 2, seconds(4'000'000)});
-    }
-    std::span<const suspect_report> rest = many;
-    while (!rest.empty()) {
-      const std::size_t count = CountForOneReport(rest);
-      REQUIRE(count > 0);
-      report.suspects.assign(rest.begin(),
-                             rest.begin() + static_cast<std::ptrdiff_t>(count));
-      REQUIRE(EncodePeerReport(report).size() <= kPacketBytes);
-      rest = rest.subspan(count);
+    const std::size_t crashes = GENERATE(0U, 1U, 3U, kCrashesPerSuspect);
+    const std::size_t parts = GENERATE(1U, 2U, 20U, 1'000U);
+    CAPTURE(crashes, parts);
+    suspect_message_builder builder;
+    while (builder.Fits(crashes)) {
+      suspect_report suspect;
+      suspect.parts = {std::numeric_limits<std::uint64_t>::max()};
+      suspect.answered_age = seconds(4'000'000);
+      suspect.tried_age = seconds(4'000'000);
+      suspect.crashes.resize(crashes, {1, 2, seconds(4'000'000)});
+      const std::size_t index = builder.Add(suspect);
+      for (std::size_t i = 1; i < parts && builder.FitsPart(); ++i) {
+        builder.AddPart(index, i);
+      }
     }
+    report.suspects = std::move(builder).Build();
+    REQUIRE(!report.suspects.empty());
+    REQUIRE(EncodePeerReport(report).size() <= kPacketBytes);
+    const auto read = DecodePeerReport(EncodePeerReport(report));
+    REQUIRE(read);
+    REQUIRE(read->suspects.size() == report.suspects.size());
+    REQUIRE(read->suspects.back().parts == report.suspects.back().parts);
   }
 }
 
--- a/test/error/decoder_mutations_test.cc
+++ b/test/error/decoder_mutations_test.cc
@@ -121,7 +121,7 @@
 
 std::vector<suspect_report> ExampleSuspects() {
   suspect_report suspect;
-  suspect.part = 7;
+  suspect.parts = {7, 8};
   suspect.tried_age = std::chrono::seconds(1);
   suspect.crashes = {{1, 2, std::chrono::seconds(9)},
                      {3, 4, std::chrono::seconds(8)}};
--- a/wire/report_codec.cc
+++ b/wire/report_codec.cc
@@ -178,7 +178,12 @@
 }
 
 void EncodeSuspect(const suspect_report& suspect, wire::Suspect& message) {
-  message.set_part(suspect.part);
+  const std::span<const std::uint64_t> parts = suspect.parts;
+  message.set_part(parts.empty() ? 0 : parts.front());
+  for (const std::uint64_t each :
+       parts.subspan(std::min<std::size_t>(1, parts.size()))) {
+    message.add_more_parts(each);
+  }
   if (suspect.answered_age) {
     message.set_answered(true);
     message.set_answered_age_ms(EncodeAge(*suspect.answered_age));
@@ -198,7 +203,13 @@
 // Another program may send longer lists; the rest of one is ignored.
 suspect_report DecodeSuspect(const wire::Suspect& message) {
   suspect_report suspect;
-  suspect.part = message.part();
+  suspect.parts.push_back(message.part());
+  for (const std::uint64_t each : message.more_parts()) {
+    if (suspect.parts.size() == kPartsPerReport) {
+      break;
+    }
+    suspect.parts.push_back(each);
+  }
   if (message.answered()) {
     suspect.answered_age = std::chrono::milliseconds(message.answered_age_ms());
   }
@@ -361,7 +372,7 @@
     report.read.push_back(DecodeRead(each));
   }
   for (const wire::Suspect& each : message.suspects()) {
-    if (report.suspects.size() == kSuspectsPerReport) {
+    if (report.suspects.size() == kMaxSuspectsPerReport) {
       break;
     }
     report.suspects.push_back(DecodeSuspect(each));
