Suspect all shared parts of a prompt

Cause: only the first sixteen shared parts of a prompt were suspected. Those are the parts that most calls share and that answers clear, so nothing was blocked. The limit is removed.

--- a/links/crash_suspects.cc
+++ b/links/crash_suspects.cc
@@ -13,8 +13,6 @@
 
 namespace {
 
-// A caller may send any number of parts; sound prompts have a few.
-constexpr std::size_t kMaxParts = 16;
 // A part that crashes upstreams explains at least one in this many of the ends
 // that occur meanwhile, also while another part or a few failures cause others.
 constexpr std::size_t kMinShareDivisor = 3;
@@ -85,11 +83,10 @@
 
 std::vector<std::uint64_t> SuspectKeys(std::string_view service,
                                        const prompt_shape& prompt) {
-  const std::span<const prompt_prefix> shared = prompt.Shared();
   const std::uint64_t service_hash = Hash64(service);
   std::vector<std::uint64_t> keys;
-  for (const prompt_prefix& each :
-       shared.first(std::min(shared.size(), kMaxParts))) {
+  keys.reserve(prompt.Shared().size());
+  for (const prompt_prefix& each : prompt.Shared()) {
     keys.push_back(CombineHash(service_hash, each.part));
   }
   return keys;
--- a/test/error/crashing_prompt_test.cc
+++ b/test/error/crashing_prompt_test.cc
@@ -47,8 +47,14 @@
 // Gateways "g1" and "g2" before engines of service "model".
 class crashing_system {
  public:
-  explicit crashing_system(std::size_t engine_count) {
-    system_.PutManifest();
+  // All prompts begin with `common_parts` parts.
+  explicit crashing_system(std::size_t engine_count, int common_parts = 1) {
+    for (int i = 0; i < common_parts; ++i) {
+      common_parts_ += "a" + std::to_string(i) + ":1,";
+    }
+    call_size_limits sizes;
+    sizes.header_bytes = 16'384;
+    system_.PutManifest({"key-1"}, 0, sizes);
     StartGateways();
     for (std::size_t i = 0; i < engine_count; ++i) {
       engines_.push_back(std::make_unique<scripted_engine>(AnswerOrCrash));
@@ -57,7 +63,7 @@
     AwaitGateways();
   }
 
-  // Sends a call whose prompt has this part between a shared first part and a
+  // Sends a call whose prompt has this part between the common parts and a
   // private last one.
   caller_answer SendPrompt(std::size_t gateway, std::string_view part) {
     const std::string id = "call-" + std::to_string(++next_id_);
@@ -68,7 +74,7 @@
                  {"X-Deadline-Ms", "6000"},
                  {"X-Model", "m"},
                  {"X-Token-Counts", "1250,8"},
-                 {"X-Prefix-Hash", "aaaa:800," + std::string(part) + "," +
+                 {"X-Prefix-Hash", common_parts_ + std::string(part) + "," +
                                        std::to_string(next_id_) + ":50"},
                  {"Authorization", "Token key-1"}});
   }
@@ -145,6 +151,7 @@
     }
   }
 
+  std::string common_parts_;
   platform_system system_;
   std::vector<std::string> names_;
   std::vector<std::uint16_t> gateways_;
@@ -199,6 +206,31 @@
   }
 }
 
+// Guards against a part that is never refused because it stands behind many
+// others that all calls share.
+SCENARIO("A prompt part that crashes engines is found behind many sound ones",
+         "[crashing_prompt]") {
+  constexpr std::size_t kEngines = 12;
+  const int common_parts = GENERATE(17, 600, 1'900);
+  CAPTURE(common_parts);
+  crashing_system system(kEngines, common_parts);
+
+  WHEN("such calls come among sound ones") {
+    for (int round = 0; round < 8; ++round) {
+      system.SendPrompt(round % 2, kCrashingPart);
+      REQUIRE(system.SendPrompt(round % 2, kSoundPart).status == 200);
+      std::this_thread::sleep_for(milliseconds(200));
+    }
+    THEN("no more than five engines crash, and sound calls are served") {
+      REQUIRE(system.Crashed() <= 5);
+      for (const std::size_t gateway : {0U, 1U}) {
+        REQUIRE(system.SendPrompt(gateway, kCrashingPart).status == 503);
+        REQUIRE(system.SendPrompt(gateway, kSoundPart).status == 200);
+      }
+    }
+  }
+}
+
 // Guards against instances that must learn of a part anew, at the cost of
 // further engines, because all were lost at once.
 SCENARIO("Blocked parts are known after the loss of all instances",
