Build FormatHashes without GCC 12's warning at -O3

The build of deploy/system.toml (Release) failed: GCC 12 warns of an impossible overlap in operator+(const char*, std::string&&) (-Werror=restrict), which -O2 doesn't show. The text is appended piece by piece now.

--- a/common/hash.cc
+++ b/common/hash.cc
@@ -36,7 +36,7 @@
   for (std::size_t i = 0; i < hashes.size(); ++i) {
     text += text.empty() ? "" : ",";
     if (i == kFirst && left_out > 0) {
-      text += "+" + std::to_string(left_out) + ",";
+      text.append("+").append(std::to_string(left_out)).append(",");
       i += left_out;
     }
     text += FormatHash(hashes[i]);
