--- a/links/suspect_view.cc
+++ b/links/suspect_view.cc
@@ -78,8 +78,7 @@
     }
   }
   std::ranges::sort(blocked);
-  const auto repeated = std::ranges::unique(blocked);
-  blocked.erase(repeated.begin(), repeated.end());
+  blocked.erase(std::unique(blocked.begin(), blocked.end()), blocked.end());
 
   std::vector<std::size_t> present(groups_.size());
   for (const std::size_t index : blocked) {
