--- a/links/crash_suspects.cc
+++ b/links/crash_suspects.cc
@@ -281,13 +281,12 @@
                           known.reports_left, ~known.order);
       });
   pending.erase(last, pending.end());
-  std::vector<suspect_report> message;
-  const std::size_t count = FillMessage<entry>(pending, now, message);
-  for (entry* each : std::span(pending).first(count)) {
+  suspect_message message = MakeMessage<entry>(pending, now);
+  for (entry* each : std::span(pending).first(message.entries)) {
     --each->second.reports_left;
     each->second.answer_shared = true;
   }
-  return message;
+  return std::move(message.reports);
 }
 
 std::vector<suspect_report> crash_suspects::BlockedReports(
@@ -300,15 +299,15 @@
   }
   std::ranges::sort(blocked, std::ranges::less{},
                     [](const entry* each) { return each->second.order; });
-  std::vector<suspect_report> message;
-  FillMessage<const entry>(blocked, now, message);
-  for (suspect_report& each : message) {
+  std::vector<suspect_report> reports =
+      MakeMessage<const entry>(blocked, now).reports;
+  for (suspect_report& each : reports) {
     // Instances pass these reports on to each other, so that a time derived
     // from an age would move forward by the delay of each of them.
     each.answered_age.reset();
     each.tried_age.reset();
   }
-  return message;
+  return reports;
 }
 
 suspect_evidence crash_suspects::Evidence(time_point now) const {
@@ -579,10 +578,11 @@
 }
 
 template <typename Entry>
-std::size_t crash_suspects::FillMessage(std::span<Entry* const> entries,
-                                        time_point now,
-                                        std::vector<suspect_report>& message) {
+crash_suspects::suspect_message crash_suspects::MakeMessage(
+    std::span<Entry* const> entries,
+    time_point now) {
   suspect_message_builder builder;
+  // The report of the parts with the same history and answer.
   std::map<std::pair<const history*, time_point>, std::size_t> indices;
   std::size_t count = 0;
   for (const auto* each : entries) {
@@ -603,8 +603,7 @@
     }
     ++count;
   }
-  message = std::move(builder).Build();
-  return count;
+  return {std::move(builder).Build(), count};
 }
 
 suspect_report crash_suspects::MakeReport(std::uint64_t part,
--- a/links/crash_suspects.h
+++ b/links/crash_suspects.h
@@ -226,11 +226,15 @@
   // go first, and of these the parts of the longest prompts, so that one caller
   // can't displace the parts of many others.
   void Evict();
-  // Fills one message with what is known of parts, and returns how many fit.
+  // What is known of the first `entries` of some parts.
+  struct suspect_message {
+    std::vector<suspect_report> reports;
+    std::size_t entries = 0;
+  };
+  // Returns a message about as many of the parts as fit, in this order.
   template <typename Entry>
-  static std::size_t FillMessage(std::span<Entry* const> entries,
-                                 time_point now,
-                                 std::vector<suspect_report>& message);
+  static suspect_message MakeMessage(std::span<Entry* const> entries,
+                                     time_point now);
   static suspect_report MakeReport(std::uint64_t part,
                                    const suspect& known,
                                    time_point now);
--- a/links/suspect_view.cc
+++ b/links/suspect_view.cc
@@ -77,6 +77,9 @@
       blocked.push_back(found->second);
     }
   }
+  if (blocked.empty()) {
+    return {};
+  }
   std::ranges::sort(blocked);
   blocked.erase(std::unique(blocked.begin(), blocked.end()), blocked.end());
 
--- a/links/suspect_view.h
+++ b/links/suspect_view.h
@@ -38,7 +38,7 @@
 };
 
 // Immutable except for the flags. Thread-safe. The work for a call grows with
-// its parts, and with the logarithm of those that are blocked.
+// its parts; for one with a blocked part, also with the blocked groups.
 class suspect_view {
  public:
   suspect_view() = default;
--- a/test/error/crashing_prompt_test.cc
+++ b/test/error/crashing_prompt_test.cc
@@ -79,6 +79,18 @@
                  {"Authorization", "Token key-1"}});
   }
 
+  // Sends calls with the crashing part, among sound ones, until the part is
+  // blocked and stored.
+  void BlockCrashingPart() {
+    REQUIRE(Eventually(
+        [this] {
+          std::this_thread::sleep_for(milliseconds(200));
+          SendPrompt(0, kCrashingPart);
+          return SendPrompt(1, kSoundPart).status == 200 && HasStoredPart();
+        },
+        seconds(10)));
+  }
+
   // Kills both gateways and starts others in their place.
   void ReplaceGateways() {
     KillGateways();
@@ -237,14 +249,7 @@
          "[crashing_prompt]") {
   constexpr std::size_t kEngines = 12;
   crashing_system system(kEngines);
-  REQUIRE(Eventually(
-      [&] {
-        std::this_thread::sleep_for(milliseconds(200));
-        system.SendPrompt(0, kCrashingPart);
-        return system.SendPrompt(1, kSoundPart).status == 200 &&
-               system.HasStoredPart();
-      },
-      seconds(10)));
+  system.BlockCrashingPart();
   const std::size_t crashed = system.Crashed();
   REQUIRE(crashed <= 5);
 
@@ -265,14 +270,7 @@
 SCENARIO("Blocked parts are read when the store is back", "[crashing_prompt]") {
   constexpr std::size_t kEngines = 12;
   crashing_system system(kEngines);
-  REQUIRE(Eventually(
-      [&] {
-        std::this_thread::sleep_for(milliseconds(200));
-        system.SendPrompt(0, kCrashingPart);
-        return system.SendPrompt(1, kSoundPart).status == 200 &&
-               system.HasStoredPart();
-      },
-      seconds(10)));
+  system.BlockCrashingPart();
   const std::size_t crashed = system.Crashed();
 
   WHEN("all gateways start again while the store is silent") {
--- a/test/performance/routing_cost_test.cc
+++ b/test/performance/routing_cost_test.cc
@@ -3,8 +3,6 @@
 // scaling from one to eight threads. CPU time is measured instead of wall time,
 // because the machine may be shared.
 
-#include <ctime>
-
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <cstdlib>
@@ -16,6 +14,7 @@
 #include "common/rcu.h"
 #include "links/least_cost.h"
 #include "test/support/test_topology_builder.h"
+#include "test/support/thread_cpu_time.h"
 
 namespace {
 
@@ -47,13 +46,6 @@
 constexpr double kMaxDecisionUs = 2.0;
 constexpr std::uint32_t kDecisions = 100'000;
 
-double ThreadCpuUs() {
-  timespec spent{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &spent);
-  return static_cast<double>(spent.tv_sec) * 1e6 +
-         static_cast<double>(spent.tv_nsec) / 1e3;
-}
-
 // CPU time and allocations of a thread per decision.
 struct decision_cost {
   double us = 0;
--- a/test/performance/suspect_cost_test.cc
+++ b/test/performance/suspect_cost_test.cc
@@ -3,8 +3,6 @@
 // whatever is suspected. CPU time is measured instead of wall time, because the
 // machine may be shared.
 
-#include <ctime>
-
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -13,6 +11,7 @@
 #include <vector>
 
 #include "links/crash_suspects.h"
+#include "test/support/thread_cpu_time.h"
 
 namespace anvilloom {
 
@@ -26,13 +25,6 @@
 // A tenth of the target for the time between two tokens.
 constexpr double kMaxCheckUs = 5'000;
 
-double ThreadCpuUs() {
-  timespec spent{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &spent);
-  return static_cast<double>(spent.tv_sec) * 1e6 +
-         static_cast<double>(spent.tv_nsec) / 1e3;
-}
-
 std::vector<std::uint64_t> PartsFrom(std::uint64_t first, std::size_t count) {
   std::vector<std::uint64_t> parts;
   for (std::uint64_t i = 0; i < count; ++i) {
