Block parts that keep crashing upstreams beside many others

Where five or more parts crash upstreams by turns, each explains less than a third of the ends, and some were blocked late or never: a deadly call was sent up to 32 times later than 3 s after the fifth end under its part (3 allowed).

Cause: the share of the ends that a part must explain tells it from a popular part in a wave of ends, in which calls are lost before any is answered. Over a longer time an answer would have cleared a sound part, so the share is not needed: five ends, over ten seconds and without an answer, block a part too.

--- a/links/crash_suspects.cc
+++ b/links/crash_suspects.cc
@@ -70,6 +70,14 @@
          }) > 0;
 }
 
+// Whether upstreams have been ending for longer than calls take to be answered.
+// Many parts that crash upstreams by turns explain few of the ends each.
+bool IsLasting(std::span<const crash_record> crashes) {
+  const std::vector<time_point> counted = SuccessiveCrashes(crashes);
+  return counted.size() >= crash_suspects::kLastingCrashes &&
+         counted.back() - counted.front() >= crash_suspects::kLastingTime;
+}
+
 // Returns the upstreams of crashes in the order of their hashes.
 std::vector<std::uint64_t> UpstreamsOf(std::span<const crash_record> crashes) {
   std::set<std::uint64_t> upstreams;
@@ -472,16 +480,18 @@
   // Once blocked, only an answer unblocks it: old crashes are dropped.
   ends.blocked =
       !ends.crashes.empty() &&
-      (ends.blocked || (ends.ended >= kBlockingCrashes &&
-                        ends.calls >= kBlockingCalls && ExplainsCrashes(ends)));
+      (ends.blocked ||
+       (ends.ended >= kBlockingCrashes && ends.calls >= kBlockingCalls &&
+        (ExplainsCrashes(ends.crashes) || IsLasting(ends.crashes))));
 }
 
-bool crash_suspects::ExplainsCrashes(const history& ends) const {
-  const std::vector<time_point> counted = SuccessiveCrashes(ends.crashes);
+bool crash_suspects::ExplainsCrashes(
+    std::span<const crash_record> crashes) const {
+  const std::vector<time_point> counted = SuccessiveCrashes(crashes);
   const time_point since =
       counted[counted.size() - kBlockingCrashes] - kCoincidence;
   std::set<std::uint64_t> under_part;
-  for (const crash_record& each : ends.crashes) {
+  for (const crash_record& each : crashes) {
     if (each.at >= since) {
       under_part.insert(each.upstream_hash);
     }
--- a/links/crash_suspects.h
+++ b/links/crash_suspects.h
@@ -56,6 +56,11 @@
   // find upstreams that end for other reasons.
   static constexpr std::size_t kBlockingCrashes = 3;
   static constexpr std::size_t kBlockingCalls = 2;
+  // Upstreams that must have ended under a part, and the time over which they
+  // must have, before it is blocked although others ended meanwhile. Calls are
+  // answered within that time, so that a sound part would have been cleared.
+  static constexpr std::size_t kLastingCrashes = 5;
+  static constexpr duration kLastingTime = std::chrono::seconds(10);
   // Upstreams that end within this time count as one, since the cause may be
   // the loss of a rack or failure domain.
   static constexpr duration kCoincidence = std::chrono::milliseconds(100);
@@ -210,7 +215,7 @@
   // crashes of a part occurred ended under it. Otherwise the crashes have
   // another cause, which finds popular parts at many upstreams. Not a majority,
   // since two parts may crash upstreams at the same time.
-  bool ExplainsCrashes(const history& ends) const;
+  bool ExplainsCrashes(std::span<const crash_record> crashes) const;
   // Whether a report counts enough ends before the latest answer to block the
   // part soon, as its sender doesn't know of the answer.
   static bool LacksAnswer(const suspect_report& report,
--- a/test/correctness/crash_suspects_fleet_test.cc
+++ b/test/correctness/crash_suspects_fleet_test.cc
@@ -13,6 +13,17 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Runs a fleet of seven instances with parts that crash upstreams by turns, for
+// each of several seeds and numbers of parts.
+crash_simulation RunWithSeveralParts() {
+  crash_simulation::options options;
+  options.seed = GENERATE(range(1U, 6U));
+  options.deadly_parts = GENERATE(2U, 3U, 5U, 8U);
+  crash_simulation simulation(options);
+  simulation.Run(seconds(180));
+  return simulation;
+}
+
 }  // namespace
 
 // Guards against upstreams that end one after the other, and against refusing
@@ -56,6 +67,27 @@
   }
 }
 
+// Guards against parts that are never blocked because each of them explains few
+// of the ends that all of them cause.
+SCENARIO("Several parts that crash upstreams by turns are all found",
+         "[crash_suspects]") {
+  const crash_simulation simulation = RunWithSeveralParts();
+  CAPTURE(simulation.seed(), simulation.deadly().size());
+  THEN("at most three calls with each are sent once it is known") {
+    REQUIRE(SentLate(simulation, seconds(3)) <= 3);
+  }
+}
+
+// Guards against refusing sound calls until each of several parts is found.
+SCENARIO("Several parts that crash upstreams by turns block hardly a sound one",
+         "[crash_suspects]") {
+  const crash_simulation simulation = RunWithSeveralParts();
+  CAPTURE(simulation.seed(), simulation.deadly().size());
+  THEN("hardly any sound call is refused") {
+    REQUIRE(simulation.sound_refused() * 100 <= simulation.sound_calls());
+  }
+}
+
 // Guards against blaming prompts for upstreams that end for other reasons.
 SCENARIO("Upstreams that end by themselves make no part suspicious for long",
          "[crash_suspects]") {
--- a/test/support/crash_simulation.h
+++ b/test/support/crash_simulation.h
@@ -28,8 +28,10 @@
     std::size_t instances = 7;
     std::size_t upstreams = 9;
     double calls_per_second = 40;
-    // Share of the calls that have the deadly part.
+    // Share of the calls that have a deadly part, and the number of such parts,
+    // which these calls have by turns.
     double deadly_share = 0.02;
+    std::uint64_t deadly_parts = 1;
     // Number of different first and middle parts; low ones are more frequent.
     int first_parts = 12;
     int middle_parts = 60;
@@ -63,7 +65,8 @@
         suspects_(chosen.instances),
         views_(chosen.instances),
         restarts_(chosen.upstreams, time_point::min()),
-        lifetimes_(chosen.upstreams, 0) {
+        lifetimes_(chosen.upstreams, 0),
+        deadly_(chosen.deadly_parts) {
     for (auto& view : views_) {
       view = std::make_unique<const suspect_view>();
     }
@@ -117,10 +120,15 @@
   void SetDeadlyShare(double share) { options_.deadly_share = share; }
   void Mend() { mended_ = true; }
 
-  std::size_t deadly_crashes() const { return deadly_crashes_; }
-  // Times at which a call with the deadly part was sent to an upstream.
-  const std::vector<time_point>& deadly_sent() const { return deadly_sent_; }
-  time_point fifth_crash() const { return fifth_crash_; }
+  // What happened to the calls with one of the deadly parts.
+  struct deadly_part {
+    std::size_t crashes = 0;
+    time_point fifth_crash = time_point::max();
+    // When they were sent to an upstream.
+    std::vector<time_point> sent;
+  };
+  std::span<const deadly_part> deadly() const { return deadly_; }
+  std::uint32_t seed() const { return options_.seed; }
   std::size_t sound_calls() const { return sound_calls_; }
   std::size_t sound_refused() const { return sound_refused_; }
   std::size_t deadly_answered() const { return deadly_answered_; }
@@ -148,6 +156,8 @@
     std::uint64_t id = 0;
     std::vector<std::uint64_t> parts;
     bool deadly = false;
+    // Index of the deadly part.
+    std::size_t deadly_part = 0;
     int attempts = 0;
     time_point answers_at;
   };
@@ -203,8 +213,12 @@
     for (std::uint64_t i = 0; i < options_.own_parts; ++i) {
       started.parts.push_back(kOwnParts + started.id * options_.own_parts + i);
     }
-    started.parts.push_back(
-        started.deadly ? kDeadly : Part(options_.middle_parts, 10'000));
+    if (started.deadly) {
+      started.deadly_part = deadly_calls_++ % options_.deadly_parts;
+    }
+    started.parts.push_back(started.deadly
+                                ? kDeadly + started.deadly_part
+                                : Part(options_.middle_parts, 10'000));
     sound_calls_ += started.deadly ? 0 : 1;
     Send(std::move(started));
   }
@@ -239,7 +253,7 @@
             Unit() * static_cast<double>(
                          (options_.longest_answer - kShortestAnswer).count())));
     if (sent.deadly) {
-      deadly_sent_.push_back(now_);
+      deadly_[sent.deadly_part].sent.push_back(now_);
     }
     running_.push_back(std::move(sent));
   }
@@ -251,8 +265,9 @@
         continue;
       }
       if (each.deadly && !mended_) {
-        if (++deadly_crashes_ == 5) {
-          fifth_crash_ = now_;
+        deadly_part& part = deadly_[each.deadly_part];
+        if (++part.crashes == 5) {
+          part.fifth_crash = now_;
         }
         Crash(each.upstream);
         i = static_cast<std::size_t>(-1);  // The list has changed.
@@ -366,24 +381,29 @@
   time_point stored_at_;
   std::uint64_t next_id_ = 0;
   bool mended_ = false;
-  std::size_t deadly_crashes_ = 0;
   std::size_t deadly_answered_ = 0;
   std::size_t sound_calls_ = 0;
   std::size_t sound_refused_ = 0;
   bool fits_one_message_ = true;
-  std::vector<time_point> deadly_sent_;
-  time_point fifth_crash_ = time_point::max();
+  std::vector<deadly_part> deadly_;
+  std::uint64_t deadly_calls_ = 0;
 };
 
-// Number of deadly calls sent later than `after` the fifth crash.
+// Number of calls with a deadly part that were sent later than `after` the
+// fifth crash under it, for the part with the most.
 inline std::size_t SentLate(const crash_simulation& simulation,
                             duration after) {
-  if (simulation.fifth_crash() == time_point::max()) {
-    return 0;
+  std::size_t most = 0;
+  for (const crash_simulation::deadly_part& part : simulation.deadly()) {
+    if (part.fifth_crash == time_point::max()) {
+      continue;
+    }
+    const auto late = std::ranges::count_if(part.sent, [&](time_point at) {
+      return at > part.fifth_crash + after;
+    });
+    most = std::max(most, static_cast<std::size_t>(late));
   }
-  return static_cast<std::size_t>(std::ranges::count_if(
-      simulation.deadly_sent(),
-      [&](time_point at) { return at > simulation.fifth_crash() + after; }));
+  return most;
 }
 
 }  // namespace anvilloom
