--- a/test/correctness/crash_suspects_fleet_test.cc
+++ b/test/correctness/crash_suspects_fleet_test.cc
@@ -14,11 +14,12 @@
 using std::chrono::seconds;
 
 // Runs a fleet of seven instances with parts that crash upstreams by turns, for
-// each of several seeds and numbers of parts.
+// each of several seeds, numbers of parts and shares of the calls.
 crash_simulation RunWithSeveralParts() {
   crash_simulation::options options;
   options.seed = GENERATE(range(1U, 6U));
   options.deadly_parts = GENERATE(2U, 3U, 5U, 8U);
+  options.deadly_share = GENERATE(0.02, 0.1);
   crash_simulation simulation(options);
   simulation.Run(seconds(180));
   return simulation;
@@ -72,7 +73,8 @@
 SCENARIO("Several parts that crash upstreams by turns are all found",
          "[crash_suspects]") {
   const crash_simulation simulation = RunWithSeveralParts();
-  CAPTURE(simulation.seed(), simulation.deadly().size());
+  CAPTURE(simulation.seed(), simulation.deadly().size(),
+          simulation.deadly_share());
   THEN("at most three calls with each are sent once it is known") {
     REQUIRE(SentLate(simulation, seconds(3)) <= 3);
   }
@@ -82,7 +84,8 @@
 SCENARIO("Several parts that crash upstreams by turns block hardly a sound one",
          "[crash_suspects]") {
   const crash_simulation simulation = RunWithSeveralParts();
-  CAPTURE(simulation.seed(), simulation.deadly().size());
+  CAPTURE(simulation.seed(), simulation.deadly().size(),
+          simulation.deadly_share());
   THEN("hardly any sound call is refused") {
     REQUIRE(simulation.sound_refused() * 100 <= simulation.sound_calls());
   }
--- a/test/support/crash_simulation.h
+++ b/test/support/crash_simulation.h
@@ -129,6 +129,7 @@
   };
   std::span<const deadly_part> deadly() const { return deadly_; }
   std::uint32_t seed() const { return options_.seed; }
+  double deadly_share() const { return options_.deadly_share; }
   std::size_t sound_calls() const { return sound_calls_; }
   std::size_t sound_refused() const { return sound_refused_; }
   std::size_t deadly_answered() const { return deadly_answered_; }
