Let sound engines leave in review case 11

Cause: the engine stand-in decided on Server-Leaving when a request arrived. Engines say it in all their answers, also to requests that came before. An entry instance that passes such an answer on remembers it and holds after the drill. The status check of a leaving engine answered 200. Change: the stand-in decides when it answers, closes the connection then, and answers a status check with 503.

--- a/review/programs-3/engine_stand_in.cc
+++ b/review/programs-3/engine_stand_in.cc
@@ -5,6 +5,12 @@
 
 namespace review {
 
+namespace {
+
+constexpr const char* kHealthPath = "/healthz";
+
+}  // namespace
+
 engine_stand_in::engine_stand_in(std::string service,
                                  std::string id,
                                  std::string zone,
@@ -32,18 +38,23 @@
   const std::string id = HeaderOf(request, "X-Request-Id");
   http_response answer = MakeAnswer(request, 200, "answer to " + id + "\n");
   answer.set("X-Request-Id", id);
-  if (leaving_) {
-    answer.set("Server-Leaving", "1");
-  }
   const std::string expected = HeaderOf(request, "X-Expect-Instance");
-  if (!expected.empty() && expected != id_) {
+  if (request.target() == kHealthPath) {
+    answer.set("X-Instance-Id", id_);
+    answer.result(leaving_ ? 503 : 200);
+  } else if (!expected.empty() && expected != id_) {
     answer.result(421);
     answer.set("X-Not-Executed", "1");
-    return answer;
+  } else {
+    on_run_(*this, id);
+    std::this_thread::sleep_for(work_);
+    answer.set("X-Response-Signature", "signed." + id_ + "." + id);
+  }
+  // Also in the answers to requests that came before.
+  if (leaving_) {
+    answer.set("Server-Leaving", "1");
+    answer.keep_alive(false);
   }
-  on_run_(*this, id);
-  std::this_thread::sleep_for(work_);
-  answer.set("X-Response-Signature", "signed." + id_ + "." + id);
   return answer;
 }
 
--- a/review/programs-3/small_deployment.cc
+++ b/review/programs-3/small_deployment.cc
@@ -47,17 +47,13 @@
                                    std::size_t entries,
                                    std::size_t engines,
                                    std::chrono::milliseconds work)
-    : record_(arguments.record),
+    : work_(work),
+      record_(arguments.record),
       platform_([this](const std::string& entry, const std::string& id) {
         NoteRemoval(entry, id);
       }) {
   for (std::size_t i = 0; i < engines; ++i) {
-    engines_.push_back(std::make_unique<engine_stand_in>(
-        "desk", NameOf("engine-", i), ZoneOf(i), work,
-        [this](const engine_stand_in& engine, const std::string& request) {
-          NoteRun(engine.id(), request);
-        }));
-    platform_.Put("servers", engines_.back()->id(), engines_.back()->Entry());
+    AddEngine();
   }
   platform_.Put("config", "main", kManifest);
   for (std::size_t i = 0; i < entries; ++i) {
@@ -69,6 +65,17 @@
   }
 }
 
+std::size_t small_deployment::AddEngine() {
+  const std::size_t index = engines_.size();
+  engines_.push_back(std::make_unique<engine_stand_in>(
+      "desk", NameOf("engine-", index), ZoneOf(index), work_,
+      [this](const engine_stand_in& engine, const std::string& request) {
+        NoteRun(engine.id(), request);
+      }));
+  platform_.Put("servers", engines_.back()->id(), engines_.back()->Entry());
+  return index;
+}
+
 void small_deployment::End() {
   for (const auto& entry : entries_) {
     entry->Kill();
--- a/review/programs-3/small_deployment.h
+++ b/review/programs-3/small_deployment.h
@@ -54,6 +54,8 @@
                    std::size_t entries,
                    std::size_t engines,
                    std::chrono::milliseconds work);
+  // Starts one more engine, which writes its entry, and returns its index.
+  std::size_t AddEngine();
   small_deployment(const small_deployment&) = delete;
   small_deployment& operator=(const small_deployment&) = delete;
 
@@ -86,6 +88,7 @@
   void NoteRun(const std::string& engine, const std::string& request);
   void Send(std::size_t number);
 
+  std::chrono::milliseconds work_;
   case_record record_;
   mutable std::mutex mutex_;
   std::map<std::string, sent_request> requests_;
