Keep restarted processes of review case 12 running until its end

Cause: a process ends with the thread that started it (PR_SET_PDEATHSIG). The threads of case 12 ended as soon as they had started one; the processes ran on only because they asked for the signal later than that. Change: these threads wait until the case ends.

--- a/review/programs-3/entry_process.cc
+++ b/review/programs-3/entry_process.cc
@@ -93,7 +93,8 @@
   arguments.push_back(nullptr);
   process_ = ::fork();
   if (process_ == 0) {
-    // The process ends with this program, also if that is killed.
+    // The process ends with the thread that started it, also if this program
+    // is killed.
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int file =
         ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
--- a/review/programs-3/entry_process.h
+++ b/review/programs-3/entry_process.h
@@ -26,6 +26,7 @@
   // written to `folder`.
   entry_process(std::string command, std::string folder, entry_place place);
 
+  // The process ends with the thread that calls this.
   void Start();
   // Sends SIGKILL and waits for the end of the process.
   void Kill();
--- a/review/programs-3/programs/drill_rolling_restart.cc
+++ b/review/programs-3/programs/drill_rolling_restart.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <cstdlib>
+#include <future>
 #include <iostream>
 #include <map>
 #include <string>
@@ -111,6 +112,9 @@
   deployment.platform().TakeCopy();
   deployment.record().Write("the copy is taken in window " +
                             std::to_string(window));
+  // Processes end with the thread that started them.
+  std::promise<void> finished;
+  const std::shared_future<void> at_end = finished.get_future().share();
   std::vector<std::thread> restarts;
   const std::vector<milliseconds> times = {kFirstRestart, kSecondRestart,
                                            kThirdRestart};
@@ -121,6 +125,7 @@
       deployment.record().Write(entry.name() + " gets SIGTERM");
       entry.Restart();
       deployment.record().Write(entry.name() + " starts again");
+      at_end.wait();
     });
   }
   SleepUntil(window, kDrill);
@@ -131,12 +136,14 @@
     deployment.platform().ComeBack();
     deployment.record().Write("the store is back from a copy");
   }
-  for (std::thread& each : restarts) {
-    each.join();
-  }
   SleepUntil(window, kEnd);
   deployment.StopCallers();
   const bool differ = HasDifferentReports(deployment);
+  deployment.End();
+  finished.set_value();
+  for (std::thread& each : restarts) {
+    each.join();
+  }
   std::cout << (differ ? "Two reports for one window with different counts "
                          "were accepted.\n"
                        : "All reports for one window had the same counts.\n");
