Show review case 11 with more requests, and give each process its own ports

Cause: a run with an engine that says Server-Leaving in all its answers had as few as 1 late request. Two runs could not start, one of them with TROUBLE=0; most likely two processes had been given the same port (not traced). Change: 100 requests a second of 150 ms, and the engines end 0.5 s after the store is back. A port is given only once.

--- a/review/programs-3/entry_process.cc
+++ b/review/programs-3/entry_process.cc
@@ -6,13 +6,13 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <random>
+#include <set>
 #include <sstream>
 #include <utility>
 
@@ -31,6 +31,8 @@
   constexpr std::uint16_t kFirst = 12000;
   constexpr std::uint16_t kLast = 31000;
   static std::mt19937 random(std::random_device{}());
+  // Those of the other processes may not be in use yet.
+  static std::set<std::uint16_t> given;
   std::uniform_int_distribution<std::uint16_t> draw(kFirst, kLast);
   boost::asio::io_context context;
   std::vector<std::uint16_t> ports;
@@ -41,7 +43,7 @@
     acceptor.open(tcp::v4(), error);
     acceptor.bind(tcp::endpoint(boost::asio::ip::address_v4::loopback(), port),
                   error);
-    if (!error && std::find(ports.begin(), ports.end(), port) == ports.end()) {
+    if (!error && given.insert(port).second) {
       ports.push_back(port);
     }
   }
--- a/review/programs-3/programs/drill_leaving_engine.cc
+++ b/review/programs-3/programs/drill_leaving_engine.cc
@@ -23,7 +23,9 @@
 constexpr std::size_t kEntries = 7;
 constexpr std::size_t kEngines = 6;
 constexpr std::size_t kReplaced = kEngines / 2;
-constexpr milliseconds kWork{200};
+// Within the latency objective of the sheet, 300 ms.
+constexpr milliseconds kWork{150};
+// The sheet has 18 for this service; here more, so that each run shows it.
 constexpr int kRequestsPerSecond = 100;
 // Longer than contactMs, so that all machines are in touch.
 constexpr seconds kCalm{5};
@@ -36,7 +38,7 @@
 constexpr milliseconds kAway{300};
 // From the return of the store until the engines write what they wrote before,
 // which they do within a heartbeat of 1.2 seconds, and the old ones end.
-constexpr milliseconds kUntilEnd{400};
+constexpr milliseconds kUntilEnd{500};
 
 void ReplaceEngine(review::small_deployment& deployment, std::size_t index) {
   deployment.AddEngine();
