Let the engines of the review's scripts write heartbeats

Cause: PROTOCOL.md says that an engine writes its entry every heartbeatMs; the stand-in wrote it once. Change: each engine raises its sequence number every 1.2 s until it leaves. The entry's revision stays, since nothing else changes.

--- a/review/programs-3/engine_stand_in.cc
+++ b/review/programs-3/engine_stand_in.cc
@@ -30,8 +30,9 @@
   return R"({"service":")" + service_ + R"(","address":")" + server_.address() +
          R"(","zone":")" + zone_ +
          R"(","version":"v1","batchSlots":16,"state":"ready",)"
-         R"("coldRemainingMs":0,"sequence":1,"born":)" +
-         std::to_string(born_ms_) + "}";
+         R"("coldRemainingMs":0,"sequence":)" +
+         std::to_string(sequence_) + R"(,"born":)" + std::to_string(born_ms_) +
+         "}";
 }
 
 std::optional<http_response> engine_stand_in::Handle(http_request& request) {
--- a/review/programs-3/engine_stand_in.h
+++ b/review/programs-3/engine_stand_in.h
@@ -27,6 +27,9 @@
   const std::string& id() const { return id_; }
   // The engine's entry in the store.
   std::string Entry() const;
+  // Raises the sequence number of the entry.
+  void Beat() { ++sequence_; }
+  bool leaving() const { return leaving_; }
 
   // From now on all answers say that the engine is leaving.
   void Leave() { leaving_ = true; }
@@ -42,6 +45,7 @@
   std::chrono::milliseconds work_;
   run_listener on_run_;
   std::atomic<bool> leaving_{false};
+  std::atomic<int> sequence_{1};
   long long born_ms_;
   loopback_server server_;
 };
--- a/review/programs-3/platform_stand_in.cc
+++ b/review/programs-3/platform_stand_in.cc
@@ -121,6 +121,16 @@
   Change(kind, name, removed, true);
 }
 
+void platform_stand_in::Refresh(const std::string& kind,
+                                const std::string& name,
+                                const std::string& spec) {
+  const std::scoped_lock lock(mutex_);
+  const auto found = kinds_[kind].find(name);
+  if (!away_ && found != kinds_[kind].end()) {
+    found->second.spec = json::parse(spec);
+  }
+}
+
 void platform_stand_in::TakeCopy() {
   const std::scoped_lock lock(mutex_);
   copied_kinds_ = kinds_;
--- a/review/programs-3/platform_stand_in.h
+++ b/review/programs-3/platform_stand_in.h
@@ -51,6 +51,11 @@
            const std::string& name,
            const std::string& spec);
   void Remove(const std::string& kind, const std::string& name);
+  // A heartbeat: replaces the object if it is there and the store is not away.
+  // Its revision stays, since only `sequence` differs.
+  void Refresh(const std::string& kind,
+               const std::string& name,
+               const std::string& spec);
 
   // The drill: the store goes away, and comes back from the copy that
   // TakeCopy() made, in the next era.
--- a/review/programs-3/small_deployment.cc
+++ b/review/programs-3/small_deployment.cc
@@ -23,6 +23,8 @@
     R"({"name":"atelier","apiKeys":["atelier-key"],"priority":1}]})";
 
 constexpr std::chrono::milliseconds kCheckInterval{20};
+// heartbeatMs of the contracts.
+constexpr std::chrono::milliseconds kHeartbeat{1200};
 
 std::string NameOf(const char* prefix, std::size_t index) {
   return prefix + std::to_string(index + 1);
@@ -73,6 +75,16 @@
         NoteRun(engine.id(), request);
       }));
   platform_.Put("servers", engines_.back()->id(), engines_.back()->Entry());
+  std::thread([this, engine = engines_.back().get()] {
+    for (;;) {
+      std::this_thread::sleep_for(kHeartbeat);
+      if (engine->leaving()) {
+        return;
+      }
+      engine->Beat();
+      platform_.Refresh("servers", engine->id(), engine->Entry());
+    }
+  }).detach();
   return index;
 }
 
