--- a/review/programs-3/programs/drill_rolling_restart.cc
+++ b/review/programs-3/programs/drill_rolling_restart.cc
@@ -33,8 +33,8 @@
 // Times from the end of a window. Its usage is reported about 1.6 seconds after
 // its end, before the drill. The processes take 2.6 seconds to end.
 constexpr milliseconds kCopy{-1000};
-constexpr milliseconds kFirstRestart{-500};
-constexpr milliseconds kSecondRestart{600};
+constexpr milliseconds kFirstRestart{-2100};
+constexpr milliseconds kSecondRestart{-100};
 constexpr milliseconds kThirdRestart{1900};
 constexpr milliseconds kDrill{3600};
 constexpr milliseconds kAway{300};
@@ -101,17 +101,13 @@
   deployment.StartCallers(kRequestsPerSecond);
   std::this_thread::sleep_for(kCalm);
   const std::int64_t window =
-      WindowAt(std::chrono::system_clock::now() + seconds(2));
+      WindowAt(std::chrono::system_clock::now() + seconds(3));
   const std::vector<std::size_t> order = HolderLast(deployment);
   if (order.size() != kEntries) {
     std::cerr << "No entry instance holds the duty.\n";
     return 2;
   }
 
-  SleepUntil(window, kCopy);
-  deployment.platform().TakeCopy();
-  deployment.record().Write("the copy is taken in window " +
-                            std::to_string(window));
   // Processes end with the thread that started them.
   std::promise<void> finished;
   const std::shared_future<void> at_end = finished.get_future().share();
@@ -128,6 +124,10 @@
       at_end.wait();
     });
   }
+  SleepUntil(window, kCopy);
+  deployment.platform().TakeCopy();
+  deployment.record().Write("the copy is taken in window " +
+                            std::to_string(window));
   SleepUntil(window, kDrill);
   if (trouble) {
     deployment.record().Write("the store goes away");
