--- a/entry/usage_reporter.h
+++ b/entry/usage_reporter.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -163,27 +164,34 @@
     co_await checkpoint_.Save(counts, CallDeadline());
   }
 
+  // The final counts of a window, and where they come from, for the log.
+  struct final_report {
+    usage_report report;
+    std::string_view source;
+  };
+
   // Stores the counts before they are sent, so that a later holder reports the
   // same ones. Returns the stored report, or nothing if the store did not
   // respond.
-  awaitable<std::optional<usage_report>> StoreOrReadReport(
+  awaitable<std::optional<final_report>> StoreOrReadReport(
       std::uint64_t window) {
     const std::string name = std::to_string(window);
     const auto known = final_.find(window);
-    const usage_report counted =
-        known == final_.end() ? MakeReport(window) : known->second;
+    final_report next = known == final_.end()
+                            ? final_report{MakeReport(window), "counted"}
+                            : final_report{known->second, "known"};
     const auto created = co_await store_.Create(
-        kUsageKind, name, EncodeUsage(counted), CallDeadline());
-    if (created) {
-      Announce(counted);
-      co_return counted;
-    }
-    const auto stored = co_await store_.Get(kUsageKind, name, CallDeadline());
-    auto report = stored ? DecodeUsage(stored->value) : std::nullopt;
-    if (report) {
-      Announce(*report);
+        kUsageKind, name, EncodeUsage(next.report), CallDeadline());
+    if (!created) {
+      const auto stored = co_await store_.Get(kUsageKind, name, CallDeadline());
+      auto report = stored ? DecodeUsage(stored->value) : std::nullopt;
+      if (!report) {
+        co_return std::nullopt;
+      }
+      next = {std::move(*report), "stored"};
     }
-    co_return report;
+    Announce(next.report);
+    co_return next;
   }
 
   // Tells the next holders what is going to be reported. A store that tells no
@@ -220,24 +228,26 @@
 
   awaitable<void> ReportWindow(std::uint64_t window,
                                const std::function<std::uint64_t()>& fencing) {
-    const auto report = co_await StoreOrReadReport(window);
+    const auto found = co_await StoreOrReadReport(window);
     const std::uint64_t number = fencing();
-    if (!report || number == 0) {
+    if (!found || number == 0) {
       co_return;  // Retried in the next round.
     }
+    const usage_report& report = found->report;
     const duty_result result =
-        co_await cloud_.ReportUsage(*report, number, CallDeadline());
+        co_await cloud_.ReportUsage(report, number, CallDeadline());
     if (result == duty_result::kDone || result == duty_result::kFenced) {
       reported_.insert(window);
     }
     std::uint64_t total = 0;
-    for (const auto& [workspace, requests] : report->requests) {
+    for (const auto& [workspace, requests] : report.requests) {
       total += requests;
     }
     Log(result == duty_result::kDone ? log_level::kInfo : log_level::kWarning,
         log_event::kUsageReported,
         {{"window", std::to_string(window)},
          {"requests", std::to_string(total)},
+         {"counts", std::string(found->source)},
          {"fencing", std::to_string(number)},
          {"result", std::string(Name(result))}});
   }
