Report no window that may have been reported in an earlier store era

Callers are billed from usage.

Cause: usage_reporter took a missing report for one that had not been sent. Since the store can lose what it has acknowledged, that holds only for windows that settled in the present era.

Change: a holder computes counts for windows that settled after it had first seen the era, or after it became the only holder (lease_tenure). The first such window is stored with its era in usage-counts/latest, so that later holders and restarts of all miss no more. Other windows without a stored report or known counts are logged as E843 and counted.

--- a/common/log.cc
+++ b/common/log.cc
@@ -286,6 +286,8 @@
       return "rollout_ignored";
     case log_event::kUsageCountsUnreadable:
       return "usage_counts_unreadable";
+    case log_event::kUsageWindowInDoubt:
+      return "usage_window_in_doubt";
     case log_event::kUsageReported:
       return "usage_reported";
     case log_event::kEnginesOrdered:
--- a/common/log.h
+++ b/common/log.h
@@ -95,6 +95,7 @@
   kUsageReported = 840,
   kEnginesOrdered = 841,
   kUsageCountsUnreadable = 842,
+  kUsageWindowInDoubt = 843,
   kSettingsReloaded = 850,
   kTaskFailed = 851,
   kRolloutStep = 860,
--- a/entry/duty_runner.h
+++ b/entry/duty_runner.h
@@ -60,8 +60,9 @@
   // must not delay the renewal of the lease.
   awaitable<void> RunReports() {
     for (;;) {
+      usage_.ObserveEra();
       if (fencing() != 0) {
-        co_await usage_.Report([this] { return fencing(); });
+        co_await usage_.Report([this] { return lease_.Tenure(); });
       }
       co_await Pause(kRoundInterval);
     }
@@ -75,9 +76,7 @@
   }
 
   // The fencing number of the lease if this instance may act under it, else 0.
-  std::uint64_t fencing() const {
-    return lease_.MayAct() ? lease_.fencing() : 0;
-  }
+  std::uint64_t fencing() const { return lease_.Tenure().fencing; }
 
  private:
   static constexpr duration kRoundInterval = std::chrono::milliseconds(300);
--- a/entry/gateway_admin.cc
+++ b/entry/gateway_admin.cc
@@ -212,6 +212,8 @@
   AppendCounter(out, "crashed_attempts_total",
                 counters.crashed_attempts.load());
   AppendCounter(out, "blocked_calls_total", counters.blocked_calls.load());
+  AppendCounter(out, "usage_windows_in_doubt_total",
+                counters.usage_windows_in_doubt.load());
   AppendCounter(out, "refused_late_total", counters.refused_late.load());
   AppendCounter(out, "refused_for_urgency_total",
                 counters.refused_for_urgency.load());
--- a/entry/gateway_state.h
+++ b/entry/gateway_state.h
@@ -71,6 +71,9 @@
   // that were refused because a part of their prompt crashes upstreams.
   std::atomic<std::uint64_t> crashed_attempts{0};
   std::atomic<std::uint64_t> blocked_calls{0};
+  // Windows that were not reported, since the store may have lost final counts
+  // of them which were sent.
+  std::atomic<std::uint64_t> usage_windows_in_doubt{0};
   // Messages to other instances: those that wait to be sent, those that were
   // dropped, and the longest wait of those sent since the last report.
   std::atomic<std::uint64_t> queued_reports{0};
--- a/entry/lease_runner.h
+++ b/entry/lease_runner.h
@@ -79,6 +79,12 @@
   bool MayAct() const {
     return holder_.MayAct(clock_.Now()) && !IsFromEarlierEra();
   }
+  // The fencing number, 0 while this process may not act, and since when no
+  // other process has acted.
+  lease_tenure Tenure() const {
+    return MayAct() ? lease_tenure{holder_.fencing(), sole_since_}
+                    : lease_tenure{};
+  }
   // Another instance has held the lease with this fencing number.
   void NoteFencing(std::uint64_t fencing) {
     heard_fencing_ = std::max(heard_fencing_, fencing);
@@ -101,6 +107,8 @@
     std::uint64_t expected_version = 0;
     // Era of the store when the write was begun.
     std::uint64_t era = 0;
+    // Since when no other process has acted, if the write takes effect.
+    time_point sole_since;
     // Whether it must be sent again, because the stored version is unchanged.
     bool resend = false;
   };
@@ -110,9 +118,14 @@
   }
 
   void StartWrite(lease_record record, std::uint64_t expected_version) {
-    holder_.BeginWrite(clock_.Now());
-    pending_ =
-        pending_write{std::move(record), expected_version, SeenEra(), false};
+    const time_point now = clock_.Now();
+    // A renewal replaces the version that this process has written. A takeover
+    // is one from another process unless this one may resume.
+    const bool continues =
+        holder_.version() != 0 && (!IsFromEarlierEra() || MayResume());
+    holder_.BeginWrite(now);
+    pending_ = pending_write{std::move(record), expected_version, SeenEra(),
+                             continues ? sole_since_ : now, false};
   }
 
   std::uint64_t SeenEra() const { return era_ == nullptr ? 0 : era_->seen(); }
@@ -231,6 +244,7 @@
 
   lease_step_result CompleteWrite(std::uint64_t version) {
     seen_ = pending_->record;
+    sole_since_ = pending_->sole_since;
     holder_.WriteSucceeded(version, pending_->record);
     pending_.reset();
     return lease_step_result::kHeld;
@@ -245,6 +259,7 @@
   std::uint64_t heard_fencing_ = 0;
   lease_holder holder_;
   lease_observer observer_;
+  time_point sole_since_ = time_point::max();
   std::optional<lease_record> seen_;
   std::optional<pending_write> pending_;
 };
--- a/entry/usage_checkpoint.h
+++ b/entry/usage_checkpoint.h
@@ -40,6 +40,9 @@
   // copy with those read before.
   const usage_counts& stored() const { return stored_; }
 
+  // The start of an era that was last read with the counts.
+  const era_start& start() const { return start_; }
+
   // Reads the object unless its version is known. False if the store did not
   // respond.
   awaitable<bool> Load(deadline until) {
@@ -51,10 +54,12 @@
     if (!object) {
       if (object.error() == store_error::kNotFound) {
         version_ = kNoObject;
+        start_ = {};
       }
       co_return version_.has_value();
     }
     version_ = object->version;
+    start_ = DecodeEraStart(object->value);
     if (auto counts = DecodeUsageCounts(object->value)) {
       // An older copy of the store may lack counts that were read before, until
       // they have been stored again.
@@ -72,16 +77,18 @@
     co_return true;
   }
 
-  // Stores `counts` if they differ from those stored last. False if the store
-  // did not confirm the write.
-  awaitable<bool> Save(const usage_counts& counts, deadline until) {
-    if (saved_ && version_ && *saved_ == counts) {
+  // Stores `counts` and the start of the present era if they differ from those
+  // stored last. False if the store did not confirm the write.
+  awaitable<bool> Save(const usage_counts& counts,
+                       deadline until,
+                       const era_start& start = {}) {
+    if (saved_ && version_ && *saved_ == counts && saved_start_ == start) {
       co_return true;
     }
     if (!co_await Load(until)) {
       co_return false;
     }
-    const std::string text = EncodeUsageCounts(counts);
+    const std::string text = EncodeUsageCounts(counts, start);
     const auto written =
         *version_ == kNoObject
             ? co_await store_.Create(kUsageCountsKind, kUsageCountsName, text,
@@ -95,6 +102,7 @@
     }
     version_ = *written;
     saved_ = counts;
+    saved_start_ = start;
     keeps_read_ = false;
     co_return true;
   }
@@ -116,7 +124,9 @@
   std::uint64_t loaded_era_ = 0;
   // Whether the counts read before may be missing in the store.
   bool keeps_read_ = false;
+  era_start start_;
   std::optional<usage_counts> saved_;
+  era_start saved_start_;
 };
 
 }  // namespace anvilloom
--- a/entry/usage_record.cc
+++ b/entry/usage_record.cc
@@ -86,14 +86,28 @@
   return report;
 }
 
-std::string EncodeUsageCounts(const usage_counts& counts) {
+std::string EncodeUsageCounts(const usage_counts& counts,
+                              const era_start& start) {
   json::array processes;
   for (const auto& [process, windows] : counts.processes()) {
     processes.push_back(json::object{{"name", process.name},
                                      {"epoch", process.epoch},
                                      {"windows", EncodeWindows(windows)}});
   }
-  return json::serialize(json::object{{"processes", std::move(processes)}});
+  json::object encoded{{"processes", std::move(processes)}};
+  if (start.era != 0) {
+    encoded["era"] = start.era;
+    encoded["first_window"] = start.first_window;
+  }
+  return json::serialize(encoded);
+}
+
+era_start DecodeEraStart(std::string_view text) {
+  const auto parsed = ParseJson(text);
+  const auto era = parsed ? UnsignedMember(*parsed, "era") : std::nullopt;
+  const auto first =
+      parsed ? UnsignedMember(*parsed, "first_window") : std::nullopt;
+  return era && first ? era_start{*era, *first} : era_start{};
 }
 
 std::optional<usage_counts> DecodeUsageCounts(std::string_view text) {
--- a/entry/usage_reporter.h
+++ b/entry/usage_reporter.h
@@ -1,8 +1,10 @@
 // Defines usage_reporter, which reports the usage of each accounting window to
-// the cloud once, with the same counts whichever instance reports it.
+// the cloud once, with the same counts whichever instance reports it, also when
+// the store comes back from an older copy.
 #ifndef ENTRY_USAGE_REPORTER_H_
 #define ENTRY_USAGE_REPORTER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -19,6 +21,7 @@
 #include "entry/gateway_state.h"
 #include "entry/usage_checkpoint.h"
 #include "entry/usage_record.h"
+#include "instances/lease.h"
 #include "instances/peer_report.h"
 #include "wire/object_store.h"
 
@@ -27,6 +30,11 @@
 // Object kind of the final usage reports. The object name is the window number.
 inline constexpr std::string_view kUsageKind = "usage-reports";
 
+// A store that comes back from an older copy may have lost the final counts of
+// a window that was reported. The cloud can't be asked, so a window that may
+// have been reported in an earlier era of the store is in doubt unless its
+// final counts are known or stored: it is not reported.
+//
 // Not thread-safe; used on the control thread only.
 template <object_store Store, cloud_duties Cloud>
 class usage_reporter {
@@ -41,14 +49,26 @@
         cloud_(cloud),
         checkpoint_(store) {}
 
-  // Reports the ended windows whose counts are complete and saves the counts of
-  // the others. `fencing` returns the fencing number of the duty lease, or 0
-  // once the lease is lost.
-  awaitable<void> Report(const std::function<std::uint64_t()>& fencing) {
+  // Notes the era of the store. Called several times a second, whether this
+  // instance holds the lease or not: no window that settles after an era was
+  // first seen has been reported in an earlier one.
+  void ObserveEra() {
     const std::uint64_t era = state_.era.seen();
-    if (loaded_fencing_ != fencing() || loaded_era_ != era) {
-      loaded_fencing_ = fencing();
+    if (std::exchange(seen_era_, era) != era) {
+      era_seen_at_ = state_.clock.Now();
+    }
+  }
+
+  // Reports the ended windows whose counts are complete and saves the counts of
+  // the others. `tenure` returns that of the duty lease.
+  awaitable<void> Report(const std::function<lease_tenure()>& tenure) {
+    ObserveEra();
+    const std::uint64_t era = seen_era_;
+    const lease_tenure held = tenure();
+    if (loaded_fencing_ != held.fencing || loaded_era_ != era) {
+      loaded_fencing_ = held.fencing;
       checkpoint_.Invalidate();
+      in_doubt_.clear();
     }
     if (std::exchange(loaded_era_, era) != era) {
       // An older copy of the store may lack them. Windows that are no longer
@@ -62,11 +82,15 @@
     if (!co_await checkpoint_.Load(CallDeadline())) {
       co_return;
     }
+    if (state_.era.seen() != era) {
+      co_return;  // The counts may be those of the next era.
+    }
+    EstablishStart(held.since);
     const std::uint64_t current = state_.CurrentWindow();
     for (std::uint64_t window = current - kEarlierWindows - 1; window < current;
          ++window) {
       if (!reported_.contains(window) && HasSettled(window)) {
-        co_await ReportWindow(window, fencing);
+        co_await ReportWindow(window, tenure);
       }
     }
     while (reported_.size() > 2 * kEarlierWindows) {
@@ -98,6 +122,10 @@
   // By this time after the end of a window, the final counts of all reachable
   // instances have arrived.
   static constexpr duration kMinSettleTime = std::chrono::milliseconds(1500);
+  // Another holder may have found a window settled this much earlier, since
+  // clocks differ.
+  static constexpr duration kMaxClockDifference =
+      std::chrono::milliseconds(500);
   // Maximum time to wait for the counts of an instance that is partitioned or
   // paused. The report is due ten seconds after the window, and another holder
   // may have to send it.
@@ -117,6 +145,37 @@
     return deadline::After(state_.clock.Now(), kCallTimeout);
   }
 
+  // The first window that no holder can have found settled by `at`.
+  std::uint64_t FirstUnsettled(time_point at) const {
+    const duration ended =
+        at.time_since_epoch() +
+        duration(state_.wall_offset_us.load(std::memory_order_relaxed)) -
+        kMinSettleTime + kMaxClockDifference;
+    return static_cast<std::uint64_t>(
+        std::max<std::int64_t>(ended / state_.settings.usage_window, 0));
+  }
+
+  // Determines the first window that can't have been reported in an earlier
+  // era. An earlier holder of this era has stored it, if there was one.
+  // Otherwise it is the first that settled after this process had seen the era,
+  // or after `sole_since`, when the last other holder had stopped acting.
+  void EstablishStart(time_point sole_since) {
+    if (seen_era_ == 0 || start_.era == seen_era_) {
+      return;
+    }
+    start_ =
+        checkpoint_.start().era == seen_era_
+            ? checkpoint_.start()
+            : era_start{seen_era_,
+                        FirstUnsettled(std::min(era_seen_at_, sole_since))};
+  }
+  // Whether final counts of a window may have been sent that neither the store
+  // nor this instance knows.
+  bool IsInDoubt(std::uint64_t window) const {
+    return state_.era.seen() != 0 && !final_.contains(window) &&
+           (start_.era != state_.era.seen() || window < start_.first_window);
+  }
+
   // Merges the counts of the other instances, of this one, and those stored by
   // earlier holders.
   usage_counts MergeCounts() const {
@@ -161,7 +220,7 @@
     checkpoint_.RetainWindows(current - kEarlierWindows, current + 1);
     // Counts that could not be saved are part of the next write. The kind
     // followers log a store outage.
-    co_await checkpoint_.Save(counts, CallDeadline());
+    co_await checkpoint_.Save(counts, CallDeadline(), start_);
   }
 
   // The final counts of a window, and where they come from, for the log.
@@ -175,6 +234,9 @@
   // respond.
   awaitable<std::optional<final_report>> StoreOrReadReport(
       std::uint64_t window) {
+    if (IsInDoubt(window)) {
+      co_return co_await ReadReport(window);
+    }
     const std::string name = std::to_string(window);
     const auto known = final_.find(window);
     final_report next = known == final_.end()
@@ -183,17 +245,38 @@
     const auto created = co_await store_.Create(
         kUsageKind, name, EncodeUsage(next.report), CallDeadline());
     if (!created) {
-      const auto stored = co_await store_.Get(kUsageKind, name, CallDeadline());
-      auto report = stored ? DecodeUsage(stored->value) : std::nullopt;
-      if (!report) {
-        co_return std::nullopt;
-      }
-      next = {std::move(*report), "stored"};
+      co_return co_await ReadReport(window);
     }
     Announce(next.report);
     co_return next;
   }
 
+  // Returns the stored report, or nothing if there is none or the store did not
+  // respond. One that is missing of a window in doubt is not read again, since
+  // only a holder creates it.
+  awaitable<std::optional<final_report>> ReadReport(std::uint64_t window) {
+    if (in_doubt_.contains(window)) {
+      co_return std::nullopt;
+    }
+    const auto stored =
+        co_await store_.Get(kUsageKind, std::to_string(window), CallDeadline());
+    auto report = stored ? DecodeUsage(stored->value) : std::nullopt;
+    if (report) {
+      Announce(*report);
+      co_return final_report{std::move(*report), "stored"};
+    }
+    if (!stored && stored.error() == store_error::kNotFound &&
+        IsInDoubt(window)) {
+      in_doubt_.insert(window);
+      state_.counters.usage_windows_in_doubt.fetch_add(
+          1, std::memory_order_relaxed);
+      Log(log_level::kWarning, log_event::kUsageWindowInDoubt,
+          {{"window", std::to_string(window)},
+           {"first_window", std::to_string(start_.first_window)}});
+    }
+    co_return std::nullopt;
+  }
+
   // Tells the next holders what is going to be reported. A store that tells no
   // era keeps what it has acknowledged.
   void Announce(const usage_report& report) {
@@ -227,9 +310,9 @@
   }
 
   awaitable<void> ReportWindow(std::uint64_t window,
-                               const std::function<std::uint64_t()>& fencing) {
+                               const std::function<lease_tenure()>& tenure) {
     const auto found = co_await StoreOrReadReport(window);
-    const std::uint64_t number = fencing();
+    const std::uint64_t number = tenure().fencing;
     if (!found || number == 0) {
       co_return;  // Retried in the next round.
     }
@@ -260,6 +343,12 @@
   std::uint64_t loaded_fencing_ = 0;
   deadline save_at_ = deadline(time_point::min());
   std::uint64_t loaded_era_ = 0;
+  // The era of the store that was seen last, and when it was first seen.
+  std::uint64_t seen_era_ = 0;
+  time_point era_seen_at_ = time_point::min();
+  era_start start_;
+  // Windows in doubt whose final counts the store lacks.
+  std::set<std::uint64_t> in_doubt_;
   std::set<std::uint64_t> reported_;
   // The final counts of the latest windows, and those that may have to be
   // stored again.
--- a/instances/lease.h
+++ b/instances/lease.h
@@ -44,6 +44,14 @@
   duration return_delay{0};
 };
 
+// What a process may do under a lease now.
+struct lease_tenure {
+  // 0 while it may not act.
+  std::uint64_t fencing = 0;
+  // Since when no other process has acted under the lease.
+  time_point since = time_point::max();
+};
+
 // Returns the record that takes over from `current`, or that creates the lease
 // if there is none, with a fencing number above that of `current` and above
 // `used`. The write must be conditional on the version at which `current` was
