Ask for the final counts of windows that other instances know

An instance that starts after a window was reported, or that loses the one datagram with its final counts, never learnt them. If it became the holder after the store had come back from a copy, the window was in doubt and missed, although other instances knew its counts.

Cause: the counts were told once, to the processes of that moment.

Change: reports to the instances that need the usage name the windows whose final counts the sender knows; who lacks one that a holder may still have to report asks for it, with each report until it knows it. That covers restarts in turn, planned stops and lost messages. A window without requests can be told, too. Nothing is sent where the store tells no era.

--- a/entry/duty_runner.h
+++ b/entry/duty_runner.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "common/log.h"
 #include "entry/engine_scaler.h"
@@ -68,12 +69,34 @@
     }
   }
 
-  // Takes the final counts of a window from the holder.
+  // Learns the final counts of windows that other instances know, and tells
+  // those that this one knows.
   void Take(const peer_report& report) {
-    if (report.content == report_content::kFinalUsage) {
-      usage_.Remember(report.begun);
+    if (report.name == state_.settings.name) {
+      return;
+    }
+    switch (report.content) {
+      case report_content::kFinalUsage:
+        RememberUsage(report);
+        break;
+      case report_content::kUsageQuestion:
+        AnswerUsage(report);
+        break;
+      case report_content::kWhole:
+        AskForUsage(report);
+        break;
+      default:
+        break;
     }
   }
+  // The windows whose final counts this instance knows.
+  std::vector<std::uint64_t> FinalWindows() const {
+    return usage_.FinalWindows();
+  }
+  // The final counts of a window; null if this instance does not know them.
+  const usage_report* FindFinal(std::uint64_t window) const {
+    return usage_.FindFinal(window);
+  }
 
   // The fencing number of the lease if this instance may act under it, else 0.
   std::uint64_t fencing() const { return lease_.Tenure().fencing; }
@@ -98,6 +121,37 @@
     return terms;
   }
 
+  void RememberUsage(const peer_report& report) {
+    if (report.final_windows.empty()) {
+      return;
+    }
+    usage_report final{report.final_windows.front(), {}};
+    for (const usage_count& each : report.begun) {
+      final.requests[each.workspace] = each.requests;
+    }
+    usage_.Remember(final);
+  }
+
+  void AnswerUsage(const peer_report& question) {
+    for (const std::uint64_t window : question.final_windows) {
+      if (const usage_report* known = usage_.FindFinal(window)) {
+        state_.usage_sender.answer(question.address, *known);
+      }
+    }
+  }
+
+  // Each report that names a window asks again, so that a lost message delays
+  // the counts by one report. Instances too far behind to become the holder are
+  // told when another one leaves, and don't ask.
+  void AskForUsage(const peer_report& report) {
+    const auto windows = usage_.Lacking(report.final_windows);
+    if (!windows.empty() &&
+        (fencing() != 0 ||
+         peer_reports_.Rank(state_.clock.Now()) <= kUsageReplicas)) {
+      state_.usage_sender.ask(report.address, windows);
+    }
+  }
+
   awaitable<void> MaintainLease() {
     if (state_.draining.load(std::memory_order_relaxed) || !ShouldTryLease()) {
       co_return;
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -109,8 +109,16 @@
     state_.news_after = [this](std::uint64_t through, std::uint64_t version) {
       return tracker_.AnswerNews(through, version);
     };
-    state_.usage_stored = [this](std::span<const usage_count> counts) {
-      reporter_.SendFinalUsage(counts);
+    state_.usage_sender.announce = [this](const usage_report& report) {
+      reporter_.AnnounceFinalUsage(report);
+    };
+    state_.usage_sender.answer = [this](std::string_view address,
+                                        const usage_report& report) {
+      reporter_.SendFinalUsage(address, report);
+    };
+    state_.usage_sender.ask = [this](std::string_view address,
+                                     std::span<const std::uint64_t> windows) {
+      reporter_.AskForUsage(address, windows);
     };
     LimitClients(caller_server_, state_.settings.process, state_.memory);
     caller_server_.SetLimitsInDoubt(
@@ -253,6 +261,7 @@
 
   void CompleteReport(peer_report& report) const {
     report.duty_fencing = duties_.fencing();
+    report.final_windows = duties_.FinalWindows();
     report.suspects = crashes_.BlockedReports();
     tracker_.Complete(report);
   }
--- a/entry/gateway_state.h
+++ b/entry/gateway_state.h
@@ -83,6 +83,8 @@
   latency_histogram whole_answer;
 };
 
+struct usage_report;
+
 // Members are set before the threads start, are atomics, or are read through
 // read-copy-update.
 struct gateway_state {
@@ -181,10 +183,20 @@
   std::function<std::string(std::uint64_t through,
                             std::uint64_t manifest_version)>
       news_after = [](std::uint64_t, std::uint64_t) { return std::string(); };
-  // Called on the control thread when the final counts of a window have been
-  // stored, before they are reported.
-  std::function<void(std::span<const usage_count>)> usage_stored =
-      [](const auto&) {};
+  // Messages on the final counts of windows, sent on the control thread.
+  struct usage_messages {
+    // Tells the instances that may become the holder of the duties that the
+    // counts have been stored, before they are reported.
+    std::function<void(const usage_report&)> announce = [](const auto&) {};
+    // Answers a question.
+    std::function<void(std::string_view address, const usage_report&)> answer =
+        [](auto, const auto&) {};
+    // Asks another instance for the counts that it knows.
+    std::function<void(std::string_view address,
+                       std::span<const std::uint64_t> windows)>
+        ask = [](auto, auto) {};
+  };
+  usage_messages usage_sender;
   // The wall-clock time in microseconds since 1970, on which most instances
   // agree.
   std::int64_t TimeOfDayMicros() const {
--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -232,11 +232,18 @@
   socket_.Send(address, EncodePeerReport(report));
 }
 
-void peer_reporter::SendFinalUsage(std::span<const usage_count> counts) {
+std::string peer_reporter::EncodeFinalUsage(const usage_report& usage) const {
   peer_report report = MakeHeader();
   report.content = report_content::kFinalUsage;
-  report.begun.assign(counts.begin(), counts.end());
-  const std::string message = EncodePeerReport(report);
+  report.final_windows.push_back(usage.window);
+  for (const auto& [workspace, requests] : usage.requests) {
+    report.begun.push_back({usage.window, workspace, requests});
+  }
+  return EncodePeerReport(report);
+}
+
+void peer_reporter::AnnounceFinalUsage(const usage_report& usage) {
+  const std::string message = EncodeFinalUsage(usage);
   for (const auto& each : peer_reports_.Recipients(state_.clock.Now())) {
     if (each.needs_usage) {
       socket_.Send(each.address, message);
@@ -244,6 +251,19 @@
   }
 }
 
+void peer_reporter::SendFinalUsage(std::string_view address,
+                                   const usage_report& usage) {
+  socket_.Send(address, EncodeFinalUsage(usage));
+}
+
+void peer_reporter::AskForUsage(std::string_view address,
+                                std::span<const std::uint64_t> windows) {
+  peer_report report = MakeHeader();
+  report.content = report_content::kUsageQuestion;
+  report.final_windows.assign(windows.begin(), windows.end());
+  socket_.Send(address, EncodePeerReport(report));
+}
+
 std::string peer_reporter::EncodeNews(store_news news) const {
   peer_report report = MakeHeader();
   report.content = report_content::kNews;
@@ -305,8 +325,12 @@
 void peer_reporter::Send() {
   peer_report report = ComposeReport();
   complete_(report);
+  // Only instances that need the usage are told what is known of it.
+  std::vector<std::uint64_t> final_windows =
+      std::exchange(report.final_windows, {});
   const auto without_usage =
       std::make_shared<const std::string>(EncodePeerReport(report));
+  report.final_windows = std::move(final_windows);
   report.begun = state_.usage.Counts();
   const auto with_usage =
       std::make_shared<const std::string>(EncodePeerReport(report));
--- a/entry/peer_reporter.h
+++ b/entry/peer_reporter.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "entry/cloud_duties.h"
 #include "entry/gateway_state.h"
 #include "instances/paced_queue.h"
 #include "instances/peer_report.h"
@@ -46,8 +47,8 @@
   // Sends this instance's load on an upstream to the other instances that use
   // it. Thread-safe.
   void RequestLoad(std::shared_ptr<const pooled_upstream> upstream);
-  // Passes news on to a few other instances. These and the next three calls
-  // send at once, before all messages that wait.
+  // Passes news on to a few other instances. This and the calls up to
+  // SendRollouts() send at once, before all messages that wait.
   void Spread(store_news news);
   // Answers the question of another instance.
   void SendNews(std::string_view address, store_news news);
@@ -58,7 +59,12 @@
   void SendSuspects(std::span<const suspect_report> suspects);
   // Tells the instances that would take over the duty lease the final counts of
   // a window.
-  void SendFinalUsage(std::span<const usage_count> counts);
+  void AnnounceFinalUsage(const usage_report& usage);
+  // Tells one instance.
+  void SendFinalUsage(std::string_view address, const usage_report& usage);
+  // Asks another instance for the final counts of windows.
+  void AskForUsage(std::string_view address,
+                   std::span<const std::uint64_t> windows);
   // Sends rollouts to one instance, or to a few if `address` is empty.
   // `duty_fencing` is that of this instance if it holds the duties.
   void SendRollouts(std::span<const rollout_report> rollouts,
@@ -103,6 +109,7 @@
   void SendLoad(const pooled_upstream& upstream);
   void UpdateFreshLoadFlags(time_point now);
   peer_report MakeHeader() const;
+  std::string EncodeFinalUsage(const usage_report& usage) const;
   void ComposeSent(const serving_view& view, peer_report& report) const;
   // The interval until the next report, and its values while starting up and
   // afterwards.
--- a/entry/usage_reporter.h
+++ b/entry/usage_reporter.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <set>
@@ -101,21 +102,38 @@
 
   // Remembers the final counts of a window, which this instance or another one
   // has stored: the object may be gone when the store comes back from a copy.
-  void Remember(std::span<const usage_count> counts) {
-    if (counts.empty()) {
-      return;
-    }
-    usage_report& report = final_[counts.front().window];
-    if (report.requests.empty()) {
-      report.window = counts.front().window;
-      for (const usage_count& each : counts) {
-        report.requests[each.workspace] = each.requests;
-      }
-    }
+  void Remember(const usage_report& report) {
+    final_.try_emplace(report.window, report);
     while (final_.size() > 2 * kEarlierWindows) {
       final_.erase(final_.begin());
     }
   }
+  // The windows whose final counts are known, and the counts of one; null if
+  // they are not known.
+  std::vector<std::uint64_t> FinalWindows() const {
+    std::vector<std::uint64_t> windows;
+    for (const auto& [window, report] : final_) {
+      windows.push_back(window);
+    }
+    return windows;
+  }
+  const usage_report* FindFinal(std::uint64_t window) const {
+    const auto found = final_.find(window);
+    return found == final_.end() ? nullptr : &found->second;
+  }
+  // Those of `windows` that a holder may have to report and whose final counts
+  // are not known here.
+  std::vector<std::uint64_t> Lacking(
+      std::span<const std::uint64_t> windows) const {
+    const std::uint64_t current = state_.CurrentWindow();
+    std::vector<std::uint64_t> lacking;
+    std::ranges::copy_if(
+        windows, std::back_inserter(lacking), [&](std::uint64_t window) {
+          return window < current && window + kEarlierWindows + 1 >= current &&
+                 !final_.contains(window);
+        });
+    return lacking;
+  }
 
  private:
   static constexpr duration kCallTimeout = std::chrono::milliseconds(1000);
@@ -283,12 +301,8 @@
     if (state_.era.seen() == 0) {
       return;
     }
-    std::vector<usage_count> counts;
-    for (const auto& [workspace, requests] : report.requests) {
-      counts.push_back({report.window, workspace, requests});
-    }
-    Remember(counts);
-    state_.usage_stored(counts);
+    Remember(report);
+    state_.usage_sender.announce(report);
   }
 
   // Creates one object that an older copy of the store may lack; one in each
--- a/instances/peer_report.cc
+++ b/instances/peer_report.cc
@@ -12,10 +12,6 @@
 // seconds a report lists all workspaces. The third second allows for the delay
 // until that report arrives.
 constexpr duration kFullGrantsInterval = std::chrono::seconds(3);
-// Number of instances besides the duty lease holder that receive all usage
-// counts, so that the next holder has them. With three, killing most of seven
-// instances at once lost counts that no survivor had.
-constexpr std::size_t kUsageReplicas = 7;
 
 }  // namespace
 
--- a/instances/peer_report.h
+++ b/instances/peer_report.h
@@ -53,16 +53,22 @@
 // loss of one fragment loses the whole datagram.
 inline constexpr std::size_t kChangesPerReport = 10;
 
+// Number of instances besides the duty lease holder that receive all usage
+// counts, so that the next holder has them. With three, killing most of seven
+// instances at once lost counts that no survivor had.
+inline constexpr std::size_t kUsageReplicas = 7;
+
 // What a report contains. Fields that are not part of it are empty.
 enum class report_content : std::uint8_t {
   kWhole,
-  kChanges,       // Only changes of announcements.
-  kLoad,          // Only the work at the upstreams that the report lists.
-  kSuspects,      // Only prompt parts that may crash upstreams.
-  kNews,          // Only news of the store.
-  kNewsQuestion,  // Only a question for news.
-  kFinalUsage,    // Only the final counts of a window, in `begun`.
-  kRollouts,      // Only rollouts.
+  kChanges,        // Only changes of announcements.
+  kLoad,           // Only the work at the upstreams that the report lists.
+  kSuspects,       // Only prompt parts that may crash upstreams.
+  kNews,           // Only news of the store.
+  kNewsQuestion,   // Only a question for news.
+  kFinalUsage,     // Only the final counts of a window, in `begun`.
+  kRollouts,       // Only rollouts.
+  kUsageQuestion,  // Only a question for the final counts of windows.
 };
 
 // Reports carry absolute values, never differences, so lost and repeated
@@ -98,6 +104,9 @@
   bool has_refused = false;
   // Requests that were started.
   std::vector<usage_count> begun;
+  // Accounting windows whose final counts the sender knows; those that it asks
+  // for in a kUsageQuestion, and the one that it tells in a kFinalUsage report.
+  std::vector<std::uint64_t> final_windows;
   std::vector<sent_work> sent;
   std::vector<read_tokens> read;
   // Prompt parts that may crash upstreams; in a whole report the blocked ones.
--- a/test/correctness/recovered_writes_test.cc
+++ b/test/correctness/recovered_writes_test.cc
@@ -108,8 +108,8 @@
       : state_(Settings()),
         store_(shared, state_.era),
         reporter_(state_, peers_, store_, cloud) {
-    state_.usage_stored = [this](std::span<const usage_count> counts) {
-      announced_.emplace_back(counts.begin(), counts.end());
+    state_.usage_sender.announce = [this](const usage_report& report) {
+      announced_.push_back(report);
     };
   }
 
@@ -142,8 +142,8 @@
   }
   // Hears what another instance has announced.
   void HearFrom(const usage_instance& other) {
-    for (const auto& counts : other.announced_) {
-      reporter_.Remember(counts);
+    for (const usage_report& report : other.announced_) {
+      reporter_.Remember(report);
     }
   }
 
@@ -159,7 +159,7 @@
   peer_report_table peers_{"g"};
   seen_store store_;
   usage_reporter<seen_store, billing> reporter_;
-  std::vector<std::vector<usage_count>> announced_;
+  std::vector<usage_report> announced_;
 };
 
 usage_counts CountsOf(std::string_view process, std::uint64_t requests) {
--- a/wire/report_codec.cc
+++ b/wire/report_codec.cc
@@ -302,6 +302,9 @@
     begun->set_workspace(each.workspace);
     begun->set_requests(each.requests);
   }
+  for (const std::uint64_t each : report.final_windows) {
+    message.add_final_windows(each);
+  }
   for (const sent_work& each : report.sent) {
     wire::Sent* sent = message.add_sent();
     sent->set_upstream_hash(each.upstream_hash);
@@ -334,7 +337,7 @@
       message.name().empty() || message.name().size() > kMaxNameBytes ||
       message.wall_us() > kMaxWallUs ||
       message.content() >
-          static_cast<std::uint32_t>(report_content::kRollouts)) {
+          static_cast<std::uint32_t>(report_content::kUsageQuestion)) {
     return std::nullopt;
   }
   peer_report report;
@@ -362,6 +365,12 @@
   for (const wire::Begun& each : message.begun()) {
     report.begun.push_back({each.window(), each.workspace(), each.requests()});
   }
+  report.final_windows.assign(message.final_windows().begin(),
+                              message.final_windows().end());
+  if (report.content == report_content::kFinalUsage &&
+      report.final_windows.empty() && !report.begun.empty()) {
+    report.final_windows.push_back(report.begun.front().window);
+  }
   for (const wire::Sent& each : message.sent()) {
     report.sent.push_back({each.upstream_hash(), each.running(),
                            each.unread_tokens(),
