Ask for the status of an order before its first step

After the store had come back from a copy without the status of a rollout, a holder that had started since began the order again: calls went to a version that had been found bad, although other instances knew that it was.

Cause: the status is told when it changes; later only the holder repeats it. A process that starts takes what the store holds for all that is known.

Other stores are used as before.

--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -232,18 +232,28 @@
   socket_.Send(address, EncodePeerReport(report));
 }
 
-std::string peer_reporter::EncodeFinalUsage(const usage_report& usage) const {
+peer_report peer_reporter::MakeFinalUsage(const usage_report& usage) const {
   peer_report report = MakeHeader();
   report.content = report_content::kFinalUsage;
   report.final_windows.push_back(usage.window);
   for (const auto& [workspace, requests] : usage.requests) {
     report.begun.push_back({usage.window, workspace, requests});
   }
-  return EncodePeerReport(report);
+  return report;
 }
 
 void peer_reporter::AnnounceFinalUsage(const usage_report& usage) {
-  const std::string message = EncodeFinalUsage(usage);
+  SendToSuccessors(MakeFinalUsage(usage));
+}
+
+void peer_reporter::AskForRollouts() {
+  peer_report report = MakeHeader();
+  report.content = report_content::kRolloutQuestion;
+  SendToSuccessors(report);
+}
+
+void peer_reporter::SendToSuccessors(const peer_report& report) {
+  const std::string message = EncodePeerReport(report);
   for (const auto& each : peer_reports_.Recipients(state_.clock.Now())) {
     if (each.needs_usage) {
       socket_.Send(each.address, message);
@@ -253,7 +263,7 @@
 
 void peer_reporter::SendFinalUsage(std::string_view address,
                                    const usage_report& usage) {
-  socket_.Send(address, EncodeFinalUsage(usage));
+  socket_.Send(address, EncodePeerReport(MakeFinalUsage(usage)));
 }
 
 void peer_reporter::AskForUsage(std::string_view address,
--- a/entry/peer_reporter.h
+++ b/entry/peer_reporter.h
@@ -48,7 +48,7 @@
   // it. Thread-safe.
   void RequestLoad(std::shared_ptr<const pooled_upstream> upstream);
   // Passes news on to a few other instances. This and the calls up to
-  // SendRollouts() send at once, before all messages that wait.
+  // AskForRollouts() send at once, before all messages that wait.
   void Spread(store_news news);
   // Answers the question of another instance.
   void SendNews(std::string_view address, store_news news);
@@ -70,6 +70,9 @@
   void SendRollouts(std::span<const rollout_report> rollouts,
                     std::uint64_t duty_fencing,
                     std::string_view address);
+  // Asks the instances that would take over the duty lease for the rollouts
+  // that they know.
+  void AskForRollouts();
   // Encodes news for an instance that asked for them.
   std::string EncodeNews(store_news news) const;
   // Sends reports; never returns. `complete` fills in the fields owned by other
@@ -109,7 +112,10 @@
   void SendLoad(const pooled_upstream& upstream);
   void UpdateFreshLoadFlags(time_point now);
   peer_report MakeHeader() const;
-  std::string EncodeFinalUsage(const usage_report& usage) const;
+  peer_report MakeFinalUsage(const usage_report& usage) const;
+  // Sends a report at once to the instances that would take over the duty
+  // lease.
+  void SendToSuccessors(const peer_report& report);
   void ComposeSent(const serving_view& view, peer_report& report) const;
   // The interval until the next report, and its values while starting up and
   // afterwards.
--- a/entry/rollout_runner.h
+++ b/entry/rollout_runner.h
@@ -104,6 +104,9 @@
         // The watch delivers an order before this next round.
         table_.Settle(std::move(last_announced_));
         table_.ConfirmAsHolder(fencing, now);
+        if (table_.AwaitsStatus(now)) {
+          reporter_.AskForRollouts();
+        }
         co_await WriteSteps();
         Publish();
       }
@@ -123,6 +126,11 @@
     if (report.duty_fencing != 0) {
       holder_address_ = report.address;
     }
+    if (report.content == report_content::kRolloutQuestion) {
+      reporter_.SendRollouts(table_.Reports(now, false), fencing_(),
+                             report.address);
+      return;
+    }
     std::vector<std::string> news;
     for (const rollout_report& each : report.rollouts) {
       if (table_.Take(report.name, report.epoch, each, now)) {
--- a/instances/peer_report.h
+++ b/instances/peer_report.h
@@ -61,14 +61,15 @@
 // What a report contains. Fields that are not part of it are empty.
 enum class report_content : std::uint8_t {
   kWhole,
-  kChanges,        // Only changes of announcements.
-  kLoad,           // Only the work at the upstreams that the report lists.
-  kSuspects,       // Only prompt parts that may crash upstreams.
-  kNews,           // Only news of the store.
-  kNewsQuestion,   // Only a question for news.
-  kFinalUsage,     // Only the final counts of a window, in `begun`.
-  kRollouts,       // Only rollouts.
-  kUsageQuestion,  // Only a question for the final counts of windows.
+  kChanges,          // Only changes of announcements.
+  kLoad,             // Only the work at the upstreams that the report lists.
+  kSuspects,         // Only prompt parts that may crash upstreams.
+  kNews,             // Only news of the store.
+  kNewsQuestion,     // Only a question for news.
+  kFinalUsage,       // Only the final counts of a window, in `begun`.
+  kRollouts,         // Only rollouts.
+  kUsageQuestion,    // Only a question for the final counts of windows.
+  kRolloutQuestion,  // Only a question for rollouts.
 };
 
 // Reports carry absolute values, never differences, so lost and repeated
--- a/instances/rollout_table.cc
+++ b/instances/rollout_table.cc
@@ -127,8 +127,18 @@
   bool news = false;
   if (told.started_ms != kNotBegun &&
       (found == known_.end() || Supersedes(told, found->second.record))) {
+    // An order that was read without its status: the store has lost that.
+    const std::uint64_t lost_at =
+        found != known_.end() && !found->second.begun &&
+                found->second.record.order == told.order
+            ? found->second.revision
+            : 0;
     Adopt(told, now);
     found = known_.find(told.order.service);
+    if (lost_at != 0) {
+      found->second.revision = lost_at;
+      found->second.is_behind = true;
+    }
     news = true;
   }
   if (found == known_.end() ||
@@ -301,6 +311,18 @@
   return situation;
 }
 
+bool rollout_table::AwaitsStatus(const known_rollout& known,
+                                 time_point now) const {
+  return EraOf(known.revision) != 0 && !known.deleted && !known.begun &&
+         now < std::max(known.step_seen_at, holder_since_) + timing_.delivery();
+}
+
+bool rollout_table::AwaitsStatus(time_point now) const {
+  return std::ranges::any_of(known_, [&](const auto& entry) {
+    return AwaitsStatus(entry.second, now);
+  });
+}
+
 std::vector<rollout_table::write> rollout_table::DueWrites(
     time_point now,
     std::uint64_t now_ms) {
@@ -311,6 +333,9 @@
     }
     rollout_record next = known.record;
     if (!known.begun) {
+      if (AwaitsStatus(known, now)) {
+        continue;
+      }
       next.started_ms = now_ms;
       next.step_ms = now_ms;
       if (next.order.time_limit <= duration::zero()) {
--- a/instances/rollout_table.h
+++ b/instances/rollout_table.h
@@ -95,6 +95,10 @@
   // Records that this instance holds the duties under this fencing number, so
   // that its records are those that are stored.
   void ConfirmAsHolder(std::uint64_t fencing, time_point now);
+  // Whether an order that was read seems not to have begun, but another
+  // instance may know its status, which the store may have lost. Its first step
+  // is not due before.
+  bool AwaitsStatus(time_point now) const;
   // Returns the records to store, for the holder of the duties.
   std::vector<write> DueWrites(time_point now, std::uint64_t now_ms);
   // Takes a record that was stored with the given revision.
@@ -148,6 +152,7 @@
   static constexpr std::int64_t kWarmUpDivisor = 5;
   static constexpr duration kMaxWarmUp = std::chrono::seconds(3);
 
+  bool AwaitsStatus(const known_rollout& known, time_point now) const;
   known_rollout& Begin(const rollout_record& record, time_point now);
   void Adopt(const rollout_record& record, time_point now);
   void Confirm(known_rollout& known, time_point at) const;
--- a/test/correctness/recovered_writes_test.cc
+++ b/test/correctness/recovered_writes_test.cc
@@ -208,7 +208,12 @@
     REQUIRE(written.has_value());
     table.HandleStored(record, *written, now);
   }
+  // Writes as the holder, once other instances could have told what they know.
   void WriteDue(std::uint64_t now_ms) {
+    now += rollout_timing().delivery();
+    WriteAtOnce(now_ms);
+  }
+  void WriteAtOnce(std::uint64_t now_ms) {
     for (const auto& each : table.DueWrites(now, now_ms)) {
       Store(each.record, each.revision);
     }
@@ -605,6 +610,36 @@
         }
       }
     }
+    WHEN("a process that has started since becomes the holder") {
+      rollout_instance next(store, "g4");
+      next.Read();
+      next.WriteAtOnce(kNowMs + 60'000);
+      const bool asks = next.table.AwaitsStatus(next.now);
+      AND_WHEN("another instance answers it") {
+        if (asks) {
+          next.HearFrom(listener);
+        }
+        next.WriteAtOnce(kNowMs + 60'000);
+        THEN("the status is stored as it was, unless the copy has one") {
+          const auto stored = next.Stored();
+          REQUIRE(stored);
+          REQUIRE(stored->status);
+          CHECK(asks == (moment == copy_moment::kBeforeWrite));
+          CHECK(stored->status->started_ms == kNowMs);
+          CHECK((!asks || stored->status->step == last));
+        }
+      }
+      AND_WHEN("no process is left that knows the status") {
+        next.WriteDue(kNowMs + 60'000);
+        THEN("an order without a status is begun") {
+          const auto stored = next.Stored();
+          REQUIRE(stored);
+          REQUIRE(stored->status);
+          CHECK(stored->status->started_ms ==
+                (asks ? kNowMs + 60'000 : kNowMs));
+        }
+      }
+    }
   }
 }
 
--- a/wire/report_codec.cc
+++ b/wire/report_codec.cc
@@ -337,7 +337,7 @@
       message.name().empty() || message.name().size() > kMaxNameBytes ||
       message.wall_us() > kMaxWallUs ||
       message.content() >
-          static_cast<std::uint32_t>(report_content::kUsageQuestion)) {
+          static_cast<std::uint32_t>(report_content::kRolloutQuestion)) {
     return std::nullopt;
   }
   peer_report report;
