Let each instance store the prompt parts that a recovered store lacks

After the store had come back from a copy without blocked prompt parts, and the first instance by rank had started since, nobody stored the parts again: after a later restart of all they would crash engines once more.

Cause: only the first instance by rank writes the object, and only what it knows; the instances that knew the parts left it to that one.

Change: in a new era of the store, each instance that knows parts reads the object once, at a time drawn as for the entries of the instances, and writes it if it lacks a part, an end or a verdict. restore_schedule has the drawing of both. A coroutine that returned co_return co_await Write() ended in the trap that GCC 12 emits for an impossible resumption, also with the address sanitizer, which found no memory error; the result is stored first.

Result: recovered_writes_test and suspect_checkpoint_test check the parts and the calls; the interface is new, so they can't run on the code before. There, StoreSuspects() skips every instance but the first.

--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -31,6 +31,7 @@
 #include "entry/store_tracker.h"
 #include "entry/supervised_task.h"
 #include "entry/suspect_checkpoint.h"
+#include "instances/restore_schedule.h"
 #include "instances/stop_schedule.h"
 #include "wire/endpoint.h"
 #include "wire/http_client.h"
@@ -208,8 +209,6 @@
   static constexpr duration kStoreSuspectsDelay =
       std::chrono::milliseconds(250);
   static constexpr duration kStoreSuspectsInterval = std::chrono::seconds(1);
-  // Time for each instance in which all create their entries again.
-  static constexpr duration kRestoreInterval = std::chrono::milliseconds(10);
 
   // Sleeps first: Close() and EndReads() take effect on the caller threads a
   // moment later, and may let requests in that have just arrived.
@@ -321,8 +320,7 @@
   }
 
   // Creates this instance's entry again after the store has come back from an
-  // older copy, which may lack it: once, at a time drawn so that all instances
-  // together make about 100 calls a second.
+  // older copy, which may lack it.
   awaitable<void> RestoreEntry() {
     const time_point now = state_.clock.Now();
     const std::uint64_t era = state_.era.seen();
@@ -330,17 +328,8 @@
         state_.draining.load(std::memory_order_relaxed)) {
       co_return;
     }
-    if (restore_era_ != era) {
-      restore_era_ = era;
-      const double unit = split_mix(thread_random().Next()).NextUnit();
-      const auto members =
-          static_cast<double>(reporter_.peer_reports().Members());
-      restore_at_ = deadline::After(
-          now,
-          duration(static_cast<std::int64_t>(
-              static_cast<double>(kRestoreInterval.count()) * members * unit)));
-    }
-    if (!restore_at_.Expired(now)) {
+    if (!entry_schedule_.IsDue(era, reporter_.peer_reports().Members(),
+                               thread_random(), now)) {
       co_return;
     }
     const auto created = co_await store_.Create(
@@ -358,16 +347,25 @@
   }
 
   // Stores the suspected parts when they change. One instance is enough, since
-  // all learn the same.
+  // all learn the same. That one may have started after the parts were told,
+  // and know less than an older copy of the store lacks: then all store them
+  // again.
   awaitable<void> StoreSuspects() {
     for (;;) {
       co_await Pause(kStoreSuspectsDelay);
       const time_point now = state_.clock.Now();
-      if (stored_suspects_.IsSaved() ||
-          reporter_.peer_reports().Rank(now) != 0) {
+      const deadline until = deadline::After(now, kRegisterTimeout);
+      if (stored_suspects_.MayBeLost() &&
+          suspects_schedule_.IsDue(state_.era.seen(),
+                                   reporter_.peer_reports().Members(),
+                                   thread_random(), now)) {
+        co_await stored_suspects_.Restore(until);
+      } else if (!stored_suspects_.IsSaved() &&
+                 reporter_.peer_reports().Rank(now) == 0) {
+        co_await stored_suspects_.Save(until);
+      } else {
         continue;
       }
-      co_await stored_suspects_.Save(deadline::After(now, kRegisterTimeout));
       co_await Pause(kStoreSuspectsInterval - kStoreSuspectsDelay);
     }
   }
@@ -407,11 +405,10 @@
   duty_runner<typename Platform::store, typename Platform::cloud> duties_;
   stale_entry_remover<typename Platform::store> departed_;
   suspect_checkpoint<typename Platform::store, crash_monitor> stored_suspects_;
-  // The era in which the entry of this instance was created, and the one in
-  // which it is created again, with the time for that.
+  // The era in which the entry of this instance was created.
   std::uint64_t registered_era_ = 0;
-  std::uint64_t restore_era_ = 0;
-  deadline restore_at_ = deadline(time_point::min());
+  restore_schedule entry_schedule_;
+  restore_schedule suspects_schedule_;
   store_tracker<Platform> tracker_;
   rollout_runner<Platform> rollouts_;
   std::vector<std::unique_ptr<http_client>> clients_;
--- a/entry/suspect_checkpoint.h
+++ b/entry/suspect_checkpoint.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "common/log.h"
 #include "common/time.h"
@@ -52,6 +53,27 @@
            (version == 0 || era_.seen() == saved_era_);
   }
 
+  // Whether the store has come back from a copy that may lack what this
+  // instance knows.
+  bool MayBeLost() const {
+    return memory_.stored_version() != 0 && era_.seen() != saved_era_;
+  }
+
+  // Stores what this instance knows if the store lacks any of it. False if the
+  // store did not respond or did not confirm the write.
+  awaitable<bool> Restore(deadline until) {
+    version_.reset();
+    if (!co_await Load(until)) {
+      co_return false;
+    }
+    if (Includes(read_, memory_.Evidence())) {
+      MarkSaved(memory_.stored_version());
+      co_return true;
+    }
+    const bool written = co_await Write(until);
+    co_return written;
+  }
+
   // Reads the object unless its version is known, and takes over its parts.
   // False if the store did not respond.
   awaitable<bool> Load(deadline until) {
@@ -66,6 +88,7 @@
     const bool knew_nothing = memory_.stored_version() == 0;
     version_ = object ? object->version : kNoObject;
     loaded_ = true;
+    read_ = {};
     if (object) {
       TakeOver(*object);
     }
@@ -87,6 +110,18 @@
     if (!co_await Load(until)) {
       co_return false;
     }
+    const bool written = co_await Write(until);
+    co_return written;
+  }
+
+ private:
+  // The version while the object does not exist; versions in the store are
+  // higher.
+  static constexpr std::uint64_t kNoObject = 0;
+
+  // Replaces the object of the version that was read. Callers store the result
+  // before they return it: GCC 12 miscompiles "co_return co_await Write()".
+  awaitable<bool> Write(deadline until) {
     const std::uint64_t saved = memory_.stored_version();
     const std::string text =
         EncodeEvidence(memory_.Evidence(), WallClockMicros());
@@ -106,14 +141,10 @@
     co_return true;
   }
 
- private:
-  // The version while the object does not exist; versions in the store are
-  // higher.
-  static constexpr std::uint64_t kNoObject = 0;
-
   void TakeOver(const stored_object& object) {
-    if (const auto evidence = DecodeEvidence(object.value, WallClockMicros())) {
+    if (auto evidence = DecodeEvidence(object.value, WallClockMicros())) {
       memory_.Restore(*evidence);
+      read_ = std::move(*evidence);
       return;
     }
     // The next write replaces it.
@@ -132,6 +163,8 @@
   // Empty while the object must be read.
   std::optional<std::uint64_t> version_;
   bool loaded_ = false;
+  // What the object held when it was read.
+  suspect_evidence read_;
   // The version of the memory that was stored last, and the store's era then.
   std::uint64_t saved_version_ = 0;
   std::uint64_t saved_era_ = 0;
--- a/instances/suspect_report.h
+++ b/instances/suspect_report.h
@@ -48,6 +48,11 @@
   std::vector<upstream_end> ends;
 };
 
+// Whether `stored` has all that `known` says: each part with as many crashes
+// and the same verdict, and as many ends of upstreams. Exact if `known` has
+// taken over `stored`.
+bool Includes(const suspect_evidence& stored, const suspect_evidence& known);
+
 // Maximum number of crashes that are kept for a part. More than a part causes
 // before it is blocked, together with the calls that are then in flight.
 inline constexpr std::size_t kCrashesPerSuspect = 16;
--- a/test/correctness/recovered_writes_test.cc
+++ b/test/correctness/recovered_writes_test.cc
@@ -522,6 +522,30 @@
         CHECK(parts[1].crashes.size() == kEnds);
       }
     }
+    // Guards against parts that are not stored again because the instance that
+    // usually stores them has started too late to know them.
+    WHEN(
+        "the writer has ended, and an instance that has heard of both stores "
+        "them again") {
+      store_era other_era;
+      seen_store other(store, other_era);
+      suspect_checkpoint<seen_store, remembered_suspects> heard(
+          other, other_era, memory);
+      RunCall(other.Get("any", "any", Soon()));
+      REQUIRE(heard.MayBeLost());
+      REQUIRE(RunCall(heard.Restore(Soon())));
+      THEN("an instance that starts knows both") {
+        REQUIRE_FALSE(heard.MayBeLost());
+        store_era fresh;
+        seen_store start(store, fresh);
+        remembered_suspects known;
+        suspect_checkpoint<seen_store, remembered_suspects> reader(start, fresh,
+                                                                   known);
+        REQUIRE(RunCall(reader.Load(Soon())));
+        CHECK(known.known.size() == 2);
+        CHECK(known.known.blocked() == 2);
+      }
+    }
   }
 }
 
--- a/test/correctness/suspect_checkpoint_test.cc
+++ b/test/correctness/suspect_checkpoint_test.cc
@@ -170,6 +170,35 @@
       }
     }
   }
+  GIVEN("two instances that know the same parts") {
+    running.memory.RecordEnds(kFirst, 3);
+    running.memory.RecordEnds(kSecond, 1);
+    process other(store);
+    other.memory = running.memory;
+    store.TakeCopy();
+    REQUIRE(running.Save());
+    REQUIRE(RunCall(other.checkpoint.Restore(Soon())));
+    WHEN("the store comes back from a copy without the parts") {
+      store.Recover();
+      running.store.calls = 0;
+      other.store.calls = 0;
+      for (process* each : {&running, &other}) {
+        RunCall(each->store.Get("any", "any", Soon()));
+        REQUIRE(each->checkpoint.MayBeLost());
+        REQUIRE(RunCall(each->checkpoint.Restore(Soon())));
+      }
+      THEN("the first one reads and writes, the other one only reads") {
+        constexpr int kFirstCalls = 1;
+        CHECK(running.store.calls == kFirstCalls + 2);
+        CHECK(other.store.calls == kFirstCalls + 1);
+      }
+      THEN("neither has anything left to store") {
+        CHECK(running.checkpoint.IsSaved());
+        CHECK(other.checkpoint.IsSaved());
+        CHECK_FALSE(other.checkpoint.MayBeLost());
+      }
+    }
+  }
 }
 
 }  // namespace anvilloom
