Kill all gateways after a reported window in recovered_store_test

The fault that two reports for a window were accepted had a test of the decision alone. Here two gateways report a window, all are killed, the store comes back from a copy, and they start again.

--- a/test/error/recovered_store_test.cc
+++ b/test/error/recovered_store_test.cc
@@ -107,6 +107,9 @@
   child_process& process(std::string_view name) {
     return system_.process(name);
   }
+  void Start(std::string_view name) {
+    system_.StartGateway(name, 0, kSettings);
+  }
 
  private:
   void Control(std::string_view path) {
@@ -187,6 +190,23 @@
         check_written(other);
       }
     }
+    // Guards against a window that was reported, and is counted again by
+    // processes that have not seen its calls.
+    WHEN("all gateways are killed after another window was reported") {
+      REQUIRE(Eventually([&] { return system.ReportUsage(); }, kPatience));
+      for (const std::string& name : {holder, other}) {
+        system.process(name).Kill();
+      }
+      system.Recover();
+      for (const std::string& name : {holder, other}) {
+        system.Start(name);
+      }
+      THEN("later windows are reported, and no other counts of this one") {
+        CHECK(
+            Eventually([&] { return system.ReportUsage(holder); }, kPatience));
+        CHECK(system.Violations().empty());
+      }
+    }
   }
 }
 
