Encode reports with the usage before those without

peer_reporter::Send() took the windows out of the report, encoded it, and put them back. Encoding the whole report first and clearing two fields sends the same messages without that.

--- a/entry/peer_reporter.cc
+++ b/entry/peer_reporter.cc
@@ -335,15 +335,13 @@
 void peer_reporter::Send() {
   peer_report report = ComposeReport();
   complete_(report);
-  // Only instances that need the usage are told what is known of it.
-  std::vector<std::uint64_t> final_windows =
-      std::exchange(report.final_windows, {});
-  const auto without_usage =
-      std::make_shared<const std::string>(EncodePeerReport(report));
-  report.final_windows = std::move(final_windows);
   report.begun = state_.usage.Counts();
   const auto with_usage =
       std::make_shared<const std::string>(EncodePeerReport(report));
+  report.begun.clear();
+  report.final_windows.clear();
+  const auto without_usage =
+      std::make_shared<const std::string>(EncodePeerReport(report));
   const time_point now = state_.clock.Now();
   for (const auto& each : peer_reports_.Recipients(now)) {
     // Any other instance may become the next holder of the duty lease, and a
