Ask for a later status of each unfinished rollout that was read

After the store had come back from a copy with an earlier status of an order, such as "observing", a holder that had started since went on from that one: calls were exposed to a version that the other instances knew was bad, and its next record replaced theirs.

Cause: only an order without any status was asked for. One with an earlier status counted as the last, and a later one that was told was not written.

Change: a record that was only read, neither written by this instance nor told to it, is awaited in a store that tells an era, whatever its step: no step is taken and no call is exposed for a second after the read, or after the instance became the holder. Any later status that is told marks the order as behind, so that the holder stores it.

--- a/instances/rollout_table.cc
+++ b/instances/rollout_table.cc
@@ -56,6 +56,7 @@
   }
   known.record = record;
   known.begun = record.started_ms != kNotBegun;
+  known.is_read = false;
 }
 
 void rollout_table::TakeStored(std::span<const stored_rollout> stored,
@@ -97,6 +98,7 @@
     if (!is_known || repeated || changed ||
         (begun && Supersedes(record, found->second.record))) {
       Adopt(record, read_at);
+      known_.find(each.order.service)->second.is_read = true;
     }
     known_rollout& known = known_.find(each.order.service)->second;
     known.is_behind =
@@ -127,16 +129,16 @@
   bool news = false;
   if (told.started_ms != kNotBegun &&
       (found == known_.end() || Supersedes(told, found->second.record))) {
-    // An order that was read without its status: the store has lost that.
-    const std::uint64_t lost_at =
-        found != known_.end() && !found->second.begun &&
-                found->second.record.order == told.order
+    // An order that was read without this status, which the store may have
+    // lost. If it has not, the write fails.
+    const std::uint64_t behind_at =
+        found != known_.end() && found->second.record.order == told.order
             ? found->second.revision
             : 0;
     Adopt(told, now);
     found = known_.find(told.order.service);
-    if (lost_at != 0) {
-      found->second.revision = lost_at;
+    if (behind_at != 0) {
+      found->second.revision = behind_at;
       found->second.is_behind = true;
     }
     news = true;
@@ -199,7 +201,7 @@
     return;
   }
   known.confirmed_at = at;
-  if (known.begun) {
+  if (known.begun && !AwaitsStatus(known, at)) {
     known.work->TryUntil(at + timing_.confirmation_lifetime());
   }
 }
@@ -313,7 +315,8 @@
 
 bool rollout_table::AwaitsStatus(const known_rollout& known,
                                  time_point now) const {
-  return EraOf(known.revision) != 0 && !known.deleted && !known.begun &&
+  return known.is_read && EraOf(known.revision) != 0 && !known.deleted &&
+         !IsFinal(known.record.step) &&
          now < std::max(known.step_seen_at, holder_since_) + timing_.delivery();
 }
 
@@ -331,11 +334,11 @@
     if (known.revision == 0 || known.deleted) {
       continue;
     }
+    if (AwaitsStatus(known, now)) {
+      continue;
+    }
     rollout_record next = known.record;
     if (!known.begun) {
-      if (AwaitsStatus(known, now)) {
-        continue;
-      }
       next.started_ms = now_ms;
       next.step_ms = now_ms;
       if (next.order.time_limit <= duration::zero()) {
--- a/instances/rollout_table.h
+++ b/instances/rollout_table.h
@@ -95,9 +95,9 @@
   // Records that this instance holds the duties under this fencing number, so
   // that its records are those that are stored.
   void ConfirmAsHolder(std::uint64_t fencing, time_point now);
-  // Whether an order that was read seems not to have begun, but another
-  // instance may know its status, which the store may have lost. Its first step
-  // is not due before.
+  // Whether another instance may know a later status of an order than the one
+  // that was read, since the store may have lost it. Until then no step of the
+  // order is due, and no call is exposed.
   bool AwaitsStatus(time_point now) const;
   // Returns the records to store, for the holder of the duties.
   std::vector<write> DueWrites(time_point now, std::uint64_t now_ms);
@@ -134,6 +134,9 @@
     bool is_behind = false;
     // Whether the record is stored; false for an order that has not begun.
     bool begun = false;
+    // Whether the record is as it was read from the store, neither written by
+    // this instance nor told by another one.
+    bool is_read = false;
     std::optional<time_point> confirmed_at;
     // When this instance learnt of the step.
     time_point step_seen_at = time_point::min();
--- a/test/correctness/recovered_writes_test.cc
+++ b/test/correctness/recovered_writes_test.cc
@@ -223,6 +223,12 @@
       table.Take("other", 1, each, now);
     }
   }
+  // Whether calls may be sent to the new version as an exposure.
+  bool MayTry() const {
+    const service_rollout& rollout = *table.View()->find(kService)->second;
+    return rollout.step == rollout_step::kObserving &&
+           rollout.work->MayTry(now);
+  }
 
   store_era era;
   seen_store store;
@@ -586,7 +592,7 @@
 }
 
 // Guards against a version that is tried again after it was found bad, because
-// an order whose status is lost is taken for one that was given again.
+// the status in a copy of the store, or the lack of one, is taken for the last.
 SCENARIO("The store loses the status of a rollout", "[recovered_writes]") {
   const auto moment = AnyMoment();
   const auto last = GENERATE(rollout_step::kReverted, rollout_step::kCompleted);
@@ -635,32 +641,44 @@
       }
     }
     WHEN("a process that has started since becomes the holder") {
+      constexpr std::uint64_t kFencing = 7;
+      // Within the time limit of the order.
+      constexpr std::uint64_t kLaterMs = kNowMs + 3'000;
       rollout_instance next(store, "g4");
       next.Read();
-      next.WriteAtOnce(kNowMs + 60'000);
-      const bool asks = next.table.AwaitsStatus(next.now);
+      next.table.ConfirmAsHolder(kFencing, next.now);
+      next.WriteAtOnce(kLaterMs);
+      const auto copied = next.Stored();
+      REQUIRE(copied);
+      const bool has_last = copied->status && copied->status->step == last;
+      THEN("it asks for the status, unless the copy has the last one") {
+        CHECK(next.table.AwaitsStatus(next.now) == !has_last);
+        CHECK(!next.MayTry());
+      }
       AND_WHEN("another instance answers it") {
-        if (asks) {
+        if (next.table.AwaitsStatus(next.now)) {
           next.HearFrom(listener);
         }
-        next.WriteAtOnce(kNowMs + 60'000);
-        THEN("the status is stored as it was, unless the copy has one") {
+        next.WriteAtOnce(kLaterMs);
+        THEN("the status is stored as it was") {
           const auto stored = next.Stored();
           REQUIRE(stored);
           REQUIRE(stored->status);
-          CHECK(asks == (moment == copy_moment::kBeforeWrite));
+          CHECK(stored->status->step == last);
           CHECK(stored->status->started_ms == kNowMs);
-          CHECK((!asks || stored->status->step == last));
+          CHECK(!next.MayTry());
         }
       }
       AND_WHEN("no process is left that knows the status") {
-        next.WriteDue(kNowMs + 60'000);
-        THEN("an order without a status is begun") {
+        next.WriteDue(kLaterMs);
+        next.table.ConfirmAsHolder(kFencing, next.now);
+        THEN("the order goes on from the status in the copy") {
           const auto stored = next.Stored();
           REQUIRE(stored);
           REQUIRE(stored->status);
           CHECK(stored->status->started_ms ==
-                (asks ? kNowMs + 60'000 : kNowMs));
+                (copied->status ? kNowMs : kLaterMs));
+          CHECK(next.MayTry() == !has_last);
         }
       }
     }
