Send no work to engines whose removal a copy of the store lacks

Cause: an entry of a later era was taken for an old one only if its start and sequence were lower than those last known. The entry of an engine that leaves without reporting it comes back as it was, or with a higher sequence, since a heartbeat is not told. That it had been removed was known, and not used.

Change: an entry whose removal the instance has acted on gets work only once it has stayed for 2.5 s, in which an engine that has left removes it again. It may also be of an engine that is alive and whose entry had expired, so it is not ignored for good; a later start counts at once. E827 says so.

--- a/common/log.cc
+++ b/common/log.cc
@@ -258,6 +258,8 @@
       return "upstream_gone";
     case log_event::kUpstreamEntryIgnored:
       return "upstream_entry_ignored";
+    case log_event::kUpstreamAwaitsRemoval:
+      return "upstream_awaits_removal";
     case log_event::kPromptPartBlocked:
       return "prompt_part_blocked";
     case log_event::kPromptPartCleared:
--- a/common/log.h
+++ b/common/log.h
@@ -83,6 +83,7 @@
   kPromptPartBlocked = 824,
   kPromptPartCleared = 825,
   kBlockedPartsUnreadable = 826,
+  kUpstreamAwaitsRemoval = 827,
   kStoreEraUnreadable = 829,
   kPeerJoined = 830,
   kPeerGone = 831,
--- a/entry/announced_upstreams.cc
+++ b/entry/announced_upstreams.cc
@@ -78,11 +78,15 @@
     return false;
   }
   const bool from_copy = IsFromCopy(change, known);
+  const bool awaits_removal = AwaitsRemoval(change, known);
   known.version = change.version;
   known.present = !change.removed;
   if (from_copy) {
     return true;
   }
+  if (!awaits_removal) {
+    pending_returns_.erase(announced.id);
+  }
   if (change.removed) {
     known.digest = 0;
     view_changed = HandleMissing(announced.id, now) || view_changed;
@@ -93,6 +97,10 @@
   known.digest =
       CombineHash(CombineHash(Hash64(announced.id), announced.born_ms),
                   announced.draining ? 1 : 0);
+  if (awaits_removal) {
+    DelayReturn(announced, now);
+    return true;
+  }
   view_changed = Announce(announced) || view_changed;
   if (announced.cold_remaining_ms > 0) {
     builder_.SetCold(announced.id,
@@ -110,6 +118,31 @@
              std::tie(known.born_ms, known.sequence);
 }
 
+bool announced_upstreams::AwaitsRemoval(const upstream_change& change,
+                                        const entry_state& known) const {
+  const upstream_announcement& announced = change.announced;
+  if (change.removed || known.version == 0 ||
+      announced.born_ms != known.born_ms) {
+    return false;
+  }
+  // A removal that is still delayed has not been acted on.
+  return pending_returns_.contains(announced.id) ||
+         (!known.present && EraOf(change.version) > EraOf(known.version) &&
+          !pending_removals_.contains(announced.id));
+}
+
+void announced_upstreams::DelayReturn(const upstream_announcement& announced,
+                                      time_point now) {
+  const auto [pending, is_new] = pending_returns_.try_emplace(
+      announced.id,
+      pending_return{announced, deadline::After(now, kRecoveryTime)});
+  if (is_new) {
+    LogChange(log_event::kUpstreamAwaitsRemoval, announced.id, announced);
+  } else {
+    pending->second.announced = announced;
+  }
+}
+
 void announced_upstreams::SetStoreReachable(bool reachable, time_point now) {
   store_reachable_ = reachable;
   if (reachable) {
@@ -166,6 +199,17 @@
       changed = builder_.Remove(id) || changed;
     }
   }
+  std::vector<upstream_announcement> back;
+  std::erase_if(pending_returns_, [&](auto& entry) {
+    const bool due = entry.second.at.Expired(now);
+    if (due) {
+      back.push_back(std::move(entry.second.announced));
+    }
+    return due;
+  });
+  for (const upstream_announcement& announced : back) {
+    changed = Announce(announced) || changed;
+  }
   if (changed) {
     changed_();
   }
--- a/entry/announced_upstreams.h
+++ b/entry/announced_upstreams.h
@@ -22,7 +22,9 @@
 // missing entry is delayed; at other times a missing entry means that the
 // upstream is gone. A store that comes back from an older copy is treated like
 // one after an outage. An entry of the copy does not replace a later one of the
-// same run, or one of a later run.
+// same run, or one of a later run. One whose removal this instance has acted on
+// gets work only if it is still there when its removal would have been
+// repeated.
 //
 // Not thread-safe; used on the control thread only.
 class announced_upstreams {
@@ -54,7 +56,7 @@
   // A digest of all entries, by which instances compare their state.
   std::uint64_t digest() const;
 
-  // Removes upstreams whose removal delay has expired.
+  // Removes and returns upstreams whose delay has expired.
   void Sweep(time_point now);
   // Sweeps periodically; never returns.
   awaitable<void> Run();
@@ -63,7 +65,8 @@
   // Entries that expired in an outage are back within two seconds. An upstream
   // that has left receives work for at most this long after its entry is gone.
   static constexpr duration kRemovalDelay = std::chrono::milliseconds(1800);
-  // Time after the end of an outage in which a missing entry may reappear.
+  // Time after the end of an outage in which a missing entry may reappear, and
+  // a removal that a copy of the store lacks may be repeated.
   static constexpr duration kRecoveryTime = std::chrono::milliseconds(2500);
   static constexpr duration kSweepInterval = std::chrono::milliseconds(100);
 
@@ -77,11 +80,23 @@
     std::uint64_t sequence = 0;
   };
 
+  struct pending_return {
+    upstream_announcement announced;
+    deadline at;
+  };
+
   // Whether an entry that the store holds in a later era is older than the
   // known one: the copy from which the store came back was taken before it.
   static bool IsFromCopy(const upstream_change& change,
                          const entry_state& known);
 
+  // Whether this instance has acted on the removal of an entry that the store
+  // holds in a later era. Either the upstream has left, and removes the entry
+  // again, or it is alive, and the entry had only expired.
+  bool AwaitsRemoval(const upstream_change& change,
+                     const entry_state& known) const;
+  void DelayReturn(const upstream_announcement& announced, time_point now);
+
   // Applies a change unless it is old. Returns whether it was new, and sets
   // `view_changed` if other upstreams get work now.
   bool ApplyIfNewer(const upstream_change& change,
@@ -94,6 +109,8 @@
   std::function<void()> changed_;
   // Removed entries are kept, so that an older change does not restore them.
   std::map<std::string, entry_state, std::less<>> entries_;
+  // Entries whose removal is missing in the copy, until their upstreams return.
+  std::map<std::string, pending_return, std::less<>> pending_returns_;
   // Missing entries with the time at which their upstream is removed.
   std::map<std::string, deadline, std::less<>> pending_removals_;
   bool store_reachable_ = true;
--- a/test/error/recovered_store_test.cc
+++ b/test/error/recovered_store_test.cc
@@ -1,6 +1,7 @@
 // Runs gateways whose store comes back from a copy without their writes. Guards
 // against a process that ends or refuses calls then, against writes that are
-// not made again, and against two holders of the duties. Checks no times.
+// not made again, against two holders of the duties, and against calls to an
+// engine that has left.
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -104,6 +105,37 @@
   bool Serves(std::string_view name) {
     return system_.CallOnce(system_.port(name), "/single/1").status == 200;
   }
+  // Announces a second engine.
+  void AddEngine() { system_.StartVersion("d2", "desk", "v1"); }
+  // Removes its entry, as an engine does that leaves without reporting it.
+  void RemoveEngine() { system_.Withdraw("d2"); }
+  bool HasEngineEntry() { return Get("servers/d2").is_object(); }
+  void AwaitUpstreams(std::size_t count) {
+    for (const std::string name : {"g1", "g2"}) {
+      REQUIRE(system_.AwaitUpstreams(name, count));
+    }
+  }
+  // Makes calls at both gateways for a time. Returns how many of them the
+  // second engine has got.
+  std::size_t CallsToEngine(std::chrono::milliseconds time) {
+    const auto runs = [this] {
+      const std::string output = process("d2").Output();
+      std::size_t count = 0;
+      for (std::size_t at = output.find("ran "); at != std::string::npos;
+           at = output.find("ran ", at + 1)) {
+        ++count;
+      }
+      return count;
+    };
+    const std::size_t before = runs();
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end) {
+      for (const std::string name : {"g1", "g2"}) {
+        system_.CallOnce(system_.port(name), "/safe/x");
+      }
+    }
+    return runs() - before;
+  }
   child_process& process(std::string_view name) {
     return system_.process(name);
   }
@@ -210,4 +242,34 @@
   }
 }
 
+// Guards against calls that are lost at an engine which has left, since a copy
+// of the store holds its entry.
+SCENARIO("A copy of the store has the entry of an engine that has left",
+         "[recovered_store]") {
+  GIVEN("gateways that know that the engine has left") {
+    using std::chrono::seconds;
+    recovering_system system(copy_time::kBeforeTheLastWrites);
+    system.AddEngine();
+    system.AwaitUpstreams(2);
+    REQUIRE(system.CallsToEngine(seconds(1)) > 0);
+    system.TakeCopy();
+    system.RemoveEngine();
+    system.AwaitUpstreams(1);
+
+    WHEN("the store comes back from that copy") {
+      system.Recover();
+      REQUIRE(system.HasEngineEntry());
+      THEN("the engine gets no call, as it removes its entry again") {
+        CHECK(system.CallsToEngine(seconds(1)) == 0);
+        system.RemoveEngine();
+        CHECK(system.CallsToEngine(seconds(4)) == 0);
+      }
+      THEN("it gets calls later, if its entry stays") {
+        system.AwaitUpstreams(2);
+        CHECK(system.CallsToEngine(seconds(1)) > 0);
+      }
+    }
+  }
+}
+
 }  // namespace anvilloom
--- a/test/support/gossip_fleet.cc
+++ b/test/support/gossip_fleet.cc
@@ -86,6 +86,7 @@
     while (check_at_ <= next) {
       now_ = std::max(now_, check_at_);
       check_at_ += kCheckInterval;
+      SweepUpstreams();
       CheckSoundness();
     }
     now_ = next;
@@ -462,6 +463,14 @@
   return largest;
 }
 
+void gossip_fleet::SweepUpstreams() {
+  for (node& each : nodes_) {
+    if (Runs(each) && each.upstreams != nullptr) {
+      each.upstreams->Sweep(now_);
+    }
+  }
+}
+
 void gossip_fleet::CheckSoundness() {
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     const node& each = nodes_[i];
--- a/test/support/gossip_fleet.h
+++ b/test/support/gossip_fleet.h
@@ -158,6 +158,8 @@
   void Fetch(std::size_t index, std::size_t from);
   void Spread(std::size_t index);
   void RecordChange(upstream_change change);
+  // Does on all instances what they do periodically.
+  void SweepUpstreams();
   void CheckSoundness();
   bool Runs(const node& each) const {
     return each.running && each.paused_until <= now_;
