--- a/test/correctness/recovered_writes_test.cc
+++ b/test/correctness/recovered_writes_test.cc
@@ -136,7 +136,7 @@
       }));
     }
   }
-  // Windows that were not reported because others may have been.
+  // Windows that were not reported because an earlier holder may have done so.
   std::uint64_t in_doubt() const {
     return state_.counters.usage_windows_in_doubt;
   }
--- a/test/correctness/suspect_checkpoint_test.cc
+++ b/test/correctness/suspect_checkpoint_test.cc
@@ -188,9 +188,9 @@
         REQUIRE(RunCall(each->checkpoint.Restore(Soon())));
       }
       THEN("the first one reads and writes, the other one only reads") {
-        constexpr int kFirstCalls = 1;
-        CHECK(running.store.calls == kFirstCalls + 2);
-        CHECK(other.store.calls == kFirstCalls + 1);
+        constexpr int kCallsBefore = 1;
+        CHECK(running.store.calls == kCallsBefore + 2);
+        CHECK(other.store.calls == kCallsBefore + 1);
       }
       THEN("neither has anything left to store") {
         CHECK(running.checkpoint.IsSaved());
