--- a/test/support/gossip_fleet.cc
+++ b/test/support/gossip_fleet.cc
@@ -16,6 +16,8 @@
 constexpr duration kMinPause = std::chrono::milliseconds(1);
 constexpr duration kMaxPause = std::chrono::milliseconds(100);
 constexpr duration kCheckInterval = std::chrono::milliseconds(10);
+// As in announced_upstreams.
+constexpr duration kSweepInterval = std::chrono::milliseconds(100);
 constexpr duration kStoreDelay = std::chrono::milliseconds(5);
 constexpr duration kReadBurst = std::chrono::milliseconds(100);
 
@@ -86,7 +88,9 @@
     while (check_at_ <= next) {
       now_ = std::max(now_, check_at_);
       check_at_ += kCheckInterval;
-      SweepUpstreams();
+      if (now_.time_since_epoch() % kSweepInterval == duration::zero()) {
+        SweepUpstreams();
+      }
       CheckSoundness();
     }
     now_ = next;
