--- a/entry/announced_upstreams.cc
+++ b/entry/announced_upstreams.cc
@@ -199,16 +199,13 @@
       changed = builder_.Remove(id) || changed;
     }
   }
-  std::vector<upstream_announcement> back;
-  std::erase_if(pending_returns_, [&](auto& entry) {
-    const bool due = entry.second.at.Expired(now);
-    if (due) {
-      back.push_back(std::move(entry.second.announced));
+  for (auto each = pending_returns_.begin(); each != pending_returns_.end();) {
+    if (!each->second.at.Expired(now)) {
+      ++each;
+      continue;
     }
-    return due;
-  });
-  for (const upstream_announcement& announced : back) {
-    changed = Announce(announced) || changed;
+    changed = Announce(each->second.announced) || changed;
+    each = pending_returns_.erase(each);
   }
   if (changed) {
     changed_();
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -347,9 +347,8 @@
   }
 
   // Stores the suspected parts when they change. One instance is enough, since
-  // all learn the same. That one may have started after the parts were told,
-  // and know less than an older copy of the store lacks: then all store them
-  // again.
+  // all learn the same. After the store has come back from an older copy, that
+  // one may not know what the copy lacks, so all make sure that it is stored.
   awaitable<void> StoreSuspects() {
     for (;;) {
       co_await Pause(kStoreSuspectsDelay);
--- a/instances/rollout_table.cc
+++ b/instances/rollout_table.cc
@@ -44,7 +44,8 @@
   return known;
 }
 
-void rollout_table::Adopt(const rollout_record& record, time_point now) {
+rollout_table::known_rollout& rollout_table::Adopt(const rollout_record& record,
+                                                   time_point now) {
   const auto found = known_.find(record.order.service);
   if (found == known_.end() ||
       found->second.record.started_ms != record.started_ms) {
@@ -57,6 +58,7 @@
   known.record = record;
   known.begun = record.started_ms != kNotBegun;
   known.is_read = false;
+  return known;
 }
 
 void rollout_table::TakeStored(std::span<const stored_rollout> stored,
@@ -97,8 +99,7 @@
     }
     if (!is_known || repeated || changed ||
         (begun && Supersedes(record, found->second.record))) {
-      Adopt(record, read_at);
-      known_.find(each.order.service)->second.is_read = true;
+      Adopt(record, read_at).is_read = true;
     }
     known_rollout& known = known_.find(each.order.service)->second;
     known.is_behind =
@@ -331,10 +332,7 @@
     std::uint64_t now_ms) {
   std::vector<write> writes;
   for (auto& [service, known] : known_) {
-    if (known.revision == 0 || known.deleted) {
-      continue;
-    }
-    if (AwaitsStatus(known, now)) {
+    if (known.revision == 0 || known.deleted || AwaitsStatus(known, now)) {
       continue;
     }
     rollout_record next = known.record;
@@ -364,8 +362,7 @@
 void rollout_table::HandleStored(const rollout_record& record,
                                  std::uint64_t revision,
                                  time_point now) {
-  Adopt(record, now);
-  known_rollout& known = known_.find(record.order.service)->second;
+  known_rollout& known = Adopt(record, now);
   known.revision = revision;
   known.is_behind = false;
   Confirm(known, now);
--- a/instances/rollout_table.h
+++ b/instances/rollout_table.h
@@ -157,7 +157,7 @@
 
   bool AwaitsStatus(const known_rollout& known, time_point now) const;
   known_rollout& Begin(const rollout_record& record, time_point now);
-  void Adopt(const rollout_record& record, time_point now);
+  known_rollout& Adopt(const rollout_record& record, time_point now);
   void Confirm(known_rollout& known, time_point at) const;
   void MarkBad(known_rollout& known, std::string_view cause, time_point now);
   void ExtendOld(time_point now);
