Share the announced service and the late holder of the recovery tests

Three scenarios set up the same service with its upstreams, and two started the same process after a recovery.

--- a/test/correctness/recovered_writes_test.cc
+++ b/test/correctness/recovered_writes_test.cc
@@ -383,6 +383,13 @@
     const window_counts two{{std::string(kWorkspace), 2}};
     REQUIRE(cloud.windows.at(kWindow) == five);
     store.Recover();
+    // A process that starts later, as the holder at the end of the next window.
+    const auto report_anew = [&](int requests) {
+      auto again = std::make_unique<usage_instance>(store, cloud);
+      again->Count(kWindow + 1, requests);
+      again->ReportAfter(kWindow + 1, 9);
+      return again;
+    };
 
     WHEN("a process that has started since takes over") {
       usage_instance next(store, cloud);
@@ -399,24 +406,20 @@
         CHECK(next.in_doubt() == 1);
       }
       AND_WHEN("all processes are restarted") {
-        usage_instance again(store, cloud);
-        again.Count(kWindow + 1, 2);
-        again.ReportAfter(kWindow + 1, 9);
+        const auto again = report_anew(2);
         THEN("the window is still in doubt, and the next one is reported") {
           CHECK(cloud.changed == 0);
-          CHECK(again.in_doubt() == 1);
+          CHECK(again->in_doubt() == 1);
           CHECK(cloud.windows.at(kWindow + 1).size() == 1);
         }
       }
       AND_WHEN("the store comes back from the same copy again") {
         next.ReportAfter(kWindow + 1, 8);
         store.Recover();
-        usage_instance again(store, cloud);
-        again.Count(kWindow + 1, 1);
-        again.ReportAfter(kWindow + 1, 9);
+        const auto again = report_anew(1);
         THEN("both windows are in doubt") {
           CHECK(cloud.changed == 0);
-          CHECK(again.in_doubt() == 2);
+          CHECK(again->in_doubt() == 2);
         }
       }
       AND_WHEN("it hears the counts after all") {
--- a/test/correctness/store_recovery_test.cc
+++ b/test/correctness/store_recovery_test.cc
@@ -15,11 +15,11 @@
 #include <string_view>
 #include <vector>
 
-#include "entry/announced_upstreams.h"
 #include "entry/lease_runner.h"
 #include "entry/usage_checkpoint.h"
 #include "platform/object_store_client.h"
 #include "platform/standin/platform_api.h"
+#include "test/support/announced_service.h"
 #include "test/support/gossip_scenarios.h"
 #include "test/support/lease_competitor.h"
 #include "test/support/recoverable_store.h"
@@ -320,31 +320,24 @@
 
 SCENARIO("An engine's entry in the copy is older than the known one",
          "[store_recovery]") {
-  serving_view_builder builder;
-  manifest declared;
-  declared.services.emplace_back().name = "plans";
-  builder.SetManifest(std::make_shared<const manifest_index>(declared));
-  announced_upstreams upstreams(builder, [] {});
-  const auto serving = [&] {
-    return builder.Build()->FindPool("plans")->members.size();
-  };
+  announced_service plans;
   const time_point now{seconds(1000)};
   const auto list = [&](const upstream_change& change) {
-    upstreams.ApplyList(change.version, {{change}}, now);
+    plans.upstreams.ApplyList(change.version, {{change}}, now);
   };
   list(Entry(1, 10, 3, true));
-  REQUIRE(serving() == 0);
+  REQUIRE(plans.Serving() == 0);
 
   WHEN("the copy says that the engine does not drain yet") {
     list(Entry(2, 8, 2, false));
     THEN("it gets no work") {
-      CHECK(serving() == 0);
+      CHECK(plans.Serving() == 0);
     }
   }
   WHEN("the engine has written a later entry in the new era") {
     list(Entry(2, 8, 4, false));
     THEN("it gets work") {
-      CHECK(serving() == 1);
+      CHECK(plans.Serving() == 1);
     }
   }
 }
@@ -353,54 +346,47 @@
 // store holds its entry.
 SCENARIO("A copy holds the entry of an engine that has left",
          "[store_recovery]") {
-  serving_view_builder builder;
-  manifest declared;
-  declared.services.emplace_back().name = "plans";
-  builder.SetManifest(std::make_shared<const manifest_index>(declared));
-  announced_upstreams upstreams(builder, [] {});
-  const auto serving = [&] {
-    return builder.Build()->FindPool("plans")->members.size();
-  };
+  announced_service plans;
   const time_point start{seconds(1000)};
   const auto list = [&](const upstream_change& change, time_point now) {
-    upstreams.ApplyList(change.version, {{change}}, now);
-    upstreams.Sweep(now);
+    plans.upstreams.ApplyList(change.version, {{change}}, now);
+    plans.upstreams.Sweep(now);
   };
   const auto remove = [&](std::uint64_t era, std::uint64_t revision,
                           time_point now) {
-    upstreams.ApplyList(MakeVersion(era, revision), {}, now);
-    upstreams.Sweep(now);
+    plans.upstreams.ApplyList(MakeVersion(era, revision), {}, now);
+    plans.upstreams.Sweep(now);
   };
   list(Entry(1, 8, 2, false), start);
-  REQUIRE(serving() == 1);
+  REQUIRE(plans.Serving() == 1);
 
   GIVEN("an instance that has taken the upstream out") {
     remove(1, 9, start);
-    REQUIRE(serving() == 0);
-    upstreams.SetStoreReachable(false, start + milliseconds(500));
+    REQUIRE(plans.Serving() == 0);
+    plans.upstreams.SetStoreReachable(false, start + milliseconds(500));
     const time_point back = start + seconds(1);
-    upstreams.SetStoreReachable(true, back);
+    plans.upstreams.SetStoreReachable(true, back);
 
     WHEN("the copy has the entry, with a later sequence") {
       list(Entry(2, 8, 3, false), back);
       THEN("the upstream gets no work") {
-        REQUIRE(serving() == 0);
+        REQUIRE(plans.Serving() == 0);
       }
       AND_WHEN("the upstream repeats the entry and its removal") {
         list(Entry(2, 9, 3, false), back + milliseconds(300));
-        REQUIRE(serving() == 0);
+        REQUIRE(plans.Serving() == 0);
         remove(2, 10, back + milliseconds(500));
         THEN("it gets none later either") {
-          upstreams.Sweep(back + seconds(4));
-          REQUIRE(serving() == 0);
+          plans.upstreams.Sweep(back + seconds(4));
+          REQUIRE(plans.Serving() == 0);
         }
       }
       AND_WHEN("the upstream is alive, so that no removal follows") {
-        upstreams.Sweep(back + milliseconds(2400));
-        REQUIRE(serving() == 0);
+        plans.upstreams.Sweep(back + milliseconds(2400));
+        REQUIRE(plans.Serving() == 0);
         THEN("it gets work again, as its entry had only expired") {
-          upstreams.Sweep(back + milliseconds(2600));
-          REQUIRE(serving() == 1);
+          plans.upstreams.Sweep(back + milliseconds(2600));
+          REQUIRE(plans.Serving() == 1);
         }
       }
       AND_WHEN("the upstream is started again") {
@@ -408,34 +394,32 @@
         restarted.announced.born_ms += 1;
         list(restarted, back + milliseconds(300));
         THEN("it gets work at once") {
-          REQUIRE(serving() == 1);
+          REQUIRE(plans.Serving() == 1);
         }
       }
     }
   }
   GIVEN("an instance that has delayed the removal, in an outage") {
-    upstreams.SetStoreReachable(false, start);
-    upstreams.SetStoreReachable(true, start);
+    plans.upstreams.SetStoreReachable(false, start);
+    plans.upstreams.SetStoreReachable(true, start);
     remove(1, 9, start);
-    REQUIRE(serving() == 1);
+    REQUIRE(plans.Serving() == 1);
     WHEN("the copy has the entry") {
       list(Entry(2, 8, 2, false), start + seconds(1));
       THEN("the upstream still gets work") {
-        upstreams.Sweep(start + seconds(3));
-        REQUIRE(serving() == 1);
+        plans.upstreams.Sweep(start + seconds(3));
+        REQUIRE(plans.Serving() == 1);
       }
     }
   }
   GIVEN("an instance that has never heard of the upstream") {
-    serving_view_builder new_builder;
-    new_builder.SetManifest(std::make_shared<const manifest_index>(declared));
-    announced_upstreams fresh(new_builder, [] {});
+    announced_service fresh;
     WHEN("the copy has the entry, without the time of its start") {
       upstream_change change = Entry(2, 8, 2, false);
       change.announced.born_ms = 0;
-      fresh.ApplyList(change.version, {{change}}, start);
+      fresh.upstreams.ApplyList(change.version, {{change}}, start);
       THEN("the upstream gets work") {
-        REQUIRE(new_builder.Build()->FindPool("plans")->members.size() == 1);
+        REQUIRE(fresh.Serving() == 1);
       }
     }
   }
--- a/test/support/gossip_fleet.h
+++ b/test/support/gossip_fleet.h
@@ -158,7 +158,7 @@
   void Fetch(std::size_t index, std::size_t from);
   void Spread(std::size_t index);
   void RecordChange(upstream_change change);
-  // Does on all instances what they do periodically.
+  // Applies the delayed changes that are due, on all instances.
   void SweepUpstreams();
   void CheckSoundness();
   bool Runs(const node& each) const {
